--- /dev/null
+++ b/cmd/cuminroute/main.go
@@ -0,0 +1,4 @@
+// Command cuminroute is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/cuminrouted/main.go
@@ -0,0 +1,4 @@
+// Command cuminrouted is not wired yet.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/configuration/configuration.go
@@ -0,0 +1,250 @@
+// Package configuration holds the configuration that is in force: the head office's rules,
+// the models, the services, and the workspaces with their branches and pipelines.
+//
+// A Configuration is immutable once it is in force. Traffic goroutines read it through a
+// snapshot and never change it.
+//
+// Usage:
+//
+//	caller, ok := c.Authenticate(key)
+//	pipeline, ok := c.Pipeline(caller.Workspace, "stitch-guide")
+//	rules := c.Rules(caller.Workspace, caller.Branch, time.Now())
+package configuration
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"strings"
+	"time"
+)
+
+// Priority is the priority class of a request. Classes are served in the order in which they are declared.
+type Priority string
+
+const (
+	// Schedule is for work that others wait for, such as burn schedules.
+	Schedule Priority = "Schedule"
+	// Interactive is for questions with a person waiting.
+	Interactive Priority = "Interactive"
+	// Batch is for work that may wait.
+	Batch Priority = "Batch"
+)
+
+// Rank returns the place of p in the order of service, 0 first. An unknown priority ranks last.
+func (p Priority) Rank() int {
+	switch p {
+	case Schedule:
+		return 0
+	case Interactive:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// Configuration is one version of the whole configuration.
+type Configuration struct {
+	Version    uint64      `json:"Version" yaml:"Version,omitempty"`
+	HeadOffice HeadOffice  `json:"HeadOffice" yaml:"HeadOffice"`
+	Workspaces []Workspace `json:"Workspaces" yaml:"Workspaces"`
+}
+
+// HeadOffice holds what applies to every workspace.
+type HeadOffice struct {
+	Fleet     string    `json:"Fleet" yaml:"Fleet"`
+	TimeZone  string    `json:"TimeZone" yaml:"TimeZone"` // TimeZone is an IANA name such as Europe/Ljubljana.
+	Operators []Key     `json:"Operators" yaml:"Operators"`
+	Rules     Overrides `json:"Rules" yaml:"Rules"`
+	Models    []Model   `json:"Models" yaml:"Models"`
+	Services  []Service `json:"Services" yaml:"Services"`
+}
+
+// Key is the SHA-256 hash of a caller's or an operator's key.
+type Key struct {
+	Name string `json:"Name" yaml:"Name"`
+	Hash string `json:"Hash" yaml:"Hash"` // Hash is "sha256:" and 64 hexadecimal digits.
+}
+
+// Model is a model that pipelines may name.
+type Model struct {
+	Name    string `json:"Name" yaml:"Name"`
+	Version string `json:"Version" yaml:"Version"`
+	Layers  int    `json:"Layers" yaml:"Layers"`
+}
+
+// Service is a plain service beside the model engines.
+type Service struct {
+	Name     string        `json:"Name" yaml:"Name"`
+	Requests []RequestKind `json:"Requests" yaml:"Requests"`
+}
+
+// RequestKind is a kind of service request.
+type RequestKind struct {
+	Name       string        `json:"Name" yaml:"Name"`
+	Method     string        `json:"Method" yaml:"Method"`
+	Path       string        `json:"Path" yaml:"Path"` // Path is the path below the service; a last element "*" matches any rest.
+	Idempotent bool          `json:"Idempotent" yaml:"Idempotent"`
+	Phone      bool          `json:"Phone,omitempty" yaml:"Phone,omitempty"` // Phone marks a kind that only branches with phone orders may send.
+	Timeout    time.Duration `json:"Timeout,omitempty" yaml:"Timeout,omitempty"`
+}
+
+// Workspace is one customer's share of the system.
+type Workspace struct {
+	Name      string     `json:"Name" yaml:"Name"`
+	Weight    int        `json:"Weight" yaml:"Weight"` // Weight is the share of the system under contention, 1 or more.
+	Keys      []Key      `json:"Keys" yaml:"Keys"`
+	Rules     Overrides  `json:"Rules" yaml:"Rules,omitempty"`
+	Branches  []Branch   `json:"Branches" yaml:"Branches"`
+	Pipelines []Pipeline `json:"Pipelines" yaml:"Pipelines"`
+	Services  []string   `json:"Services" yaml:"Services"`
+}
+
+// Branch is a shop or a kiln crew that bends the rules above it.
+type Branch struct {
+	Name  string    `json:"Name" yaml:"Name"`
+	Keys  []Key     `json:"Keys" yaml:"Keys,omitempty"`
+	Rules Overrides `json:"Rules" yaml:"Rules,omitempty"`
+}
+
+// Pipeline carries requests that name it through a model.
+type Pipeline struct {
+	Name     string        `json:"Name" yaml:"Name"` // Name is what callers give as the model name.
+	Model    string        `json:"Model" yaml:"Model"`
+	Priority Priority      `json:"Priority,omitempty" yaml:"Priority,omitempty"` // Priority is empty to take the branch's.
+	Timeout  time.Duration `json:"Timeout,omitempty" yaml:"Timeout,omitempty"`   // Timeout is zero to take the branch's.
+}
+
+// Overrides are the rules that a branch may set differently from the level above. A nil field takes the value from above.
+type Overrides struct {
+	OpeningHours  *Hours         `json:"OpeningHours,omitempty" yaml:"OpeningHours,omitempty"`
+	MarketDays    *[]string      `json:"MarketDays,omitempty" yaml:"MarketDays,omitempty"` // MarketDays are weekday names; an empty list means every day.
+	PhoneOrders   *bool          `json:"PhoneOrders,omitempty" yaml:"PhoneOrders,omitempty"`
+	Priority      *Priority      `json:"Priority,omitempty" yaml:"Priority,omitempty"`
+	Timeout       *time.Duration `json:"Timeout,omitempty" yaml:"Timeout,omitempty"`
+	NotIdempotent *[]string      `json:"NotIdempotent,omitempty" yaml:"NotIdempotent,omitempty"` // NotIdempotent names request kinds, as service/kind, that run at most once here.
+}
+
+// Hours are opening hours in the fleet's time zone.
+type Hours struct {
+	Open  string `json:"Open" yaml:"Open"`   // Open is a time of day such as 08:00.
+	Close string `json:"Close" yaml:"Close"` // Close is a time of day after Open.
+}
+
+// Caller is who sent a request, as its key tells.
+type Caller struct {
+	Workspace string `json:"Workspace"`
+	Branch    string `json:"Branch"` // Branch is empty for a key of the whole workspace.
+}
+
+// HashKey returns the hash under which key is written in the configuration.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// Authenticate returns the caller whose key this is.
+func (c *Configuration) Authenticate(key string) (Caller, bool) {
+	hash := HashKey(key)
+	for _, w := range c.Workspaces {
+		if holdsKey(w.Keys, hash) {
+			return Caller{Workspace: w.Name}, true
+		}
+		for _, b := range w.Branches {
+			if holdsKey(b.Keys, hash) {
+				return Caller{Workspace: w.Name, Branch: b.Name}, true
+			}
+		}
+	}
+	return Caller{}, false
+}
+
+// AuthenticateOperator returns the name of the operator whose key this is.
+func (c *Configuration) AuthenticateOperator(key string) (string, bool) {
+	hash := HashKey(key)
+	for _, k := range c.HeadOffice.Operators {
+		if holdsKey([]Key{k}, hash) {
+			return k.Name, true
+		}
+	}
+	return "", false
+}
+
+func holdsKey(keys []Key, hash string) bool {
+	for _, k := range keys {
+		if subtle.ConstantTimeCompare([]byte(k.Hash), []byte(hash)) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
+// Workspace returns the workspace of that name.
+func (c *Configuration) Workspace(name string) (Workspace, bool) {
+	for _, w := range c.Workspaces {
+		if w.Name == name {
+			return w, true
+		}
+	}
+	return Workspace{}, false
+}
+
+// Model returns the model of that name.
+func (c *Configuration) Model(name string) (Model, bool) {
+	for _, m := range c.HeadOffice.Models {
+		if m.Name == name {
+			return m, true
+		}
+	}
+	return Model{}, false
+}
+
+// Pipeline returns the pipeline of that name in the workspace.
+func (c *Configuration) Pipeline(workspace, name string) (Pipeline, bool) {
+	w, ok := c.Workspace(workspace)
+	if !ok {
+		return Pipeline{}, false
+	}
+	for _, p := range w.Pipelines {
+		if p.Name == name {
+			return p, true
+		}
+	}
+	return Pipeline{}, false
+}
+
+// RequestKind returns the kind of a service request that the workspace may send, and false where
+// the workspace does not have the service or the service has no such kind.
+func (c *Configuration) RequestKind(workspace, service, method, path string) (RequestKind, bool) {
+	w, ok := c.Workspace(workspace)
+	if !ok {
+		return RequestKind{}, false
+	}
+	for _, name := range w.Services {
+		if name == service {
+			return c.kindOf(service, method, path)
+		}
+	}
+	return RequestKind{}, false
+}
+
+func (c *Configuration) kindOf(service, method, path string) (RequestKind, bool) {
+	for _, s := range c.HeadOffice.Services {
+		if s.Name != service {
+			continue
+		}
+		for _, k := range s.Requests {
+			if k.Method == method && matchesPath(k.Path, path) {
+				return k, true
+			}
+		}
+	}
+	return RequestKind{}, false
+}
+
+func matchesPath(pattern, path string) bool {
+	if prefix, found := strings.CutSuffix(pattern, "*"); found {
+		return strings.HasPrefix(path, prefix)
+	}
+	return pattern == path
+}
--- /dev/null
+++ b/pkg/configuration/rules.go
@@ -0,0 +1,98 @@
+package configuration
+
+import (
+	"slices"
+	"time"
+)
+
+// Values used where neither the head office nor the branch sets a rule.
+const (
+	// DefaultTimeout leaves room for a long answer at 78 ms between tokens.
+	DefaultTimeout = 60 * time.Second
+	// DefaultPriority suits a person who waits for an answer.
+	DefaultPriority = Interactive
+)
+
+// Rules are the values in force for one branch at one time.
+type Rules struct {
+	Open          bool          `json:"Open"` // Open reports whether the branch is within its opening hours on one of its days.
+	PhoneOrders   bool          `json:"PhoneOrders"`
+	Priority      Priority      `json:"Priority"` // Priority is Batch outside opening hours.
+	Timeout       time.Duration `json:"Timeout"`
+	NotIdempotent []string      `json:"NotIdempotent"`
+}
+
+// Rules returns the values in force for a branch. An empty branch gives those of the whole workspace.
+func (c *Configuration) Rules(workspace, branch string, at time.Time) Rules {
+	merged := c.HeadOffice.Rules
+	if w, ok := c.Workspace(workspace); ok {
+		merged = merged.overriddenBy(w.Rules)
+		for _, b := range w.Branches {
+			if b.Name == branch {
+				merged = merged.overriddenBy(b.Rules)
+			}
+		}
+	}
+	return merged.resolve(c.localTime(at))
+}
+
+func (c *Configuration) localTime(at time.Time) time.Time {
+	zone, err := time.LoadLocation(c.HeadOffice.TimeZone)
+	if err != nil {
+		return at.UTC()
+	}
+	return at.In(zone)
+}
+
+func (o Overrides) overriddenBy(other Overrides) Overrides {
+	if other.OpeningHours != nil {
+		o.OpeningHours = other.OpeningHours
+	}
+	if other.MarketDays != nil {
+		o.MarketDays = other.MarketDays
+	}
+	if other.PhoneOrders != nil {
+		o.PhoneOrders = other.PhoneOrders
+	}
+	if other.Priority != nil {
+		o.Priority = other.Priority
+	}
+	if other.Timeout != nil {
+		o.Timeout = other.Timeout
+	}
+	if other.NotIdempotent != nil {
+		o.NotIdempotent = other.NotIdempotent
+	}
+	return o
+}
+
+func (o Overrides) resolve(local time.Time) Rules {
+	r := Rules{Open: o.openAt(local), Priority: DefaultPriority, Timeout: DefaultTimeout}
+	if o.PhoneOrders != nil {
+		r.PhoneOrders = *o.PhoneOrders
+	}
+	if o.Priority != nil {
+		r.Priority = *o.Priority
+	}
+	if !r.Open {
+		r.Priority = Batch
+	}
+	if o.Timeout != nil {
+		r.Timeout = *o.Timeout
+	}
+	if o.NotIdempotent != nil {
+		r.NotIdempotent = *o.NotIdempotent
+	}
+	return r
+}
+
+func (o Overrides) openAt(local time.Time) bool {
+	if o.MarketDays != nil && len(*o.MarketDays) > 0 && !slices.Contains(*o.MarketDays, local.Weekday().String()) {
+		return false
+	}
+	if o.OpeningHours == nil {
+		return true
+	}
+	now := local.Format("15:04")
+	return o.OpeningHours.Open <= now && now < o.OpeningHours.Close
+}
--- /dev/null
+++ b/pkg/finding/list.go
@@ -0,0 +1,80 @@
+// Package finding collects the faults of an input, each with its place, so that
+// all of them are reported together.
+//
+// Usage:
+//
+//	var findings finding.List
+//	findings.Add(finding.Finding{File: "c.yaml", Line: 3, Column: 9, Value: "-1s",
+//		Rule: "Timeout must be positive", Accepted: "a duration such as 30s"})
+//	return findings.Err()
+package finding
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is one fault of an input.
+type Finding struct {
+	File     string `json:"File,omitempty"`
+	Line     int    `json:"Line,omitempty"`
+	Column   int    `json:"Column,omitempty"`
+	Path     string `json:"Path,omitempty"` // Path is the YAML path of the value, such as $.Workspaces[0].Name.
+	Value    string `json:"Value"`
+	Rule     string `json:"Rule"`
+	Accepted string `json:"Accepted"`
+}
+
+// String returns the finding on one line, starting with its place.
+func (f Finding) String() string {
+	place := f.File
+	if f.Line > 0 {
+		place = fmt.Sprintf("%s:%d:%d", f.File, f.Line, f.Column)
+	}
+	if f.Path != "" {
+		place += " " + f.Path
+	}
+	return fmt.Sprintf("%s: %s (value %q, accepted: %s)", strings.TrimSpace(place), f.Rule, f.Value, f.Accepted)
+}
+
+// List is a collection of findings. The zero value is an empty list.
+type List struct {
+	findings []Finding
+}
+
+// Add appends f.
+func (l *List) Add(f Finding) {
+	l.findings = append(l.findings, f)
+}
+
+// All returns the findings in the order in which they were added.
+func (l *List) All() []Finding {
+	return l.findings
+}
+
+// Len returns the number of findings.
+func (l *List) Len() int {
+	return len(l.findings)
+}
+
+// Err returns nil for an empty list, otherwise an *Error that holds every finding.
+func (l *List) Err() error {
+	if len(l.findings) == 0 {
+		return nil
+	}
+	return &Error{Findings: l.findings}
+}
+
+// Error reports one or more findings as an error.
+type Error struct {
+	Findings []Finding
+}
+
+// Error returns one line for each finding.
+func (e *Error) Error() string {
+	lines := make([]string, 0, len(e.Findings))
+	for _, f := range e.Findings {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
