Add the stand-in engine

Change: pkg/standin/engine batches continuously, checks KV positions, folds layers into activations, keeps a limited prefix cache, exports KV, takes orders and has switchable faults. Conclusion: packages that speak to engines can be tested against it.

--- /dev/null
+++ b/pkg/standin/engine/faults.go
@@ -0,0 +1,55 @@
+package engine
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+)
+
+// Faults is the body of POST /faults. Fields that are left out change nothing.
+type Faults struct {
+	Kill           bool    `json:"Kill,omitempty"`
+	Freeze         *bool   `json:"Freeze,omitempty"`
+	Leave          bool    `json:"Leave,omitempty"`
+	LoseAnswers    *int    `json:"LoseAnswers,omitempty"`
+	Latency        *string `json:"Latency,omitempty"` // Latency is a Go duration.
+	BytesPerSecond *int    `json:"BytesPerSecond,omitempty"`
+}
+
+// serveFaults works while the engine is frozen too.
+func (s *Server) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	link := s.currentLink()
+	if f.Latency != nil {
+		latency, err := time.ParseDuration(*f.Latency)
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		link.Latency = latency
+	}
+	if f.BytesPerSecond != nil {
+		link.BytesPerSecond = *f.BytesPerSecond
+	}
+	s.SetLink(link)
+	s.apply(f)
+}
+
+func (s *Server) apply(f Faults) {
+	if f.Freeze != nil {
+		s.Freeze(*f.Freeze)
+	}
+	if f.LoseAnswers != nil {
+		s.LoseAnswers(*f.LoseAnswers)
+	}
+	if f.Leave {
+		s.Leave()
+	}
+	if f.Kill {
+		s.Kill()
+	}
+}
--- /dev/null
+++ b/pkg/standin/engine/options.go
@@ -0,0 +1,124 @@
+package engine
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/layer"
+)
+
+// Accelerator is a kind of hardware. One iteration takes Base, and PerLayer for each layer and position.
+type Accelerator struct {
+	Name     string
+	Base     time.Duration
+	PerLayer time.Duration
+}
+
+// Accelerators are the four kinds of the default fleet. Their rates are spread eightfold.
+var Accelerators = []Accelerator{
+	{Name: "A8", Base: 2 * time.Millisecond, PerLayer: 25 * time.Microsecond},
+	{Name: "A4", Base: 2 * time.Millisecond, PerLayer: 50 * time.Microsecond},
+	{Name: "A2", Base: 2 * time.Millisecond, PerLayer: 100 * time.Microsecond},
+	{Name: "A1", Base: 2 * time.Millisecond, PerLayer: 200 * time.Microsecond},
+}
+
+// AcceleratorByName returns the kind of that name, or the fastest where there is none.
+func AcceleratorByName(name string) Accelerator {
+	for _, a := range Accelerators {
+		if a.Name == name {
+			return a
+		}
+	}
+	return Accelerators[0]
+}
+
+const (
+	defaultMaxBatch = 32
+	// defaultQueue is the number of steps that wait before the engine answers that it is overloaded.
+	defaultQueue = 1024
+	// defaultGenerations is the number of generations whose KV cache fits in memory.
+	defaultGenerations = 4096
+	// defaultPrefixes is the number of prompt prefixes that fit in the prefix cache.
+	defaultPrefixes = 512
+	// defaultReportLag is the age of the load that a report shows.
+	defaultReportLag = 2 * time.Second
+	defaultEventLag  = time.Second
+	// defaultEventGap loses one cache event in this number.
+	defaultEventGap = 16
+)
+
+type options struct {
+	name        string
+	address     string
+	model       string
+	version     string
+	modelLayers int
+	layers      layer.Range
+	accelerator Accelerator
+	maxBatch    int
+	maxQueue    int
+	generations int
+	prefixes    int
+	reportLag   time.Duration
+	eventLag    time.Duration
+	eventGap    uint64
+	loadTime    time.Duration
+	checksFence bool
+	recording   bool
+}
+
+func defaults() options {
+	return options{
+		name: "engine", address: "127.0.0.1:0", model: "darning", version: "1", modelLayers: 8,
+		layers: layer.Range{First: 0, End: 8}, accelerator: Accelerators[0], maxBatch: defaultMaxBatch,
+		maxQueue: defaultQueue, generations: defaultGenerations, prefixes: defaultPrefixes,
+		reportLag: defaultReportLag, eventLag: defaultEventLag, eventGap: defaultEventGap,
+		checksFence: true, recording: true,
+	}
+}
+
+// Option sets a property of a stand-in engine.
+type Option func(*options)
+
+// WithName sets the name in reports and executions.
+func WithName(name string) Option { return func(o *options) { o.name = name } }
+
+// WithAddress sets the loopback address to listen at. The default is a free port.
+func WithAddress(a netip.AddrPort) Option { return func(o *options) { o.address = a.String() } }
+
+// WithModel sets the model, its number of layers and the range that the engine holds.
+func WithModel(model string, modelLayers int, held layer.Range) Option {
+	return func(o *options) { o.model, o.modelLayers, o.layers = model, modelLayers, held }
+}
+
+// WithAccelerator sets the hardware kind, and with it the time of an iteration.
+func WithAccelerator(a Accelerator) Option { return func(o *options) { o.accelerator = a } }
+
+// WithMaxBatch sets the number of steps in one iteration.
+func WithMaxBatch(n int) Option { return func(o *options) { o.maxBatch = n } }
+
+// WithMaxQueue sets the number of steps that may wait.
+func WithMaxQueue(n int) Option { return func(o *options) { o.maxQueue = n } }
+
+// WithGenerations sets the number of generations whose KV cache fits in memory.
+func WithGenerations(n int) Option { return func(o *options) { o.generations = n } }
+
+// WithPrefixes sets the number of prompt prefixes that the prefix cache holds.
+func WithPrefixes(n int) Option { return func(o *options) { o.prefixes = n } }
+
+// WithReportLag sets the age of the load in reports.
+func WithReportLag(d time.Duration) Option { return func(o *options) { o.reportLag = d } }
+
+// WithEvents sets how late cache events show, and that one in gap is lost. A gap of 0 loses none.
+func WithEvents(lag time.Duration, gap uint64) Option {
+	return func(o *options) { o.eventLag, o.eventGap = lag, gap }
+}
+
+// WithLoadTime sets the time that an order takes to load one layer.
+func WithLoadTime(perLayer time.Duration) Option { return func(o *options) { o.loadTime = perLayer } }
+
+// WithFenceCheck sets whether orders with an old fencing number are refused.
+func WithFenceCheck(checks bool) Option { return func(o *options) { o.checksFence = checks } }
+
+// WithRecording sets whether executions are kept for Executions. The default is true.
+func WithRecording(on bool) Option { return func(o *options) { o.recording = on } }
