--- /dev/null
+++ b/pkg/standin/service/server_test.go
@@ -0,0 +1,73 @@
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func order(s *Server, key string) (Answer, error) {
+	request, err := http.NewRequest(http.MethodPost, "http://"+s.Addr().String()+"/reorder", strings.NewReader("kit 4"))
+	if err != nil {
+		return Answer{}, err
+	}
+	request.Header.Set(KeyHeader, key)
+	client := http.Client{Timeout: 300 * time.Millisecond}
+	response, err := client.Do(request)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer response.Body.Close()
+	var a Answer
+	return a, json.NewDecoder(response.Body).Decode(&a)
+}
+
+// Guards against counters that miss an execution whose answer never arrived.
+func TestFaultsAndCounters(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults Faults
+		ran    int
+		fails  bool
+	}{
+		{"none", Faults{}, 1, false},
+		{"crash before", Faults{CrashBefore: true}, 0, true},
+		{"crash after", Faults{CrashAfter: true}, 1, true},
+		{"answer lost", Faults{LoseAnswers: 1}, 1, true},
+		{"frozen", Faults{Freeze: true}, 0, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			s, err := New("orders")
+			c.Assert(err, qt.IsNil)
+			defer s.Close()
+			s.SetFaults(tt.faults)
+			answer, err := order(s, "k1")
+			c.Assert(err != nil, qt.Equals, tt.fails)
+			c.Assert(s.Executed()["k1"], qt.Equals, tt.ran)
+			if !tt.fails {
+				c.Assert(answer, qt.DeepEquals, Answer{Service: "orders", Path: "/reorder", Key: "k1", Content: "kit 4", Number: 1})
+			}
+		})
+	}
+}
+
+// Guards against a restarted service that forgets what it has executed.
+func TestRestartKeepsCounters(t *testing.T) {
+	c := qt.New(t)
+	s, err := New("orders")
+	c.Assert(err, qt.IsNil)
+	defer s.Close()
+	_, err = order(s, "k1")
+	c.Assert(err, qt.IsNil)
+	s.Kill()
+	c.Assert(s.Restart(), qt.IsNil)
+	_, err = order(s, "k1")
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Executed()["k1"], qt.Equals, 2)
+}
