Scale a stand-in engine's iteration time with its layers

Cause: a fixed base time made the rate of a target depend on where the model was split, so that no closed form gave the fleet's bound. Change: an iteration takes a time for each layer and for each layer and position; an accelerator tells its layer rate; executions name the prompt of a prefill. Conclusion: the bound of a fleet is the sum of its layer rates over the layers of the model.

--- a/pkg/standin/engine/batch.go
+++ b/pkg/standin/engine/batch.go
@@ -80,17 +80,20 @@
 	batch := slices.Clone(s.queue[:n])
 	s.queue = s.queue[n:]
 	s.running = n
-	took := s.options.accelerator.Base
+	var took time.Duration
+	layers := 0
 	for _, w := range batch {
 		took += s.duration(w)
+		layers = max(layers, int(w.step.EndLayer)-int(w.step.FirstLayer))
 	}
+	took += time.Duration(layers) * s.options.accelerator.PerLayer
 	s.stepTime = (7*s.stepTime + took) / 8
 	return batch, took, s.life
 }
 
 func (s *Server) duration(w *work) time.Duration {
 	layers := time.Duration(w.step.EndLayer - w.step.FirstLayer)
-	perPosition := layers * s.options.accelerator.PerLayer
+	perPosition := layers * s.options.accelerator.PerPosition
 	positions := positionsOf(w.step)
 	if positions == 1 {
 		return perPosition
@@ -190,7 +193,7 @@
 		return
 	}
 	s.executions = append(s.executions, Execution{
-		Target: s.options.name, Request: step.Request, Generation: step.Generation,
+		Target: s.options.name, Prompt: step.Prompt, Request: step.Request, Generation: step.Generation,
 		Position: int(step.Position), Count: count,
 		Layers: layer.Range{First: int(step.FirstLayer), End: int(step.EndLayer)}, At: time.Now(),
 	})
--- a/pkg/standin/engine/options.go
+++ b/pkg/standin/engine/options.go
@@ -7,19 +7,32 @@
 	"github.com/cuminroute/cuminroute/pkg/layer"
 )
 
-// Accelerator is a kind of hardware. One iteration takes Base, and PerLayer for each layer and position.
+// Accelerator is a kind of hardware. One iteration takes, for each layer, PerLayer and
+// PerPosition for each position in the batch.
 type Accelerator struct {
-	Name     string
-	Base     time.Duration
-	PerLayer time.Duration
+	Name        string
+	PerLayer    time.Duration
+	PerPosition time.Duration
 }
 
 // Accelerators are the four kinds of the default fleet. Their rates are spread eightfold.
 var Accelerators = []Accelerator{
-	{Name: "A8", Base: 2 * time.Millisecond, PerLayer: 25 * time.Microsecond},
-	{Name: "A4", Base: 2 * time.Millisecond, PerLayer: 50 * time.Microsecond},
-	{Name: "A2", Base: 2 * time.Millisecond, PerLayer: 100 * time.Microsecond},
-	{Name: "A1", Base: 2 * time.Millisecond, PerLayer: 200 * time.Microsecond},
+	{Name: "A8", PerLayer: 25 * time.Microsecond, PerPosition: 30 * time.Microsecond},
+	{Name: "A4", PerLayer: 50 * time.Microsecond, PerPosition: 60 * time.Microsecond},
+	{Name: "A2", PerLayer: 100 * time.Microsecond, PerPosition: 120 * time.Microsecond},
+	{Name: "A1", PerLayer: 200 * time.Microsecond, PerPosition: 240 * time.Microsecond},
+}
+
+// Slower returns the kind with all its times multiplied by factor.
+func (a Accelerator) Slower(factor int) Accelerator {
+	a.PerLayer *= time.Duration(factor)
+	a.PerPosition *= time.Duration(factor)
+	return a
+}
+
+// LayerRate returns how many layers of one position the kind runs in a second when every batch is full.
+func (a Accelerator) LayerRate(batch int) float64 {
+	return float64(batch) / (a.PerLayer + time.Duration(batch)*a.PerPosition).Seconds()
 }
 
 // AcceleratorByName returns the kind of that name, or the fastest where there is none.
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -29,6 +29,7 @@
 type Execution struct {
 	Target     string
 	Request    string
+	Prompt     string // Prompt is set for the first stage of a prefill.
 	Generation uint32
 	Position   int
 	Count      int
