Add clients of the platform's services and a stand-in for them

Cause: claims, the configuration log and leases need the table service, and the other packages need the object store, instance list and weight store. Conclusion: a commit error of ErrUnavailable proves that nothing was written in these cases.

--- /dev/null
+++ b/pkg/peer/objectstore/client.go
@@ -0,0 +1,135 @@
+// Package objectstore is the client of the platform's object store.
+//
+// The store speaks HTTP: PUT, GET and DELETE of /objects/<name>. Create uses If-None-Match: *.
+// A Put whose answer was lost may be repeated, since it writes the same content. A Create that is
+// repeated may find its own object, and then returns ErrExists.
+//
+// Usage:
+//
+//	c := objectstore.New("http://10.0.0.5:7400")
+//	err := c.Put(ctx, "configuration/documents/4f2a", content)
+//	content, err := c.Get(ctx, "configuration/documents/4f2a")
+package objectstore
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+const (
+	// DefaultTimeout leaves room for an object of several MB on a slow link.
+	DefaultTimeout = 5 * time.Second
+	// MaxObject bounds the memory that one object can take.
+	MaxObject = 256 << 20
+)
+
+var namespace = errorx.NewNamespace("objectstore").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+var (
+	// ErrUnavailable means that the store did not answer. A write may have taken effect.
+	ErrUnavailable error = namespace.NewType("unavailable").New("the object store is not available")
+	// ErrNotFound means that the object does not exist.
+	ErrNotFound error = namespace.NewType("not_found", errorx.NotFound()).New("no such object")
+	// ErrExists means that Create found an object of that name.
+	ErrExists error = namespace.NewType("exists", errorx.Duplicate()).New("the object exists")
+)
+
+// Client calls the object store. It is safe for concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+// Option changes a Client when it is made.
+type Option func(*Client)
+
+// WithTimeout bounds each call. The context's deadline applies as well.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+// New returns a client of the store at the base URL.
+func New(base string, opts ...Option) *Client {
+	c := &Client{base: strings.TrimRight(base, "/"), timeout: DefaultTimeout, http: &http.Client{Transport: &http.Transport{}}}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Put writes an object, replacing one of the same name.
+func (c *Client) Put(ctx context.Context, name string, content []byte) error {
+	_, err := c.call(ctx, http.MethodPut, name, content, nil)
+	return err
+}
+
+// Create writes an object unless one of that name exists; then it returns ErrExists.
+func (c *Client) Create(ctx context.Context, name string, content []byte) error {
+	_, err := c.call(ctx, http.MethodPut, name, content, http.Header{"If-None-Match": {"*"}})
+	return err
+}
+
+// Get reads an object.
+func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
+	return c.call(ctx, http.MethodGet, name, nil, nil)
+}
+
+// Delete removes an object. Removing an absent one is not an error.
+func (c *Client) Delete(ctx context.Context, name string) error {
+	_, err := c.call(ctx, http.MethodDelete, name, nil, nil)
+	if errors.Is(err, ErrNotFound) {
+		return nil
+	}
+	return err
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+func (c *Client) call(ctx context.Context, method, name string, body []byte, header http.Header) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	target := (&url.URL{Path: "/objects/" + name}).EscapedPath()
+	req, err := http.NewRequestWithContext(ctx, method, c.base+target, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	for key, values := range header {
+		req.Header[key] = values
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	content, err := io.ReadAll(io.LimitReader(resp.Body, MaxObject))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	return content, statusError(resp.StatusCode)
+}
+
+func statusError(status int) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusNotFound:
+		return ErrNotFound
+	case status == http.StatusPreconditionFailed:
+		return ErrExists
+	default:
+		return fmt.Errorf("%w: status %d", ErrUnavailable, status)
+	}
+}
--- /dev/null
+++ b/pkg/peer/table/client.go
@@ -0,0 +1,188 @@
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+)
+
+const (
+	// DefaultTimeout bounds one call. A healthy table answers in a few milliseconds; a second
+	// leaves room for a slow one and keeps a claim within a caller's patience.
+	DefaultTimeout = time.Second
+	// maxAnswer bounds the memory that one answer can take.
+	maxAnswer = 64 << 20
+	// idleConnections keeps connections open for the few concurrent calls of one instance.
+	idleConnections = 8
+)
+
+// Client calls the table service. It is safe for concurrent use.
+type Client struct {
+	base    string
+	timeout time.Duration
+	http    *http.Client
+	reads   metrics.Counter
+	writes  metrics.Counter
+	failed  metrics.Counter
+	unknown metrics.Counter
+}
+
+// Option changes a Client when it is made.
+type Option func(*Client)
+
+// WithTimeout bounds each call. The context's deadline applies as well.
+func WithTimeout(d time.Duration) Option {
+	return func(c *Client) { c.timeout = d }
+}
+
+// WithMetrics registers the client's counters table.reads, table.writes, table.failed and
+// table.unknown in r.
+func WithMetrics(r metrics.Registry) Option {
+	return func(c *Client) {
+		c.reads = metrics.GetOrRegisterCounter("table.reads", r)
+		c.writes = metrics.GetOrRegisterCounter("table.writes", r)
+		c.failed = metrics.GetOrRegisterCounter("table.failed", r)
+		c.unknown = metrics.GetOrRegisterCounter("table.unknown", r)
+	}
+}
+
+// New returns a client of the service at the base URL.
+func New(base string, opts ...Option) *Client {
+	c := &Client{
+		base:    strings.TrimRight(base, "/"),
+		timeout: DefaultTimeout,
+		http:    &http.Client{Transport: newTransport()},
+	}
+	WithMetrics(metrics.NewRegistry())(c)
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: DefaultTimeout}).DialContext,
+		MaxIdleConnsPerHost: idleConnections,
+		IdleConnTimeout:     time.Minute,
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Commit sends a transaction. The error is nil, ErrUnavailable or ErrUnknown.
+func (c *Client) Commit(ctx context.Context, t Transaction) (Result, error) {
+	c.writes.Inc(1)
+	body, err := json.Marshal(t)
+	if err != nil {
+		return Result{}, fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	var result Result
+	sent, err := c.call(ctx, http.MethodPost, "/v1/transactions", body, &result)
+	if err == nil {
+		return result, nil
+	}
+	if sent && !provesNotRun(err) {
+		c.unknown.Inc(1)
+		return Result{}, fmt.Errorf("%w: %v", ErrUnknown, err)
+	}
+	c.failed.Inc(1)
+	return Result{}, fmt.Errorf("%w: %v", ErrUnavailable, err)
+}
+
+// Get reads one row. The error is nil, ErrNotFound or ErrUnavailable.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	var row Row
+	err := c.read(ctx, "/v1/rows/"+url.PathEscape(key), &row)
+	return row, err
+}
+
+// Scan reads up to limit rows whose keys start with prefix and are greater than after, in key
+// order. The error is nil or ErrUnavailable.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	query := url.Values{"prefix": {prefix}, "after": {after}, "limit": {strconv.Itoa(limit)}}
+	var rows []Row
+	err := c.read(ctx, "/v1/rows?"+query.Encode(), &rows)
+	return rows, err
+}
+
+func (c *Client) read(ctx context.Context, path string, into any) error {
+	c.reads.Inc(1)
+	_, err := c.call(ctx, http.MethodGet, path, nil, into)
+	var status statusError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &status) && status == http.StatusNotFound:
+		return ErrNotFound
+	default:
+		c.failed.Inc(1)
+		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+}
+
+// statusError is an answer other than 200.
+type statusError int
+
+func (s statusError) Error() string {
+	return fmt.Sprintf("the table service answered %d", int(s))
+}
+
+// provesNotRun reports whether the answer proves that the transaction was not run: the service
+// answers 4xx and 503 before it evaluates the transaction. 408 may come from something in between.
+func provesNotRun(err error) bool {
+	var status statusError
+	if !errors.As(err, &status) || status == http.StatusRequestTimeout {
+		return false
+	}
+	return status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+}
+
+// call makes one request and reports whether a connection was obtained for it, without which no
+// byte of it can have been sent.
+func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) (sent bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return false, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return connected.Load(), err
+	}
+	defer resp.Body.Close()
+	return true, decode(resp, into)
+}
+
+func decode(resp *http.Response, into any) error {
+	content, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp.StatusCode)
+	}
+	return json.Unmarshal(content, into)
+}
--- /dev/null
+++ b/pkg/standin/platform/server.go
@@ -0,0 +1,153 @@
+// Package platform is a stand-in for the platform's services: the table service, the object
+// store, the instance list and the weight store. It keeps everything in memory.
+//
+// Each role has its own faults (latency, outage, answers lost after the write took effect, a
+// rate limit, and a lag of the instance list). They are set with SetFaults or, from another
+// process, with PUT /faults. GET /faults returns them, and GET /counts returns how many requests
+// each role served.
+//
+// Usage:
+//
+//	s, err := platform.New()
+//	defer s.Close()
+//	c := table.New(s.URL())
+//	s.SetFaults(platform.Faults{Table: platform.Fault{LoseAnswers: 1}})
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/peer/table"
+)
+
+// Server serves all roles on one address.
+type Server struct {
+	listener net.Listener
+	http     *http.Server
+	table    *tableStore
+	objects  *objectStore
+	list     *instanceStore
+	faults   *injector
+}
+
+// Option changes a Server when it is made.
+type Option func(*options)
+
+type options struct {
+	address string
+	seed    uint64
+}
+
+// WithAddress sets the listen address. The default is a free port of the loopback interface.
+func WithAddress(a netip.AddrPort) Option {
+	return func(o *options) { o.address = a.String() }
+}
+
+// WithSeed seeds the choice of the requests that random faults hit.
+func WithSeed(seed uint64) Option {
+	return func(o *options) { o.seed = seed }
+}
+
+// New starts a server.
+func New(opts ...Option) (*Server, error) {
+	o := options{address: "127.0.0.1:0", seed: 1}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	listener, err := net.Listen("tcp", o.address)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		listener: listener,
+		table:    &tableStore{rows: map[string]table.Row{}},
+		objects:  &objectStore{objects: map[string][]byte{}},
+		list:     &instanceStore{},
+		faults:   newInjector(o.seed),
+	}
+	s.http = &http.Server{Handler: s.handler(), ReadHeaderTimeout: 10 * time.Second}
+	go func() { _ = s.http.Serve(listener) }()
+	return s, nil
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/v1/transactions", s.faults.wrap(roleTable, http.HandlerFunc(s.table.serveTransaction)))
+	mux.Handle("/v1/rows", s.faults.wrap(roleTable, http.HandlerFunc(s.table.serveScan)))
+	mux.Handle("/v1/rows/", s.faults.wrap(roleTable, http.HandlerFunc(s.table.serveGet)))
+	mux.Handle("/objects/", s.faults.wrap(roleObjects, s.objects))
+	mux.Handle("GET /v1/instances", s.faults.wrap(roleList, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, s.list.get(s.Faults().List.Lag))
+	})))
+	mux.HandleFunc("PUT /v1/instances", s.setList)
+	mux.Handle("GET /weights/{model}/{version}/{layer}", s.faults.wrap(roleWeights, http.HandlerFunc(serveWeights)))
+	mux.HandleFunc("GET /faults", func(w http.ResponseWriter, _ *http.Request) { answer(w, s.Faults()) })
+	mux.HandleFunc("PUT /faults", s.putFaults)
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { answer(w, s.Counts()) })
+	return mux
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() netip.AddrPort {
+	return s.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// URL returns the base URL of every role.
+func (s *Server) URL() string {
+	return "http://" + s.listener.Addr().String()
+}
+
+// Close stops the server and breaks its connections.
+func (s *Server) Close() {
+	_ = s.http.Close()
+}
+
+// Faults returns the faults in force.
+func (s *Server) Faults() Faults {
+	return s.faults.get()
+}
+
+// SetFaults replaces the faults of all roles.
+func (s *Server) SetFaults(f Faults) {
+	s.faults.set(f)
+}
+
+// Counts returns the number of requests that the table ran.
+func (s *Server) Counts() Counts {
+	s.table.mu.Lock()
+	defer s.table.mu.Unlock()
+	return s.table.counts
+}
+
+// SetInstances replaces the instance list. Readers see it after the lag set in the faults.
+func (s *Server) SetInstances(list []Instance) {
+	s.list.set(list)
+}
+
+func (s *Server) setList(w http.ResponseWriter, r *http.Request) {
+	var list []Instance
+	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetInstances(list)
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	f := s.Faults()
+	if err := errors.Join(json.NewDecoder(r.Body).Decode(&f), f.check()); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.SetFaults(f)
+}
+
+func answer(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
