Add configuration checks, operator API and command skeleton

Cause: other packages need the names of the configuration checks, the operator API and the command list before they can be wired.

--- a/cmd/cuminroute/main.go
+++ b/cmd/cuminroute/main.go
@@ -1,4 +1,19 @@
-// Command cuminroute is not wired yet.
+// Command cuminroute is the operators' client: it generates, checks and applies configurations and
+// shows and changes the state of a fleet.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cuminroute/cuminroute/pkg/command"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := command.Main(ctx, command.Process(), os.Args[1:])
+	stop()
+	os.Exit(code)
+}
--- a/pkg/configuration/configuration.go
+++ b/pkg/configuration/configuration.go
@@ -48,6 +48,8 @@
 	Version    uint64      `json:"Version" yaml:"Version,omitempty"`
 	HeadOffice HeadOffice  `json:"HeadOffice" yaml:"HeadOffice"`
 	Workspaces []Workspace `json:"Workspaces" yaml:"Workspaces"`
+
+	index *index
 }
 
 // HeadOffice holds what applies to every workspace.
@@ -146,6 +148,10 @@
 // Authenticate returns the caller whose key this is.
 func (c *Configuration) Authenticate(key string) (Caller, bool) {
 	hash := HashKey(key)
+	if i, ok := c.indexed(); ok {
+		caller, found := i.callers[hash]
+		return caller, found
+	}
 	for _, w := range c.Workspaces {
 		if holdsKey(w.Keys, hash) {
 			return Caller{Workspace: w.Name}, true
@@ -162,6 +168,10 @@
 // AuthenticateOperator returns the name of the operator whose key this is.
 func (c *Configuration) AuthenticateOperator(key string) (string, bool) {
 	hash := HashKey(key)
+	if i, ok := c.indexed(); ok {
+		name, found := i.operators[hash]
+		return name, found
+	}
 	for _, k := range c.HeadOffice.Operators {
 		if holdsKey([]Key{k}, hash) {
 			return k.Name, true
@@ -181,6 +191,13 @@
 
 // Workspace returns the workspace of that name.
 func (c *Configuration) Workspace(name string) (Workspace, bool) {
+	if i, ok := c.indexed(); ok {
+		n, found := i.workspaces[name]
+		if !found {
+			return Workspace{}, false
+		}
+		return c.Workspaces[n], true
+	}
 	for _, w := range c.Workspaces {
 		if w.Name == name {
 			return w, true
@@ -242,7 +259,10 @@
 	return RequestKind{}, false
 }
 
+// matchesPath compares without the leading slash, so that it does not matter whether a caller of
+// RequestKind passes one.
 func matchesPath(pattern, path string) bool {
+	pattern, path = strings.TrimPrefix(pattern, "/"), strings.TrimPrefix(path, "/")
 	if prefix, found := strings.CutSuffix(pattern, "*"); found {
 		return strings.HasPrefix(path, prefix)
 	}
--- a/pkg/configuration/rules.go
+++ b/pkg/configuration/rules.go
@@ -37,11 +37,10 @@
 }
 
 func (c *Configuration) localTime(at time.Time) time.Time {
-	zone, err := time.LoadLocation(c.HeadOffice.TimeZone)
-	if err != nil {
-		return at.UTC()
+	if i, ok := c.indexed(); ok {
+		return at.In(i.zone)
 	}
-	return at.In(zone)
+	return at.In(zoneOf(c.HeadOffice.TimeZone))
 }
 
 func (o Overrides) overriddenBy(other Overrides) Overrides {
--- /dev/null
+++ b/pkg/peer/operator/client.go
@@ -0,0 +1,206 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
+)
+
+// Values of the client.
+const (
+	// requestTimeout bounds one request. A change of 3,800 documents through a store of several
+	// hundred writes a second takes up to 10 s.
+	requestTimeout = 15 * time.Second
+	// attempts bounds how often a change is sent under its ID if the answer was lost.
+	attempts = 3
+	// attemptPause lets a short outage pass between two attempts.
+	attemptPause = 500 * time.Millisecond
+	// answerLimit is the largest answer in bytes that is read; JSON is larger than the YAML it holds.
+	answerLimit = 2 * DefaultBodyLimit
+)
+
+// Client sends operator requests to one instance or to a load balancer in front of several.
+type Client struct {
+	base  string
+	key   string
+	http  *http.Client
+	pause time.Duration
+}
+
+// ClientOption changes a Client.
+type ClientOption func(*Client)
+
+// WithHTTPClient sets the HTTP client.
+func WithHTTPClient(c *http.Client) ClientOption {
+	return func(client *Client) { client.http = c }
+}
+
+// WithPause sets the pause between two attempts of one change.
+func WithPause(pause time.Duration) ClientOption {
+	return func(client *Client) { client.pause = pause }
+}
+
+// NewClient returns a client for the instance at base, such as http://127.0.0.1:8081.
+func NewClient(base, key string, opts ...ClientOption) *Client {
+	c := &Client{
+		base: strings.TrimSuffix(base, "/"), key: key,
+		http: &http.Client{Timeout: requestTimeout}, pause: attemptPause,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Current returns the newest accepted configuration.
+func (c *Client) Current(ctx context.Context) (api.Current, error) {
+	return send[api.Current](ctx, c, http.MethodGet, api.ConfigurationPath, nil)
+}
+
+// Apply sends a change and, if the answer is lost, sends it again under the same ID. An error with
+// the code Unknown means that the change may have been made. A lost race is an *api.Error with Conflict.
+func (c *Client) Apply(ctx context.Context, change api.Change) (api.Head, error) {
+	return repeat(ctx, c, func() (api.Head, error) {
+		return send[api.Head](ctx, c, http.MethodPut, api.ConfigurationPath, change)
+	})
+}
+
+// Rollback makes the content of an earlier version the newest version. It is repeated as Apply is.
+func (c *Client) Rollback(ctx context.Context, rollback api.Rollback) (api.Head, error) {
+	return repeat(ctx, c, func() (api.Head, error) {
+		return send[api.Head](ctx, c, http.MethodPost, api.RollbackPath, rollback)
+	})
+}
+
+// History returns at most limit changes, the newest first.
+func (c *Client) History(ctx context.Context, limit int) ([]api.Change, error) {
+	history, err := send[api.History](ctx, c, http.MethodGet, api.HistoryPath+"?limit="+strconv.Itoa(limit), nil)
+	return history.Changes, err
+}
+
+// State returns the state dump of the answering instance.
+func (c *Client) State(ctx context.Context) (api.State, error) {
+	return send[api.State](ctx, c, http.MethodGet, api.StatePath, nil)
+}
+
+// Instances returns the entry instances, each with the version in force.
+func (c *Client) Instances(ctx context.Context) ([]api.Instance, error) {
+	instances, err := send[api.Instances](ctx, c, http.MethodGet, api.InstancesPath, nil)
+	return instances.Instances, err
+}
+
+// Pipelines returns the state of every pipeline.
+func (c *Client) Pipelines(ctx context.Context) ([]api.Pipeline, error) {
+	pipelines, err := send[api.Pipelines](ctx, c, http.MethodGet, api.PipelinesPath, nil)
+	return pipelines.Pipelines, err
+}
+
+// Plan returns the desired placement.
+func (c *Client) Plan(ctx context.Context) (api.Plan, error) {
+	return send[api.Plan](ctx, c, http.MethodGet, api.PlanPath, nil)
+}
+
+// Drains returns the drains in force.
+func (c *Client) Drains(ctx context.Context) ([]api.Drain, error) {
+	drains, err := send[api.Drains](ctx, c, http.MethodGet, api.DrainPath, nil)
+	return drains.Drains, err
+}
+
+// Drain takes a target out of the choice for new work.
+func (c *Client) Drain(ctx context.Context, target, reason string) (api.Drain, error) {
+	return send[api.Drain](ctx, c, http.MethodPost, api.DrainPath, api.Drain{Target: target, Reason: reason})
+}
+
+// Undrain ends a drain.
+func (c *Client) Undrain(ctx context.Context, target string) (api.Drain, error) {
+	return send[api.Drain](ctx, c, http.MethodDelete, api.DrainPath+"?target="+url.QueryEscape(target), nil)
+}
+
+// repeat calls f again while the outcome is unknown. The change carries an ID, so that it takes
+// effect once.
+func repeat(ctx context.Context, c *Client, f func() (api.Head, error)) (api.Head, error) {
+	for attempt := 1; ; attempt++ {
+		head, err := f()
+		var refusal *api.Error
+		unknown := errors.As(err, &refusal) && refusal.Code == api.Unknown
+		if !unknown || attempt == attempts {
+			return head, err
+		}
+		select {
+		case <-ctx.Done():
+			return head, err
+		case <-time.After(c.pause):
+		}
+	}
+}
+
+func send[T any](ctx context.Context, c *Client, method, path string, body any) (T, error) {
+	var result T
+	request, err := c.request(ctx, method, path, body)
+	if err != nil {
+		return result, err
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return result, lostAnswer(method, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	content, err := io.ReadAll(io.LimitReader(response.Body, answerLimit))
+	if err != nil {
+		return result, lostAnswer(method, err)
+	}
+	if response.StatusCode != http.StatusOK {
+		return result, readRefusal(response.StatusCode, content)
+	}
+	if err := json.Unmarshal(content, &result); err != nil {
+		return result, lostAnswer(method, fmt.Errorf("the answer is not the expected JSON: %w", err))
+	}
+	return result, nil
+}
+
+func (c *Client) request(ctx context.Context, method, path string, body any) (*http.Request, error) {
+	var content []byte
+	if body != nil {
+		var err error
+		if content, err = json.Marshal(body); err != nil {
+			return nil, err
+		}
+	}
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(content))
+	if err != nil {
+		return nil, err
+	}
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	request.Header.Set("Content-Type", "application/json")
+	return request, nil
+}
+
+// lostAnswer returns the error of a request whose answer was not read: a change may have been made.
+func lostAnswer(method string, err error) error {
+	var network *net.OpError
+	neverSent := errors.As(err, &network) && network.Op == "dial"
+	if method == http.MethodGet || neverSent {
+		return &api.Error{Code: api.Unavailable, Message: err.Error()}
+	}
+	return &api.Error{Code: api.Unknown, Message: "the answer was lost, the change may have been made: " + err.Error()}
+}
+
+func readRefusal(status int, content []byte) error {
+	refusal := &api.Error{}
+	if err := json.Unmarshal(content, refusal); err != nil || refusal.Code == "" {
+		refusal = &api.Error{Code: api.Internal, Message: fmt.Sprintf("HTTP status %d: %.200s", status, content)}
+	}
+	refusal.Status = status
+	return refusal
+}
--- /dev/null
+++ b/pkg/yamlfile/decode.go
@@ -0,0 +1,164 @@
+package yamlfile
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+var durationType = reflect.TypeFor[time.Duration]()
+
+// decode sets value from node and reports every fault below node.
+func (d *decoder) decode(node ast.Node, value reflect.Value, path string) {
+	d.places.record(path, node)
+	if _, ok := node.(*ast.NullNode); ok {
+		return
+	}
+	if d.refusesFeature(node, path) {
+		return
+	}
+	switch {
+	case value.Type() == durationType:
+		d.duration(node, value, path)
+	case value.Kind() == reflect.Pointer:
+		value.Set(reflect.New(value.Type().Elem()))
+		d.decode(node, value.Elem(), path)
+	case value.Kind() == reflect.Struct:
+		d.structure(node, value, path)
+	case value.Kind() == reflect.Slice:
+		d.list(node, value, path)
+	default:
+		d.scalar(node, value, path)
+	}
+}
+
+// refusesFeature reports anchors, aliases and tags. Without aliases, a small file cannot expand
+// into a large value, and every value has exactly one place.
+func (d *decoder) refusesFeature(node ast.Node, path string) bool {
+	switch node.(type) {
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
+		d.add(node, path, "Anchors, aliases and tags are not accepted", "the value itself")
+		return true
+	}
+	return false
+}
+
+func (d *decoder) structure(node ast.Node, value reflect.Value, path string) {
+	entries, ok := entriesOf(node)
+	if !ok {
+		d.add(node, path, "A group of fields is expected", strings.Join(fieldNames(value.Type()), ", "))
+		return
+	}
+	seen := map[string]bool{}
+	for _, entry := range entries {
+		d.field(entry, value, path, seen)
+	}
+}
+
+func (d *decoder) field(entry *ast.MappingValueNode, value reflect.Value, path string, seen map[string]bool) {
+	name := text(entry.Key)
+	index, known := fieldIndex(value.Type(), name)
+	fieldPath := path + "." + name
+	if !known {
+		d.add(entry.Key, fieldPath, "The field is not known", strings.Join(fieldNames(value.Type()), ", "))
+		return
+	}
+	if seen[name] {
+		d.add(entry.Key, fieldPath, "The field is written twice", "each field once")
+		return
+	}
+	seen[name] = true
+	d.decode(entry.Value, value.Field(index), fieldPath)
+	// A group or list is placed at its key: its first entry may be lines below.
+	if _, plain := entry.Value.(ast.ScalarNode); !plain {
+		d.places.record(fieldPath, entry.Key)
+	}
+}
+
+func (d *decoder) list(node ast.Node, value reflect.Value, path string) {
+	sequence, ok := node.(*ast.SequenceNode)
+	if !ok {
+		d.add(node, path, "A list is expected", "a list, each entry on its own line after a dash")
+		return
+	}
+	value.Set(reflect.MakeSlice(value.Type(), len(sequence.Values), len(sequence.Values)))
+	for i, element := range sequence.Values {
+		d.decode(element, value.Index(i), fmt.Sprintf("%s[%d]", path, i))
+	}
+}
+
+func (d *decoder) duration(node ast.Node, value reflect.Value, path string) {
+	parsed, err := time.ParseDuration(text(node))
+	if _, plain := node.(*ast.StringNode); !plain || err != nil {
+		d.add(node, path, "A duration with its unit is expected", "a duration such as 500ms, 30s or 2m")
+		return
+	}
+	value.SetInt(int64(parsed))
+}
+
+func (d *decoder) scalar(node ast.Node, value reflect.Value, path string) {
+	switch value.Kind() {
+	case reflect.String:
+		d.text(node, value, path)
+	case reflect.Bool:
+		d.boolean(node, value, path)
+	case reflect.Int, reflect.Uint64:
+		d.integer(node, value, path)
+	default:
+		panic("yamlfile: no decoding for " + value.Type().String())
+	}
+}
+
+func (d *decoder) text(node ast.Node, value reflect.Value, path string) {
+	switch n := node.(type) {
+	case *ast.StringNode:
+		value.SetString(n.Value)
+	case *ast.LiteralNode:
+		value.SetString(n.Value.Value)
+	default:
+		d.add(node, path, "A text is expected", "a text; numbers, true and false need quotes")
+	}
+}
+
+func (d *decoder) boolean(node ast.Node, value reflect.Value, path string) {
+	n, ok := node.(*ast.BoolNode)
+	if !ok {
+		d.add(node, path, "A yes or no is expected", "true or false")
+		return
+	}
+	value.SetBool(n.Value)
+}
+
+func (d *decoder) integer(node ast.Node, value reflect.Value, path string) {
+	n, ok := node.(*ast.IntegerNode)
+	if ok && setInteger(value, n.Value) {
+		return
+	}
+	d.add(node, path, "A whole number is expected", "a whole number such as 1")
+}
+
+func setInteger(value reflect.Value, number any) bool {
+	switch n := number.(type) {
+	case uint64:
+		if value.Kind() == reflect.Uint64 {
+			value.SetUint(n)
+			return true
+		}
+		if n > math.MaxInt64 {
+			return false
+		}
+		value.SetInt(int64(n))
+		return true
+	case int64:
+		if value.Kind() == reflect.Uint64 {
+			return false
+		}
+		value.SetInt(n)
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/yamlfile/node.go
@@ -0,0 +1,111 @@
+package yamlfile
+
+import (
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+)
+
+// maxNesting bounds the recursion of the parser. The deepest configuration nests 8 levels.
+const maxNesting = 100
+
+// maxValueRunes keeps the value in a finding on one line.
+const maxValueRunes = 80
+
+// entriesOf returns the fields of a mapping.
+func entriesOf(node ast.Node) ([]*ast.MappingValueNode, bool) {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		return n.Values, true
+	case *ast.MappingValueNode:
+		return []*ast.MappingValueNode{n}, true
+	}
+	return nil, false
+}
+
+// text returns a scalar as it is written, and a short description of anything else.
+func text(node ast.Node) string {
+	switch n := node.(type) {
+	case *ast.StringNode:
+		return n.Value
+	case *ast.LiteralNode:
+		return n.Value.Value
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a group of fields"
+	case *ast.SequenceNode:
+		return "a list"
+	}
+	if node == nil || node.GetToken() == nil {
+		return ""
+	}
+	return node.GetToken().Value
+}
+
+func shorten(value string) string {
+	runes := []rune(value)
+	if len(runes) <= maxValueRunes {
+		return value
+	}
+	return string(runes[:maxValueRunes]) + "…"
+}
+
+func fieldNames(t reflect.Type) []string {
+	var names []string
+	for i := range t.NumField() {
+		if name := fieldName(t.Field(i)); name != "" {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func fieldIndex(t reflect.Type, name string) (int, bool) {
+	for i := range t.NumField() {
+		if n := fieldName(t.Field(i)); n != "" && n == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// fieldName returns the name of a field in YAML, and "" for a field that is not part of the file.
+func fieldName(f reflect.StructField) string {
+	if !f.IsExported() {
+		return ""
+	}
+	name, _, _ := strings.Cut(f.Tag.Get("yaml"), ",")
+	if name == "-" {
+		return ""
+	}
+	return name
+}
+
+// nesting reports whether content may nest deeper than maxNesting, and the line where it does.
+// Indentation and open brackets each add levels; brackets inside texts are counted as well, which
+// is harmless because they are rarely left open.
+func nesting(content []byte) (excess bool, line int) {
+	line = 1
+	open, indent, leading := 0, 0, true
+	for _, c := range content {
+		switch {
+		case c == '\n':
+			line, indent, leading = line+1, 0, true
+			continue
+		case leading && (c == ' ' || c == '-' || c == '?' || c == ':'):
+			indent++
+		default:
+			leading = false
+		}
+		switch c {
+		case '[', '{':
+			open++
+		case ']', '}':
+			open = max(open-1, 0)
+		}
+		if open+indent/2 > maxNesting {
+			return true, line
+		}
+	}
+	return false, line
+}
--- /dev/null
+++ b/pkg/yamlfile/places.go
@@ -0,0 +1,76 @@
+package yamlfile
+
+import (
+	"strings"
+
+	"github.com/goccy/go-yaml/ast"
+
+	"github.com/cuminroute/cuminroute/pkg/finding"
+)
+
+// Place is where a value is written.
+type Place struct {
+	File   string `json:"File,omitempty"`
+	Line   int    `json:"Line,omitempty"`
+	Column int    `json:"Column,omitempty"`
+}
+
+// Places holds the place of every value of one file by its path, such as $.Workspaces[0].Name.
+// A nil *Places knows no place.
+type Places struct {
+	file string
+	at   map[string]Place
+}
+
+func newPlaces(file string) *Places {
+	return &Places{file: file, at: map[string]Place{}}
+}
+
+func (p *Places) record(path string, node ast.Node) {
+	line, column := start(node)
+	p.at[path] = Place{File: p.file, Line: line, Column: column}
+}
+
+// Of returns the place of the value at path. A value that is not written has the place of the
+// closest value around it that is.
+func (p *Places) Of(path string) Place {
+	if p == nil {
+		return Place{}
+	}
+	for path != "" {
+		if place, ok := p.at[path]; ok {
+			return place
+		}
+		path = parent(path)
+	}
+	return Place{File: p.file}
+}
+
+// Locate returns f with the place of its path.
+func (p *Places) Locate(f finding.Finding) finding.Finding {
+	place := p.Of(f.Path)
+	f.File, f.Line, f.Column = place.File, place.Line, place.Column
+	return f
+}
+
+func parent(path string) string {
+	return path[:max(strings.LastIndexByte(path, '.'), strings.LastIndexByte(path, '['), 0)]
+}
+
+// start returns the line and column at which node begins. The token of a mapping is its first
+// colon, so the first key is taken instead.
+func start(node ast.Node) (line, column int) {
+	switch n := node.(type) {
+	case *ast.MappingNode:
+		if len(n.Values) > 0 {
+			return start(n.Values[0])
+		}
+	case *ast.MappingValueNode:
+		return start(n.Key)
+	}
+	if node == nil || node.GetToken() == nil || node.GetToken().Position == nil {
+		return 1, 1
+	}
+	position := node.GetToken().Position
+	return position.Line, position.Column
+}
