Add the stand-in caller and the proving fleet

Cause: the soak run and the measurements send the same requests to the same fleet. Result: go test -race ./pkg/standin/caller passes; the fleet has not run with entry instances yet. Conclusion: an entry instance plugs in through fleet.StartEntry.

--- /dev/null
+++ b/pkg/standin/caller/client_test.go
@@ -0,0 +1,50 @@
+package caller
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+)
+
+// Guards against a client that takes a truncated stream for a complete answer, or a refusal
+// without a stated outcome for one that didn't run.
+func TestEndings(t *testing.T) {
+	const token = "data: {\"choices\":[{\"delta\":{\"content\":\"t1 \"}}]}\n\n"
+	const failed = `{"error":{"message":"stage lost","code":"x","Outcome":"Failed","RetryAfter":1}}`
+	tests := []struct {
+		name    string
+		status  int
+		body    string
+		outcome outcome.Outcome
+		broken  bool
+		tokens  int
+	}{
+		{"complete", 200, token + token + "data: [DONE]\n\n", outcome.Done, false, 2},
+		{"truncated", 200, token, outcome.Unknown, true, 1},
+		{"error in stream", 200, token + "data: " + failed + "\n\n", outcome.Failed, false, 1},
+		{"refused", 503, `{"error":{"message":"full","Outcome":"NotRun"}}`, outcome.NotRun, false, 0},
+		{"no outcome", 502, "bad gateway", outcome.Unknown, true, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := qt.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tt.status)
+				fmt.Fprint(w, tt.body)
+			}))
+			defer server.Close()
+			address := netip.MustParseAddrPort(server.Listener.Addr().String())
+			a := New().Ask(context.Background(), Question{Address: address, Prompt: "p", Tokens: 2})
+			c.Assert(a.Outcome, qt.Equals, tt.outcome)
+			c.Assert(a.Broken, qt.Equals, tt.broken)
+			c.Assert(a.At, qt.HasLen, tt.tokens)
+		})
+	}
+}
--- /dev/null
+++ b/pkg/standin/fleet/fleet.go
@@ -0,0 +1,248 @@
+// Package fleet starts a whole fleet on loopback: the platform's services, model workers, order
+// and stock workers, and entry instances. The soak run and the measurements run on it.
+//
+// Usage:
+//
+//	f, err := fleet.New(ctx, fleet.Options{Seed: 1, Entries: 3, Start: start})
+//	defer f.Close()
+//	f.Engines[4].Freeze(true)
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
+	"github.com/cuminroute/cuminroute/pkg/standin/engine"
+	"github.com/cuminroute/cuminroute/pkg/standin/platform"
+	"github.com/cuminroute/cuminroute/pkg/standin/service"
+)
+
+// Entry is a running entry instance.
+type Entry interface {
+	// Callers returns the address for callers.
+	Callers() netip.AddrPort
+	// Operators returns the address for operators.
+	Operators() netip.AddrPort
+	// Gossip returns the address that other instances are seeded with.
+	Gossip() netip.AddrPort
+	// Version returns the configuration version in force, 0 before the first.
+	Version() uint64
+	// Ready reports whether the instance serves callers.
+	Ready() bool
+	// Stop shuts down gracefully.
+	Stop(ctx context.Context) error
+	// Kill breaks all connections at once.
+	Kill()
+}
+
+// Spec says how to start an entry instance.
+type Spec struct {
+	Name       string
+	DataCentre string
+	Platform   string // Platform is the base URL of the platform's services.
+	Seeds      []netip.AddrPort
+	Policy     Policy
+	Initial    *configuration.Configuration // Initial is in force where the table holds none yet.
+}
+
+// Policy names a way to choose targets.
+type Policy string
+
+// Policies of the comparison.
+const (
+	Ours             Policy = "Ours"
+	Random           Policy = "Random"
+	RoundRobin       Policy = "RoundRobin"
+	LeastOutstanding Policy = "LeastOutstanding"
+)
+
+// StartEntry starts an entry instance.
+type StartEntry func(ctx context.Context, s Spec) (Entry, error)
+
+// Options size a fleet.
+type Options struct {
+	Seed      uint64
+	Entries   int
+	Policy    Policy
+	Recording bool // Recording keeps every execution for an oracle.
+	Start     StartEntry
+}
+
+// services is the number of order-and-stock workers.
+const services = 3
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Platform *platform.Server
+	Workers  []Worker
+	Engines  []*engine.Server // Engines are in the order of Workers.
+	Services []*service.Server
+
+	options Options
+	ctx     context.Context
+
+	mu      sync.Mutex
+	entries []*Member
+	started int
+	leaving map[string]bool
+}
+
+// Member is an entry instance and its name.
+type Member struct {
+	Entry
+	Name       string
+	DataCentre string
+}
+
+// New starts a fleet. The context is that of its entry instances.
+func New(ctx context.Context, o Options) (*Fleet, error) {
+	f := &Fleet{options: o, ctx: ctx, Workers: Workers(o.Seed), leaving: map[string]bool{}}
+	err := f.startTargets()
+	for i := 0; err == nil && i < o.Entries; i++ {
+		_, err = f.AddEntry()
+	}
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startTargets() error {
+	var err error
+	if f.Platform, err = platform.New(platform.WithSeed(f.options.Seed)); err != nil {
+		return err
+	}
+	for _, w := range f.Workers {
+		e, err := engine.New(engine.WithName(w.Name), engine.WithModel(Model, Layers, w.Layers),
+			engine.WithAccelerator(w.Accelerator), engine.WithMaxBatch(MaxBatch), engine.WithRecording(f.options.Recording))
+		if err != nil {
+			return err
+		}
+		e.SetLink(w.Link)
+		f.Engines = append(f.Engines, e)
+	}
+	for n := range services {
+		s, err := service.New(fmt.Sprintf("s%d", n))
+		if err != nil {
+			return err
+		}
+		f.Services = append(f.Services, s)
+	}
+	f.publish()
+	return nil
+}
+
+// publish writes the instance list to the platform.
+func (f *Fleet) publish() {
+	var list []platform.Instance
+	add := func(name, role, dataCentre string, at netip.AddrPort) {
+		state := instancelist.Live
+		if f.leaving[name] {
+			state = instancelist.Leaving
+		}
+		list = append(list, platform.Instance{Name: name, Role: role, Address: at, DataCentre: dataCentre, State: state})
+	}
+	for i, w := range f.Workers {
+		add(w.Name, "Engine", w.DataCentre, f.Engines[i].Addr())
+	}
+	for n, s := range f.Services {
+		add(fmt.Sprintf("s%d", n), Service, DataCentre(n), s.Addr())
+	}
+	for _, m := range f.entries {
+		add(m.Name, "Entry", m.DataCentre, m.Gossip())
+	}
+	f.Platform.SetInstances(list)
+}
+
+// SetLeaving lists a target as leaving, or as live again.
+func (f *Fleet) SetLeaving(name string, leaving bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.leaving[name] = leaving
+	f.publish()
+}
+
+// AddEntry starts one more entry instance and lists it.
+func (f *Fleet) AddEntry() (*Member, error) {
+	f.mu.Lock()
+	n := f.started
+	f.started++
+	m := &Member{Name: fmt.Sprintf("entry-%d", n), DataCentre: DataCentre(n)}
+	spec := Spec{Name: m.Name, DataCentre: m.DataCentre, Platform: f.Platform.URL(), Policy: f.options.Policy, Initial: Configuration()}
+	for _, other := range f.entries {
+		spec.Seeds = append(spec.Seeds, other.Gossip())
+	}
+	f.mu.Unlock()
+	entry, err := f.options.Start(f.ctx, spec)
+	if err != nil {
+		return nil, fmt.Errorf("entry instance %s: %w", m.Name, err)
+	}
+	m.Entry = entry
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.entries = append(f.entries, m)
+	f.publish()
+	return m, nil
+}
+
+// Remove takes an entry instance from the list, after which it may be stopped or killed.
+func (f *Fleet) Remove(m *Member) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for i, other := range f.entries {
+		if other == m {
+			f.entries = append(f.entries[:i:i], f.entries[i+1:]...)
+		}
+	}
+	f.publish()
+}
+
+// Entries returns the listed entry instances.
+func (f *Fleet) Entries() []*Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*Member(nil), f.entries...)
+}
+
+// Ready returns the listed entry instances that serve callers, as a load balancer sees them.
+func (f *Fleet) Ready() []*Member {
+	var ready []*Member
+	for _, m := range f.Entries() {
+		if m.Ready() {
+			ready = append(ready, m)
+		}
+	}
+	return ready
+}
+
+// Executed returns how often each idempotency key was executed over all services.
+func (f *Fleet) Executed() map[string]int {
+	sum := map[string]int{}
+	for _, s := range f.Services {
+		for key, n := range s.Executed() {
+			sum[key] += n
+		}
+	}
+	return sum
+}
+
+// Close kills everything.
+func (f *Fleet) Close() {
+	for _, m := range f.Entries() {
+		m.Kill()
+	}
+	for _, e := range f.Engines {
+		e.Close()
+	}
+	for _, s := range f.Services {
+		s.Close()
+	}
+	if f.Platform != nil {
+		f.Platform.Close()
+	}
+}
