--- /dev/null
+++ b/pkg/stream/deadline.go
@@ -0,0 +1,102 @@
+package stream
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/latency"
+)
+
+// prefillUnit is the prompt size to which prefill times are scaled. Shorter prefills count as one unit, since their time does
+// not shrink with the prompt.
+const prefillUnit = 1000
+
+// maxTargets bounds the targets that are remembered. 7,000 workers take a few hundred kilobytes.
+const maxTargets = 16384
+
+// deadlines keeps the observed step times of each target, apart for decode steps and for prefills per unit of prompt.
+type deadlines struct {
+	mu      sync.Mutex
+	targets map[string]*observed
+}
+
+type observed struct {
+	mu      sync.Mutex
+	decode  latency.Estimator
+	prefill latency.Estimator
+}
+
+func newDeadlines() *deadlines {
+	return &deadlines{targets: map[string]*observed{}}
+}
+
+func (d *deadlines) of(name string) *observed {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if o, found := d.targets[name]; found {
+		return o
+	}
+	if len(d.targets) >= maxTargets {
+		clear(d.targets)
+	}
+	o := &observed{}
+	d.targets[name] = o
+	return o
+}
+
+// decodeDeadline is the time after which a decode step counts as frozen.
+func (o *observed) decodeDeadline() time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.decode.Deadline()
+}
+
+// prefillDeadline grows with the size of the prompt.
+func (o *observed) prefillDeadline(size int) time.Duration {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return time.Duration(float64(o.prefill.Deadline()) * units(size))
+}
+
+// observeDecode adds the time of a step. A step that ran into its deadline counts with its
+// deadline, so that a target that is slow but alive gets a longer one.
+func (o *observed) observeDecode(took time.Duration) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.decode.Observe(took)
+}
+
+func (o *observed) observePrefill(took time.Duration, size int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.prefill.Observe(time.Duration(float64(took) / units(size)))
+}
+
+func units(size int) float64 {
+	return max(1, float64(size)/prefillUnit)
+}
+
+// crashes remembers when a crash of a target was last reported. One crash fails many steps and is reported once.
+type crashes struct {
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+func newCrashes() *crashes {
+	return &crashes{last: map[string]time.Time{}}
+}
+
+// first reports whether no crash of the target was reported since the time at which the failed work began there.
+func (c *crashes) first(name string, began, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	last, found := c.last[name]
+	if found && !last.Before(began) {
+		return false
+	}
+	if len(c.last) >= maxTargets {
+		clear(c.last)
+	}
+	c.last[name] = now
+	return true
+}
--- /dev/null
+++ b/pkg/stream/stream.go
@@ -0,0 +1,114 @@
+// Package stream produces one answer from a model that is split across targets.
+//
+// A Runner sends the prompt through the stages of a route and then decodes token by token. Each step carries
+// the request, the generation, the position, the number of positions and the layer range, and each answer
+// is checked against all of them. When a stage dies, freezes, refuses because it is leaving, or has lost the KV cache, the
+// Runner starts a new generation on a new route that avoids the stage, rebuilds the cache by a prefill of the prompt and the tokens
+// already sent, and continues at the next position. A new generation never uses the KV cache of an
+// earlier one, because it is not known whether the lost step ran on the stages that survive.
+//
+// Usage:
+//
+//	runner := stream.NewRunner(router, stages, stream.WithLedger(ledger), stream.WithBudget(budget))
+//	summary, err := runner.Run(ctx, request, func(t stream.Token) error { return write(t.Text) })
+//	if err != nil {
+//		refused := refusal.From(err) // It holds the outcome and the time to come back.
+//	}
+package stream
+
+import (
+	"context"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// Stage runs the steps of one stage, and frees what a generation holds there.
+type Stage interface {
+	// Step returns the engine's result for the step. An error with a method Ran tells whether the step may have reached the
+	// engine; any other error counts as unknown.
+	Step(ctx context.Context, step *enginepb.Step) (*enginepb.StepResult, error)
+	// Cancel frees the KV cache of one generation.
+	Cancel(ctx context.Context, request string, generation uint32) error
+}
+
+// Placement asks for a route.
+type Placement struct {
+	Model       string
+	Layers      int
+	PrefixHash  uint64
+	PromptBytes int
+	Avoid       []string // Avoid names targets that the answer has seen fail.
+	Apart       bool     // Apart asks for a route that shares no target with another suspect of a crash.
+	Now         time.Time
+}
+
+// Router chooses routes and learns how targets do. It is route.Picker behind an adapter.
+type Router interface {
+	// Place returns targets whose layers tile the model in order.
+	Place(Placement) ([]target.Target, error)
+	// Sent counts cost, in positions, as outstanding at the target.
+	Sent(name string, cost float64, now time.Time)
+	// Finished ends what Sent counted, after the step took that long.
+	Finished(name string, cost float64, took time.Duration, now time.Time)
+	// Failed reports a target that is dead or frozen. It also ends what Sent counted for the failed step.
+	Failed(name string, now time.Time)
+	// Leaving reports a target that refused new work because it is leaving.
+	Leaving(name string, now time.Time)
+}
+
+// Ledger is told which requests run on which targets and which targets crash. It is quarantine.Ledger behind an adapter.
+type Ledger interface {
+	Start(request string, fingerprint uint64, target string)
+	Finish(request, target string)
+	Crash(target string, now time.Time)
+	Quarantined(fingerprint uint64, now time.Time) bool
+}
+
+// Budget limits retries. It is retry.Budget.
+type Budget interface {
+	Request(key string, now time.Time)
+	Allow(key string, now time.Time) bool
+}
+
+// Request is one request for an answer. The caller's deadline is that of the context.
+type Request struct {
+	ID          string
+	Workspace   string
+	Model       string
+	Layers      int
+	Prompt      string
+	PrefixHash  uint64
+	MaxTokens   int // MaxTokens is 1 or more.
+	Priority    configuration.Priority
+	Fingerprint uint64
+}
+
+// Token is one token of an answer.
+type Token struct {
+	Index int // Index counts the answer's tokens from 0 without gaps.
+	ID    uint32
+	Text  string
+}
+
+// Finish says why an answer ended.
+type Finish string
+
+const (
+	// FinishStop means that the model ended the answer.
+	FinishStop Finish = "stop"
+	// FinishLength means that the answer has as many tokens as asked for.
+	FinishLength Finish = "length"
+)
+
+// Summary describes a complete answer, or what there was of it before an error.
+type Summary struct {
+	Finish           Finish
+	PromptTokens     int
+	CompletionTokens int
+	Generations      uint32
+	FirstToken       time.Duration
+	LongestGap       time.Duration // LongestGap is the longest time between two tokens.
+}
