Add the state machines for membership and configuration spread

Cause: entry instances need failure detection, gossip and configuration distribution, and other packages build on the interface. Change: pkg/decision/membership, pkg/decision/spread and the protocol between instances. Not tested yet.

--- /dev/null
+++ b/pkg/decision/membership/item.go
@@ -0,0 +1,188 @@
+package membership
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+)
+
+// ItemKind names the kind of an item.
+type ItemKind string
+
+const (
+	// VersionKind is the kind of Version.
+	VersionKind ItemKind = "Version"
+	// DrainKind is the kind of Drain.
+	DrainKind ItemKind = "Drain"
+	// QuarantineKind is the kind of Quarantine.
+	QuarantineKind ItemKind = "Quarantine"
+	// LoadShareKind is the kind of LoadShare.
+	LoadShareKind ItemKind = "LoadShare"
+)
+
+const (
+	// MaxTargetBytes bounds the target name of a drain, so that a drain always fits a packet.
+	MaxTargetBytes = 128
+	// MaxItemLife bounds how far an item's expiry may lie ahead, so that a wrong clock cannot fill
+	// the tables for good.
+	MaxItemLife = 7 * 24 * time.Hour
+	// MaxItems bounds the drains and quarantines kept. At 2,700 instances they are few; the bound
+	// protects memory and the repair traffic against a faulty sender.
+	MaxItems = 2048
+)
+
+// Item is one piece of news that members tell each other. Items of one kind and key compete, and
+// all members keep the same winner whatever the order of arrival.
+type Item interface {
+	// Kind returns the kind of the item.
+	Kind() ItemKind
+	// Key distinguishes items of one kind.
+	Key() string
+	// Size bounds the encoded size in bytes.
+	Size() int
+	// Check returns an error if a field is out of bounds.
+	Check() error
+	// Wins reports whether the item supersedes another of the same kind and key.
+	Wins(over Item) bool
+	// Expired reports whether the item may be forgotten.
+	Expired(now time.Time) bool
+	// sum contributes to the digest that members compare.
+	sum() uint64
+}
+
+// Version states the configuration version that the sender holds and can hand out. It travels in
+// the header of every packet and is not relayed: a receiver fetches from the sender.
+type Version struct {
+	Number uint64 `json:"Number"`
+}
+
+// LoadShare is the sender's own load. It travels in the header of every packet and is not relayed,
+// since spreading every member's load to every other grows with the square of the member count.
+// What a member hears from its probes is a uniform sample of the cluster.
+type LoadShare struct {
+	Origin  netip.AddrPort `json:"Origin"`
+	At      time.Time      `json:"At"`
+	Running uint32         `json:"Running"` // Running counts the requests in flight.
+	Queued  uint32         `json:"Queued"`  // Queued counts the requests that wait for admission.
+}
+
+// Drain tells every instance to give a target no new work until it expires.
+type Drain struct {
+	Target    string    `json:"Target"`
+	At        time.Time `json:"At"`      // At is when the operator set it; the later one wins.
+	Expires   time.Time `json:"Expires"` // Expires is when every instance forgets it.
+	Cancelled bool      `json:"Cancelled,omitempty"`
+}
+
+// Quarantine tells every instance to refuse the requests with a fingerprint.
+type Quarantine struct {
+	Fingerprint uint64    `json:"Fingerprint"`
+	Until       time.Time `json:"Until"` // Until is when the quarantine ends; the later one wins.
+}
+
+// Kind implements Item.
+func (Version) Kind() ItemKind { return VersionKind }
+
+// Key implements Item. All versions compete.
+func (Version) Key() string { return "" }
+
+// Size implements Item.
+func (Version) Size() int { return 11 }
+
+// Check implements Item.
+func (Version) Check() error { return nil }
+
+// Wins implements Item: the higher version wins.
+func (v Version) Wins(over Item) bool { return v.Number > over.(Version).Number }
+
+// Expired implements Item.
+func (Version) Expired(time.Time) bool { return false }
+
+func (v Version) sum() uint64 { return v.Number }
+
+// Kind implements Item.
+func (LoadShare) Kind() ItemKind { return LoadShareKind }
+
+// Key implements Item: each member has one load share.
+func (l LoadShare) Key() string { return l.Origin.String() }
+
+// Size implements Item. The origin is the sender and is not encoded again.
+func (LoadShare) Size() int { return 26 }
+
+// Check implements Item.
+func (LoadShare) Check() error { return nil }
+
+// Wins implements Item: the later one wins.
+func (l LoadShare) Wins(over Item) bool { return l.At.After(over.(LoadShare).At) }
+
+// Expired implements Item.
+func (l LoadShare) Expired(now time.Time) bool { return now.Sub(l.At) > loadShareLife }
+
+func (l LoadShare) sum() uint64 { return uint64(l.At.UnixMilli()) }
+
+// Kind implements Item.
+func (Drain) Kind() ItemKind { return DrainKind }
+
+// Key implements Item: each target has one drain.
+func (d Drain) Key() string { return d.Target }
+
+// Size implements Item.
+func (d Drain) Size() int { return 32 + len(d.Target) }
+
+// Check implements Item.
+func (d Drain) Check() error {
+	switch {
+	case d.Target == "" || len(d.Target) > MaxTargetBytes:
+		return Malformed.New("drain target has %d bytes, 1 to %d are accepted", len(d.Target), MaxTargetBytes)
+	case d.Expires.Sub(d.At) > MaxItemLife:
+		return Malformed.New("drain lasts %s, at most %s is accepted", d.Expires.Sub(d.At), MaxItemLife)
+	}
+	return nil
+}
+
+// Wins implements Item: the one set later wins, then the one that expires later, then the cancelled.
+func (d Drain) Wins(over Item) bool {
+	o := over.(Drain)
+	if a, b := d.At.UnixMilli(), o.At.UnixMilli(); a != b {
+		return a > b
+	}
+	if a, b := d.Expires.UnixMilli(), o.Expires.UnixMilli(); a != b {
+		return a > b
+	}
+	return d.Cancelled && !o.Cancelled
+}
+
+// Expired implements Item.
+func (d Drain) Expired(now time.Time) bool { return !now.Before(d.Expires) }
+
+func (d Drain) sum() uint64 {
+	s := uint64(d.At.UnixMilli())*31 + uint64(d.Expires.UnixMilli())
+	if d.Cancelled {
+		s ^= 1 << 63
+	}
+	return s
+}
+
+// Kind implements Item.
+func (Quarantine) Kind() ItemKind { return QuarantineKind }
+
+// Key implements Item: each fingerprint has one quarantine.
+func (q Quarantine) Key() string {
+	return string(binary.BigEndian.AppendUint64(nil, q.Fingerprint))
+}
+
+// Size implements Item.
+func (Quarantine) Size() int { return 24 }
+
+// Check implements Item.
+func (Quarantine) Check() error { return nil }
+
+// Wins implements Item: the one that lasts longer wins.
+func (q Quarantine) Wins(over Item) bool {
+	return q.Until.UnixMilli() > over.(Quarantine).Until.UnixMilli()
+}
+
+// Expired implements Item.
+func (q Quarantine) Expired(now time.Time) bool { return !now.Before(q.Until) }
+
+func (q Quarantine) sum() uint64 { return uint64(q.Until.UnixMilli()) }
--- /dev/null
+++ b/pkg/decision/membership/member.go
@@ -0,0 +1,90 @@
+package membership
+
+import (
+	"net/netip"
+
+	"github.com/joomcode/errorx"
+)
+
+// State is what the table holds about a member's life.
+type State string
+
+const (
+	// Alive members answer probes.
+	Alive State = "Alive"
+	// Suspect members did not answer a probe and may still refute the suspicion.
+	Suspect State = "Suspect"
+	// Dead members did not refute a suspicion in time.
+	Dead State = "Dead"
+	// Left members announced their departure.
+	Left State = "Left"
+)
+
+// rank orders states of the same incarnation; the higher one wins.
+func (s State) rank() int {
+	switch s {
+	case Alive:
+		return 1
+	case Suspect:
+		return 2
+	case Dead:
+		return 3
+	case Left:
+		return 4
+	}
+	return 0
+}
+
+// Live reports whether a member in this state takes part in the cluster.
+func (s State) Live() bool {
+	return s == Alive || s == Suspect
+}
+
+// MaxNameBytes bounds the name and the data centre of a member, so that a record always fits a packet.
+const MaxNameBytes = 64
+
+// Member is what is known of one entry instance. Address identifies it.
+type Member struct {
+	Name        string         `json:"Name"`
+	DataCentre  string         `json:"DataCentre"`
+	Address     netip.AddrPort `json:"Address"`
+	Incarnation uint64         `json:"Incarnation"`
+	State       State          `json:"State"`
+}
+
+// Check returns an error if the member's fields are out of bounds.
+func (m Member) Check() error {
+	if err := checkAddress(m.Address); err != nil {
+		return err
+	}
+	switch {
+	case len(m.Name) > MaxNameBytes:
+		return Malformed.New("member name has %d bytes, at most %d are accepted", len(m.Name), MaxNameBytes)
+	case len(m.DataCentre) > MaxNameBytes:
+		return Malformed.New("data centre has %d bytes, at most %d are accepted", len(m.DataCentre), MaxNameBytes)
+	case m.State.rank() == 0:
+		return Malformed.New("member state %q is not one of Alive, Suspect, Dead, Left", m.State)
+	}
+	return nil
+}
+
+func checkAddress(a netip.AddrPort) error {
+	if !a.IsValid() || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().Zone() != "" {
+		return Malformed.New("%q is not a usable address and port without a zone", a)
+	}
+	return nil
+}
+
+// Wins reports whether m supersedes the older knowledge about the same address.
+func (m Member) Wins(over Member) bool {
+	if m.Incarnation != over.Incarnation {
+		return m.Incarnation > over.Incarnation
+	}
+	return m.State.rank() > over.State.rank()
+}
+
+// namespace groups the errors of this package.
+var namespace = errorx.NewNamespace("membership")
+
+// Malformed is the type of errors about packets, members and items that are out of bounds.
+var Malformed = namespace.NewType("malformed")
--- /dev/null
+++ b/pkg/decision/membership/merge.go
@@ -0,0 +1,125 @@
+package membership
+
+import "net/netip"
+
+// source is how a member record arrived.
+type source string
+
+const (
+	direct   source = "direct"   // from the member itself
+	gossiped source = "gossiped" // as news
+	synced   source = "synced"   // as the answer to a digest
+	local    source = "local"    // concluded here
+)
+
+// merge takes over a member record if it supersedes what is known.
+func (t *Table) merge(m Member, how source, from netip.AddrPort) {
+	if m.Address == t.self.Address {
+		t.refute(m)
+		return
+	}
+	r := t.members[m.Address]
+	if r == nil {
+		t.insert(m, how, from)
+		return
+	}
+	if !m.Wins(r.Member) {
+		return
+	}
+	if how == synced && m.State == Dead && r.State.Live() {
+		t.verify(r, m)
+		return
+	}
+	t.change(r, m, from)
+	t.announce(newsKey{address: m.Address})
+}
+
+// insert adds an unknown member. A death or departure of a member that was never known is kept, so
+// that an older record of it is not believed, but it is not relayed.
+func (t *Table) insert(m Member, how source, from netip.AddrPort) {
+	r := &record{Member: m, hash: hashAddress(m.Address), since: t.now, index: -1}
+	t.members[m.Address] = r
+	t.enter(r)
+	t.events = append(t.events, Event{Member: m, From: from})
+	if m.State.Live() && how != synced {
+		t.announce(newsKey{address: m.Address})
+	}
+}
+
+// change replaces a known record.
+func (t *Table) change(r *record, m Member, from netip.AddrPort) {
+	t.exit(r)
+	r.Member = m
+	r.since = t.now
+	t.enter(r)
+	t.events = append(t.events, Event{Member: m, From: from})
+}
+
+// enter adds the record to the lists of its state.
+func (t *Table) enter(r *record) {
+	t.sorted = nil
+	if !r.State.Live() {
+		t.gone[r] = struct{}{}
+		return
+	}
+	r.index = len(t.live)
+	t.live = append(t.live, r)
+	t.toggle(r.hash, r.sum(r.hash))
+	if r.State == Suspect {
+		t.suspects[r] = &suspicion{deadline: t.now.Add(hearsayFactor * t.patience())}
+	}
+}
+
+// exit removes the record from the lists of its state.
+func (t *Table) exit(r *record) {
+	t.sorted = nil
+	delete(t.gone, r)
+	delete(t.suspects, r)
+	if r.index < 0 {
+		return
+	}
+	t.toggle(r.hash, r.sum(r.hash))
+	last := t.live[len(t.live)-1]
+	t.live[r.index] = last
+	last.index = r.index
+	t.live = t.live[:len(t.live)-1]
+	r.index = -1
+}
+
+// refute answers a record about this member itself that is wrong, by a higher incarnation.
+func (t *Table) refute(m Member) {
+	if t.self.State == Left || m.Incarnation < t.self.Incarnation {
+		return
+	}
+	if m.State == Alive && m.Incarnation == t.self.Incarnation {
+		return
+	}
+	t.toggle(t.hash, t.self.sum(t.hash))
+	t.self.Incarnation = m.Incarnation + 1
+	t.toggle(t.hash, t.self.sum(t.hash))
+	t.sorted = nil
+	t.urgent = true
+}
+
+// tickForget drops what has expired.
+func (t *Table) tickForget() {
+	if t.now.Before(t.nextForget) {
+		return
+	}
+	t.nextForget = t.now.Add(forgetInterval)
+	for r := range t.gone {
+		life := deadLife
+		if r.State == Left {
+			life = leftLife
+		}
+		if t.now.Sub(r.since) > life {
+			t.exit(r)
+			delete(t.members, r.Address)
+		}
+	}
+	for k, i := range t.items {
+		if i.Expired(t.now) {
+			t.removeItem(k, i)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/decision/membership/packet.go
@@ -0,0 +1,120 @@
+package membership
+
+import "net/netip"
+
+// Kind is the purpose of a packet.
+type Kind string
+
+const (
+	// Ping asks for an Ack with the same sequence number.
+	Ping Kind = "Ping"
+	// Ack answers a Ping, or reports to the origin of a PingRequest that the target answered.
+	Ack Kind = "Ack"
+	// PingRequest asks a helper to probe Target.
+	PingRequest Kind = "PingRequest"
+	// Nack reports to the origin of a PingRequest that the target has not answered the helper.
+	Nack Kind = "Nack"
+	// Gossip only carries news.
+	Gossip Kind = "Gossip"
+	// Sync carries a digest and asks for the entries in which the receiver differs, and for its digest.
+	Sync Kind = "Sync"
+	// SyncBack carries a digest and asks for the entries in which the receiver differs.
+	SyncBack Kind = "SyncBack"
+	// SyncEntries carries entries of the buckets that differ.
+	SyncEntries Kind = "SyncEntries"
+)
+
+func (k Kind) known() bool {
+	switch k {
+	case Ping, Ack, PingRequest, Nack, Gossip, Sync, SyncBack, SyncEntries:
+		return true
+	}
+	return false
+}
+
+const (
+	// MaxPacketBytes bounds an encoded packet. It fits the smallest usual path MTU (1,280 bytes for
+	// IPv6) after the IP and UDP headers.
+	MaxPacketBytes = 1200
+	// Buckets is the number of buckets of a digest. With 2,700 members a bucket has 21 entries,
+	// which is about one packet.
+	Buckets = 128
+)
+
+// Packet is one message between two members.
+type Packet struct {
+	To       netip.AddrPort // To is the destination. It is not encoded.
+	Kind     Kind
+	Fleet    string // Fleet must equal the receiver's; it keeps fleets that reuse addresses apart.
+	From     Member
+	Sequence uint64
+	Target   netip.AddrPort // Target is the member to probe, in PingRequest.
+	Version  Version
+	Load     LoadShare
+	Members  []Member
+	Items    []Item
+	Digest   []uint32 // Digest has Buckets values in Sync and SyncBack, and none otherwise.
+}
+
+// Check returns an error if the packet could not have been sent by a correct member.
+func (p Packet) Check() error {
+	if !p.Kind.known() {
+		return Malformed.New("packet kind %q is unknown", p.Kind)
+	}
+	if len(p.Fleet) > MaxNameBytes {
+		return Malformed.New("fleet has %d bytes, at most %d are accepted", len(p.Fleet), MaxNameBytes)
+	}
+	if p.Kind == PingRequest {
+		if err := checkAddress(p.Target); err != nil {
+			return err
+		}
+	}
+	if digest := p.Kind == Sync || p.Kind == SyncBack; digest && len(p.Digest) != Buckets || !digest && len(p.Digest) != 0 {
+		return Malformed.New("%s packet has a digest of %d values", p.Kind, len(p.Digest))
+	}
+	return p.checkEntries()
+}
+
+func (p Packet) checkEntries() error {
+	if err := p.From.Check(); err != nil {
+		return err
+	}
+	for _, m := range p.Members {
+		if err := m.Check(); err != nil {
+			return err
+		}
+	}
+	for _, i := range p.Items {
+		if k := i.Kind(); k != DrainKind && k != QuarantineKind {
+			return Malformed.New("item of kind %s outside the header", k)
+		}
+		if err := i.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Size bounds the encoded size in bytes.
+func (p Packet) Size() int {
+	n := p.headerSize() + 4*len(p.Digest)
+	for _, m := range p.Members {
+		n += m.Size()
+	}
+	for _, i := range p.Items {
+		n += i.Size()
+	}
+	return n
+}
+
+// headerSize bounds the encoded size of everything but the lists: kind 2, sequence 11, target 20,
+// digest tag and length 4, and the fields that measure themselves.
+func (p Packet) headerSize() int {
+	return 37 + 2 + len(p.Fleet) + p.From.Size() + p.Version.Size() + p.Load.Size()
+}
+
+// Size bounds the encoded size in bytes: list tag and length 3, address 20, incarnation 11, state 2,
+// and two strings with tag and length.
+func (m Member) Size() int {
+	return 40 - 16 + m.Address.Addr().BitLen()/8 + len(m.Name) + len(m.DataCentre)
+}
--- /dev/null
+++ b/pkg/decision/membership/suspicion.go
@@ -0,0 +1,54 @@
+package membership
+
+import "time"
+
+// suspicion is a member's chance to refute.
+type suspicion struct {
+	deadline time.Time
+	own      bool      // own is set if this table's probe failed
+	nextPing time.Time // nextPing is when an own suspicion is told to the suspect again
+}
+
+// patience is the suspicion time, longer while this member itself seems unwell.
+func (t *Table) patience() time.Duration {
+	return suspicionTime * time.Duration(1+t.probes.health)
+}
+
+// suspect records that a probe of this table failed.
+func (t *Table) suspect(r *record) {
+	if !r.State.Live() {
+		return
+	}
+	if r.State == Alive {
+		m := r.Member
+		m.State = Suspect
+		t.merge(m, local, t.self.Address)
+	}
+	s := t.suspects[r]
+	if s.own {
+		return
+	}
+	s.own = true
+	s.nextPing = t.now
+	if d := t.now.Add(t.patience()); d.Before(s.deadline) {
+		s.deadline = d
+	}
+}
+
+// expireSuspicions declares members dead that did not refute, and tells suspects of this table's
+// own suspicions directly, since news may reach them too late to refute.
+func (t *Table) expireSuspicions() {
+	for _, r := range t.sortedSuspects() {
+		s := t.suspects[r]
+		if !t.now.Before(s.deadline) {
+			m := r.Member
+			m.State = Dead
+			t.merge(m, local, t.self.Address)
+			continue
+		}
+		if s.own && !t.now.Before(s.nextPing) {
+			s.nextPing = t.now.Add(probeInterval)
+			t.send(t.compose(Ping, r.Address))
+		}
+	}
+}
--- /dev/null
+++ b/pkg/decision/spread/fetch.go
@@ -0,0 +1,130 @@
+package spread
+
+import (
+	"net/netip"
+	"time"
+)
+
+// next returns the next fetch if one is due.
+func (s *Spreader) next(now time.Time) []Action {
+	if s.busy || s.known <= s.version || now.Before(s.nextTry) {
+		return nil
+	}
+	s.busy = true
+	a := Action{Do: Fetch, Peer: s.choose(now), After: s.version}
+	s.table = !a.Peer.IsValid()
+	if s.version == 0 || s.snapshot {
+		a.Do = FetchSnapshot
+	}
+	return []Action{a}
+}
+
+// choose returns the peer to fetch from; not set means the table. Peers come first. Once the
+// instance has been behind for some time, the table and peers take turns, since either may be out
+// of reach.
+func (s *Spreader) choose(now time.Time) netip.AddrPort {
+	if len(s.sources) == 0 {
+		return netip.AddrPort{}
+	}
+	if now.Sub(s.behind) >= tableAfter && !s.table {
+		return netip.AddrPort{}
+	}
+	return s.sources[s.rand.IntN(len(s.sources))].peer
+}
+
+// Fetched takes the versions of the fetched changes in the order received. Trimmed states that the
+// changes after a.After are not kept any more. Only a run without a gap that starts right after the
+// version in force is applied.
+func (s *Spreader) Fetched(a Action, versions []uint64, trimmed bool, err error, now time.Time) []Action {
+	s.busy = false
+	if err != nil {
+		return s.failed(a, now)
+	}
+	first, last := s.run(versions)
+	if last >= first {
+		s.busy = true
+		return []Action{{Do: Apply, Peer: a.Peer, First: first, Last: last}}
+	}
+	if trimmed || len(versions) > 0 && versions[len(versions)-1] > s.version {
+		s.snapshot = true
+		return s.next(now)
+	}
+	s.empty(a)
+	return s.failed(a, now)
+}
+
+// run returns the longest run of versions that starts right after the one in force.
+func (s *Spreader) run(versions []uint64) (first, last uint64) {
+	first, last = s.version+1, s.version
+	for _, v := range versions {
+		if v == last+1 {
+			last = v
+		}
+	}
+	return first, last
+}
+
+// empty handles an answer without anything new. If the table itself has nothing newer, the version
+// heard of does not exist.
+func (s *Spreader) empty(a Action) {
+	if !a.Peer.IsValid() {
+		s.known = s.version
+		s.sources = nil
+	}
+}
+
+// FetchedSnapshot takes the version of a fetched snapshot. One that is not higher than the version in
+// force is dropped.
+func (s *Spreader) FetchedSnapshot(a Action, version uint64, err error, now time.Time) []Action {
+	s.busy = false
+	if err != nil {
+		return s.failed(a, now)
+	}
+	if version <= s.version {
+		s.empty(a)
+		return s.failed(a, now)
+	}
+	s.busy = true
+	return []Action{{Do: Apply, Peer: a.Peer, First: version, Last: version, Snapshot: true}}
+}
+
+// Applied takes the highest version of the action that is now in force; the error states why the
+// rest is not. After an error the whole configuration is tried, and after that changes again.
+func (s *Spreader) Applied(a Action, last uint64, err error, now time.Time) []Action {
+	s.busy = false
+	if last > s.version && last >= a.First && last <= a.Last {
+		s.version = last
+		s.behind = now
+		s.failures = 0
+		s.dropStale()
+	}
+	if err != nil {
+		s.snapshot = !a.Snapshot
+		return s.failed(a, now)
+	}
+	s.snapshot = false
+	return s.next(now)
+}
+
+// dropStale forgets the peers that have nothing newer.
+func (s *Spreader) dropStale() {
+	kept := s.sources[:0]
+	for _, o := range s.sources {
+		if o.version > s.version {
+			kept = append(kept, o)
+		}
+	}
+	s.sources = kept
+}
+
+// failed drops the peer and waits, longer after each failure and by a random part, so that many
+// instances do not ask the table at the same moment.
+func (s *Spreader) failed(a Action, now time.Time) []Action {
+	if a.Peer.IsValid() {
+		s.dropSource(a.Peer)
+	}
+	wait := min(retryAfter<<min(s.failures, 4), maxRetry)
+	s.failures++
+	s.nextTry = now.Add(wait/2 + time.Duration(s.rand.Int64N(int64(wait/2))))
+	return nil
+}
--- /dev/null
+++ b/pkg/decision/spread/spreader.go
@@ -0,0 +1,161 @@
+package spread
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+)
+
+// Do is what an action asks the driver for.
+type Do string
+
+const (
+	// ReadHead asks for the head row of the table. The answer goes to HeadRead.
+	ReadHead Do = "ReadHead"
+	// Fetch asks for the changes after a version. The answer goes to Fetched.
+	Fetch Do = "Fetch"
+	// FetchSnapshot asks for the whole configuration. The answer goes to FetchedSnapshot.
+	FetchSnapshot Do = "FetchSnapshot"
+	// Apply asks to apply the fetched changes with the versions From to To, or the fetched snapshot
+	// if Snapshot is set. The answer goes to Applied.
+	Apply Do = "Apply"
+)
+
+// Action is a request to the driver. The driver must answer each one exactly
+// once, with an error if it takes longer than ActionTimeout.
+type Action struct {
+	Do       Do
+	Peer     netip.AddrPort // Peer is whom to fetch from; not set means the table.
+	After    uint64         // After is the version that the changes must follow.
+	First    uint64         // First is the lowest version to apply.
+	Last     uint64         // Last is the highest version to apply.
+	Snapshot bool
+}
+
+const (
+	// ActionTimeout bounds an action, so that two of them and a hop fit the six seconds in which a
+	// change must be in force everywhere.
+	ActionTimeout = time.Second
+	// pollInterval is the time between reads of the head row by a poller.
+	pollInterval = time.Second
+	// pollers is the number of instances of a data centre that read the head row. Two, so that one
+	// may fail without a delay.
+	pollers = 2
+	// tableAfter is how long an instance that is behind tries peers only. 2,700 instances would
+	// overload the table if they read each change from it.
+	tableAfter = 2 * time.Second
+	// retryAfter is the time to the next attempt after a failed one. It doubles with each failure up to
+	// maxRetry, which leaves room for a fetch within the six seconds after an outage ends.
+	retryAfter = 250 * time.Millisecond
+	maxRetry   = 2 * time.Second
+	// maxSources bounds the peers remembered to hold a version that is missing here.
+	maxSources = 16
+)
+
+// Spreader decides who polls the head row, and who fetches from whom. It must be made by New.
+type Spreader struct {
+	self  membership.Member
+	rand  *rand.Rand
+	polls bool
+
+	version uint64 // version is the one in force here
+	known   uint64 // known is the highest version heard of
+	behind  time.Time
+	sources []source
+
+	busy     bool // busy is set while a fetch or an apply is under way
+	snapshot bool // snapshot is set if the missing changes cannot be had any more
+	reading  bool // reading is set while the head row is read
+	nextPoll time.Time
+	nextTry  time.Time
+	failures int  // failures counts failed attempts since the last success
+	table    bool // table is set if the last fetch went to the table
+}
+
+// source is a peer that said it holds a version.
+type source struct {
+	peer    netip.AddrPort
+	version uint64
+}
+
+// New returns a spreader for an instance that holds no version yet. It polls until SetMembers tells
+// of others.
+func New(self membership.Member, r *rand.Rand) *Spreader {
+	return &Spreader{self: self, rand: r, polls: true}
+}
+
+// Version returns the version in force here; 0 means none. It never falls.
+func (s *Spreader) Version() uint64 { return s.version }
+
+// Known returns the highest version heard of.
+func (s *Spreader) Known() uint64 { return max(s.known, s.version) }
+
+// Ready reports whether a version is in force. An instance without one must not take requests.
+func (s *Spreader) Ready() bool { return s.version > 0 }
+
+// Polls reports whether this instance reads the head row.
+func (s *Spreader) Polls() bool { return s.polls }
+
+// Tick returns the actions that are due.
+func (s *Spreader) Tick(now time.Time) []Action {
+	var actions []Action
+	if s.polls && !s.reading && !now.Before(s.nextPoll) {
+		s.reading = true
+		s.nextPoll = now.Add(pollInterval)
+		actions = append(actions, Action{Do: ReadHead})
+	}
+	return append(actions, s.next(now)...)
+}
+
+// HeadRead takes the answer to ReadHead. A lower version than the one in force is ignored: the
+// table may have been restored from an older copy.
+func (s *Spreader) HeadRead(version uint64, err error, now time.Time) []Action {
+	s.reading = false
+	if err != nil {
+		return nil
+	}
+	s.learn(version, now)
+	return s.next(now)
+}
+
+// Heard takes what a peer states about the version that it holds.
+func (s *Spreader) Heard(peer netip.AddrPort, version uint64, now time.Time) []Action {
+	if version <= s.version {
+		return nil
+	}
+	s.learn(version, now)
+	s.addSource(source{peer: peer, version: version})
+	return s.next(now)
+}
+
+func (s *Spreader) learn(version uint64, now time.Time) {
+	if version <= s.version || version <= s.known {
+		return
+	}
+	if s.known <= s.version {
+		s.behind = now
+	}
+	s.known = version
+}
+
+// addSource remembers the peer; if there are too many, it replaces a random one.
+func (s *Spreader) addSource(n source) {
+	for i := range s.sources {
+		if s.sources[i].peer == n.peer {
+			s.sources[i].version = max(s.sources[i].version, n.version)
+			return
+		}
+	}
+	if len(s.sources) < maxSources {
+		s.sources = append(s.sources, n)
+		return
+	}
+	s.sources[s.rand.IntN(maxSources)] = n
+}
+
+func (s *Spreader) dropSource(peer netip.AddrPort) {
+	s.sources = slices.DeleteFunc(s.sources, func(o source) bool { return o.peer == peer })
+}
