Add the randomised proof run

Cause: the promises have to be checked from outside under overlapping faults. Change: pkg/soak draws requests and 16 kinds of faults from a seed, records what callers, engines, services and instances saw, and judges P1 to P7 after the run.

--- /dev/null
+++ b/pkg/soak/report.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+)
+
+// Report is the result of a run. Its JSON is the last line of the command's output.
+type Report struct {
+	Seed       uint64         `json:"Seed"`
+	Duration   string         `json:"Duration"`
+	Faults     map[Kind]int   `json:"Faults"`
+	Requests   map[string]int `json:"Requests"` // Requests are counted by kind and outcome.
+	Violations map[string]int `json:"Violations"`
+	Findings   []string       `json:"Findings,omitempty"` // Findings describe the first violations of each promise.
+	// TargetsPerCrash is the largest number of targets that one crashing request killed.
+	TargetsPerCrash int `json:"TargetsPerCrash"`
+	Executions      int `json:"Executions"`
+	Configurations  int `json:"Configurations"` // Configurations is the number of accepted changes.
+}
+
+// findingsKept is the number of findings of each promise in a report.
+const findingsKept = 5
+
+// Violated returns the number of violations of all promises.
+func (r Report) Violated() int {
+	sum := 0
+	for _, n := range r.Violations {
+		sum += n
+	}
+	return sum
+}
+
+// Write writes the report as one line of JSON.
+func (r Report) Write(w io.Writer) error {
+	return json.NewEncoder(w).Encode(r)
+}
+
+func newReport(o Options) Report {
+	r := Report{Seed: o.Seed, Duration: o.Duration.Round(time.Second).String(), Requests: map[string]int{}, Violations: map[string]int{}, Faults: map[Kind]int{}}
+	for n := 1; n <= 7; n++ {
+		r.Violations[fmt.Sprintf("P%d", n)] = 0
+	}
+	return r
+}
+
+func (r *Report) add(promise, format string, args ...any) {
+	r.Violations[promise]++
+	if r.Violations[promise] <= findingsKept {
+		r.Findings = append(r.Findings, promise+": "+fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/pkg/soak/schedule.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Kind names a fault.
+type Kind string
+
+// Kinds of faults.
+const (
+	StageKill         Kind = "StageKill"
+	StageFreeze       Kind = "StageFreeze"
+	StageLosesAnswers Kind = "StageLosesAnswers"
+	SlowLink          Kind = "SlowLink"
+	TargetLeaves      Kind = "TargetLeaves"
+	EntryKill         Kind = "EntryKill"
+	EntryStop         Kind = "EntryStop"
+	TableOutage       Kind = "TableOutage"
+	TableSilent       Kind = "TableSilent"
+	TableLosesAnswers Kind = "TableLosesAnswers"
+	ListLag           Kind = "ListLag"
+	ListOutage        Kind = "ListOutage"
+	ServiceCrash      Kind = "ServiceCrash"
+	ServiceFreeze     Kind = "ServiceFreeze"
+	ConfigurationRace Kind = "ConfigurationRace"
+	CrashingRequest   Kind = "CrashingRequest"
+	Resend            Kind = "Resend" // Resend is drawn with the traffic, not scheduled.
+)
+
+// weights are how often each scheduled kind is drawn.
+var weights = []struct {
+	kind   Kind
+	weight int
+}{
+	{StageKill, 4},
+	{StageFreeze, 4},
+	{StageLosesAnswers, 3},
+	{SlowLink, 3},
+	{TargetLeaves, 3},
+	{EntryKill, 1},
+	{EntryStop, 2},
+	{TableOutage, 1},
+	{TableSilent, 1},
+	{TableLosesAnswers, 3},
+	{ListLag, 1},
+	{ListOutage, 1},
+	{ServiceCrash, 2},
+	{ServiceFreeze, 2},
+	{ConfigurationRace, 5},
+	{CrashingRequest, 1},
+}
+
+const (
+	// faultGap is the mean time between two faults. Faults of up to faultLength overlap.
+	faultGap    = 700 * time.Millisecond
+	faultLength = 5 * time.Second
+	// leaveLength lets a departure outlast its limit of 3 s, so that it can be violated.
+	leaveLength = 6 * time.Second
+)
+
+// fault is one entry of the schedule. Pick chooses what it hits among what there is then.
+type fault struct {
+	kind   Kind
+	at     time.Duration
+	length time.Duration
+	pick   int
+}
+
+// schedule draws the faults of a run. The same seed draws the same faults.
+func schedule(r *rand.Rand, duration time.Duration) []fault {
+	var faults []fault
+	at := time.Duration(0)
+	for {
+		at += time.Duration(r.ExpFloat64() * float64(faultGap))
+		if at >= duration {
+			return faults
+		}
+		f := fault{kind: drawKind(r), at: at, pick: r.IntN(1 << 30)}
+		f.length = faultLength/5 + time.Duration(r.Int64N(int64(faultLength*4/5)))
+		if f.kind == TargetLeaves {
+			f.length = leaveLength
+		}
+		faults = append(faults, f)
+	}
+}
+
+func drawKind(r *rand.Rand) Kind {
+	total := 0
+	for _, w := range weights {
+		total += w.weight
+	}
+	at := r.IntN(total)
+	for _, w := range weights {
+		if at < w.weight {
+			return w.kind
+		}
+		at -= w.weight
+	}
+	return StageKill
+}
--- a/pkg/standin/engine/batch.go
+++ b/pkg/standin/engine/batch.go
@@ -109,12 +109,17 @@
 	return len(Tokenise(step.Prompt)) + len(step.Tokens)
 }
 
+// crashes reports whether the batch holds a request that crashes the engine.
 func (s *Server) crashes(batch []*work, life int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.life == life && slices.ContainsFunc(batch, func(w *work) bool {
-		return strings.Contains(w.step.Prompt, CrashMarker)
-	})
+	for _, w := range batch {
+		if s.life == life && s.alive && strings.Contains(w.step.Prompt, CrashMarker) {
+			s.crashed = append(s.crashed, w.step.Prompt)
+			return true
+		}
+	}
+	return false
 }
 
 func (s *Server) runBatch(batch []*work, life int) {
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -61,6 +61,7 @@
 	samples    []loadSample
 	stepTime   time.Duration
 	executions []Execution
+	crashed    []string
 }
 
 // New starts an engine.
@@ -181,6 +182,13 @@
 	return append([]Execution(nil), s.executions...)
 }
 
+// Crashes returns the prompt of each request that crashed the engine.
+func (s *Server) Crashes() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.crashed...)
+}
+
 // Close stops the engine and its goroutines.
 func (s *Server) Close() {
 	s.once.Do(func() { close(s.closed) })
--- a/pkg/standin/fleet/fleet.go
+++ b/pkg/standin/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/configuration"
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
@@ -159,12 +160,30 @@
 	f.Platform.SetInstances(list)
 }
 
-// SetLeaving lists a target as leaving, or as live again.
-func (f *Fleet) SetLeaving(name string, leaving bool) {
+// SetLeaving lists a target as leaving, or as live again, and reports whether that is a change.
+func (f *Fleet) SetLeaving(name string, leaving bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.leaving[name] == leaving {
+		return false
+	}
 	f.leaving[name] = leaving
 	f.publish()
+	return true
+}
+
+// WaitReady waits until n listed entry instances serve callers.
+func (f *Fleet) WaitReady(ctx context.Context, n int, limit time.Duration) error {
+	const interval = 50 * time.Millisecond
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(interval) {
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if len(f.Ready()) >= n {
+			return nil
+		}
+	}
+	return fmt.Errorf("%d of %d entry instances are ready after %v", len(f.Ready()), n, limit)
 }
 
 // AddEntry starts one more entry instance and lists it.
