--- /dev/null
+++ b/pkg/decision/route/picker.go
@@ -0,0 +1,179 @@
+package route
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// Picker chooses routes. Its methods are safe for concurrent use.
+type Picker struct {
+	policy  Policy
+	current atomic.Pointer[snapshot]
+
+	mu      sync.Mutex // mu serialises the changes of the target list.
+	targets []target.Target
+	leaving map[string]bool // leaving names the targets that announced it themselves.
+	now     atomic.Int64    // now is the latest time seen, in Unix nanoseconds.
+}
+
+// NewPicker returns a picker without targets.
+func NewPicker(options ...Option) *Picker {
+	p := &Picker{policy: EstimatedFinish, leaving: map[string]bool{}}
+	for _, option := range options {
+		option(p)
+	}
+	p.current.Store(newSnapshot(nil, &snapshot{}, time.Time{}))
+	return p
+}
+
+// SetTargets replaces the list of targets. What is known of the load of a target that stays is kept.
+func (p *Picker) SetTargets(targets []target.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.targets = append([]target.Target(nil), targets...)
+	p.forgetLeaving()
+	p.rebuild()
+}
+
+// forgetLeaving drops announcements of targets that are no longer listed.
+func (p *Picker) forgetLeaving() {
+	listed := make(map[string]bool, len(p.targets))
+	for _, t := range p.targets {
+		listed[t.Name] = true
+	}
+	for name := range p.leaving {
+		if !listed[name] {
+			delete(p.leaving, name)
+		}
+	}
+}
+
+func (p *Picker) rebuild() {
+	view := make([]target.Target, 0, len(p.targets))
+	for _, t := range p.targets {
+		if p.leaving[t.Name] {
+			t.State = target.Leaving
+		}
+		view = append(view, t)
+	}
+	p.current.Store(newSnapshot(view, p.current.Load(), time.Unix(0, p.now.Load())))
+}
+
+// Leaving takes a target out of every later choice. It is for a target that announces in an
+// answer that it is leaving, and holds until the target is no longer listed.
+func (p *Picker) Leaving(name string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.leaving[name] {
+		return
+	}
+	p.leaving[name] = true
+	p.rebuild()
+}
+
+// ObserveReport takes in a target's load report. Reports of unknown targets are ignored.
+func (p *Picker) ObserveReport(name string, r Report, now time.Time) {
+	p.advance(now)
+	e, ok := p.current.Load().entries[name]
+	if !ok {
+		return
+	}
+	before := e.load.backlog(now)
+	e.load.observeReport(r)
+	e.addWork(e.load.backlog(now) - before)
+	if r.Leaving {
+		p.Leaving(name)
+	}
+}
+
+// ObservePrefix takes in that a target has, or no longer has, a prompt prefix in its cache.
+func (p *Picker) ObservePrefix(name string, hash uint64, held bool) {
+	e, ok := p.current.Load().entries[name]
+	if !ok || e.group == nil {
+		return
+	}
+	if held {
+		e.group.stats.prefixes.add(hash, name)
+		return
+	}
+	e.group.stats.prefixes.remove(hash, name)
+}
+
+// Sent notes that work was sent to a target. The cost is in steps.
+func (p *Picker) Sent(name string, cost float64, now time.Time) {
+	p.advance(now)
+	if e, ok := p.current.Load().entries[name]; ok {
+		e.load.sent(cost, now)
+		e.addWork(cost)
+	}
+}
+
+// Finished notes that a target answered work of the given cost, and how long it took from
+// sending to the answer.
+func (p *Picker) Finished(name string, cost float64, took time.Duration, now time.Time) {
+	p.advance(now)
+	e, ok := p.current.Load().entries[name]
+	if !ok {
+		return
+	}
+	e.load.finished(cost, now)
+	e.addWork(-cost)
+	unit := e.load.observeAnswer(cost, took, now)
+	e.smoothGroup(unit)
+}
+
+// Failed notes that a target failed or did not answer in time. The cost of what was sent to it is
+// taken out by Abandoned.
+func (p *Picker) Failed(name string, now time.Time) {
+	p.advance(now)
+	if e, ok := p.current.Load().entries[name]; ok {
+		e.load.failed.Store(now.UnixNano())
+		e.load.failures.Add(1)
+	}
+}
+
+// Abandoned notes that work sent to a target will not be answered, because it failed or was
+// cancelled. It says nothing about the target's speed.
+func (p *Picker) Abandoned(name string, cost float64, now time.Time) {
+	p.advance(now)
+	if e, ok := p.current.Load().entries[name]; ok {
+		e.load.finished(cost, now)
+		e.addWork(-cost)
+	}
+}
+
+// Release ends the hold of an Apart request on the targets of its route.
+func (p *Picker) Release(r Route) {
+	for _, s := range r.Stages {
+		if e, ok := p.current.Load().entries[s.Name]; ok {
+			e.load.apart.Store(0)
+		}
+	}
+}
+
+func (p *Picker) advance(now time.Time) {
+	if nano := now.UnixNano(); nano > p.now.Load() {
+		p.now.Store(nano)
+	}
+}
+
+func (e *entry) addWork(cost float64) {
+	if e.group != nil {
+		e.group.stats.work.add(cost)
+	}
+}
+
+func (e *entry) smoothGroup(unit float64) {
+	if e.group == nil {
+		return
+	}
+	mean := &e.group.stats.unit
+	old := mean.load()
+	if old == 0 {
+		old = unit
+	}
+	mean.store(old + smoothing/4*(unit-old))
+}
