Add the retry budget

Cause: other packages need the interface of the retry budget. Change: pkg/decision/retry: token bucket for each key and full jitter.

--- /dev/null
+++ b/pkg/decision/retry/retry.go
@@ -0,0 +1,108 @@
+// Package retry bounds how much load retries add, and spreads them in time.
+//
+// Each key (a workspace or a target) has a token bucket that fills with its requests and, so that
+// a quiet key may retry too, with time. A full outage therefore amplifies the load by at most 1.1
+// plus the minimum rate.
+//
+// A Budget is not safe for concurrent use.
+//
+// Usage:
+//
+//	budget := retry.New()
+//	budget.Request("workspace-1", now)
+//	if budget.Allow("workspace-1", now) {
+//		delay := retry.Backoff(attempt, random)
+//	}
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+const (
+	// ratio is the number of retries that one request pays for.
+	ratio = 0.1
+	// minimumRate is the number of retries per second that a key may always make.
+	minimumRate = 3.0
+	// burst bounds the retries saved up, in seconds of the minimum rate and of the request share.
+	burst = 10.0
+	// idle is the time after which an unused key is forgotten; its bucket is full by then.
+	idle = time.Minute
+
+	// backoffBase and backoffCap bound the delay before a retry. The cap keeps retries within
+	// usual deadlines.
+	backoffBase = 25 * time.Millisecond
+	backoffCap  = 2 * time.Second
+)
+
+// bucket holds the retries that one key may make.
+type bucket struct {
+	tokens float64
+	filled time.Time
+}
+
+// Budget holds a token bucket for each key.
+type Budget struct {
+	buckets map[string]*bucket
+	swept   time.Time
+}
+
+// New returns a budget without keys.
+func New() *Budget {
+	return &Budget{buckets: map[string]*bucket{}}
+}
+
+// Request notes a first attempt, which pays for a tenth of a retry.
+func (b *Budget) Request(key string, now time.Time) {
+	k := b.bucket(key, now)
+	k.tokens = min(burst, k.tokens+ratio)
+}
+
+// Allow reports whether the key may make a retry now, and takes it out of the budget if so.
+func (b *Budget) Allow(key string, now time.Time) bool {
+	k := b.bucket(key, now)
+	if k.tokens < 1 {
+		return false
+	}
+	k.tokens--
+	return true
+}
+
+// bucket returns the key's bucket, filled up to now.
+func (b *Budget) bucket(key string, now time.Time) *bucket {
+	b.sweep(now)
+	k, ok := b.buckets[key]
+	if !ok {
+		k = &bucket{tokens: minimumRate, filled: now}
+		b.buckets[key] = k
+	}
+	if passed := now.Sub(k.filled); passed > 0 {
+		k.tokens = min(burst, k.tokens+passed.Seconds()*minimumRate)
+		k.filled = now
+	}
+	return k
+}
+
+// sweep forgets idle keys once for each idle period, so that memory is bounded by the keys in use.
+func (b *Budget) sweep(now time.Time) {
+	if now.Sub(b.swept) < idle {
+		return
+	}
+	b.swept = now
+	for key, k := range b.buckets {
+		if now.Sub(k.filled) >= idle {
+			delete(b.buckets, key)
+		}
+	}
+}
+
+// Backoff returns the delay before the retry of that number (1 for the first): a random time up
+// to an exponentially growing bound. Full jitter spreads retries of requests that failed together.
+func Backoff(attempt int, r *rand.Rand) time.Duration {
+	bound := backoffBase
+	for i := 1; i < attempt && bound < backoffCap; i++ {
+		bound *= 2
+	}
+	return time.Duration(r.Int64N(int64(min(bound, backoffCap)) + 1))
+}
