Add the admission queue and gate

Cause: other packages need the interface of admission. Change: pkg/decision/admission: fair queueing inside priority classes, deadline feasibility, Gate for goroutines. Conclusion: a first version to build against; tests follow.

--- /dev/null
+++ b/pkg/decision/admission/doc.go
@@ -0,0 +1,21 @@
+// Package admission decides which requests may run, in what order, and refuses at once those that
+// cannot meet their deadline.
+//
+// Priority classes are served in the order Schedule, Interactive, Batch. A lower class whose
+// oldest request has waited for a while gets a small share of the service, so that it does not
+// starve. Inside a class, workspaces share by weight (start-time fair queueing): a workspace that
+// asks for more than its share delays only itself. A workspace without requests takes no memory.
+//
+// Queue is a state machine and is not safe for concurrent use. Gate wraps it for traffic goroutines.
+//
+// Usage:
+//
+//	gate := admission.NewGate(admission.New(), time.Now)
+//	gate.SetCapacity(now, 4000)
+//	release, err := gate.Enter(ctx, admission.Ticket{ID: id, Workspace: "w", Weight: 1, Cost: 200})
+//	if err != nil { ... }
+//	defer release()
+//
+// The control goroutine calls Gate.Tick every 50 ms or so, which refuses requests whose deadline
+// can no longer be met.
+package admission
--- /dev/null
+++ b/pkg/decision/admission/order.go
@@ -0,0 +1,116 @@
+package admission
+
+import "time"
+
+// next returns the request to be admitted next. The queue is not empty.
+func (q *Queue) next(now time.Time) *item {
+	chosen := -1
+	for i, c := range q.classes {
+		if c.empty() {
+			continue
+		}
+		if chosen < 0 || (c.credit > 0 && now.Sub(c.oldest().arrived) >= ageAfter) {
+			chosen = i
+		}
+	}
+	it := q.classes[chosen].head()
+	q.credit(chosen, it.ticket.Cost)
+	return it
+}
+
+// credit gives each waiting class below the chosen one a share of the cost, and charges the
+// chosen one if a class above it waits.
+func (q *Queue) credit(chosen int, cost float64) {
+	above := false
+	for i, c := range q.classes {
+		switch {
+		case c.empty():
+		case i < chosen:
+			above = true
+		case i > chosen:
+			c.credit = min(ageCredit, c.credit+ageShare*cost)
+		case above:
+			c.credit -= cost
+		}
+	}
+}
+
+// ahead returns the cost that is served before a request of that class and workspace: all of the
+// classes above, and of each workspace what falls into its share in the meantime.
+func (q *Queue) ahead(c *class, t Ticket, own float64) float64 {
+	sum := 0.0
+	for _, other := range q.classes {
+		if other == c {
+			break
+		}
+		sum += other.cost
+	}
+	perWeight := (own + t.Cost) / float64(t.Weight)
+	for _, f := range c.ready {
+		if f.workspace == t.Workspace {
+			sum += own
+			continue
+		}
+		sum += min(f.cost, perWeight*f.weight)
+	}
+	return sum
+}
+
+// expectedEnd estimates when a new request would be answered.
+func (q *Queue) expectedEnd(now time.Time, c *class, t Ticket) time.Time {
+	own := 0.0
+	if f, ok := c.flows[t.Workspace]; ok {
+		own = f.cost
+	}
+	return now.Add(q.wait(q.ahead(c, t, own))).Add(q.pace.service(t.Cost))
+}
+
+// wait estimates how long a request with that much work ahead of it waits.
+func (q *Queue) wait(ahead float64) time.Duration {
+	if q.queued == 0 && q.running < q.capacity {
+		return 0
+	}
+	return q.pace.drain(ahead, q.capacity)
+}
+
+// drainTime estimates how long the whole queue takes.
+func (q *Queue) drainTime() time.Duration {
+	sum := 0.0
+	for _, c := range q.classes {
+		sum += c.cost
+	}
+	return q.pace.drain(sum, q.capacity)
+}
+
+// latestStart returns the latest start that meets the deadline at the current pace.
+func (q *Queue) latestStart(t Ticket) time.Time {
+	if t.Deadline.IsZero() {
+		return time.Time{}
+	}
+	return t.Deadline.Add(-q.pace.service(t.Cost))
+}
+
+// recheck refuses queued requests, from the end of each workspace's queue, that can no longer
+// meet their deadline.
+func (q *Queue) recheck(now time.Time) {
+	for _, c := range q.classes {
+		for _, f := range append(flowHeap(nil), c.ready...) {
+			q.recheckFlow(now, c, f)
+		}
+		c.sweep()
+	}
+}
+
+func (q *Queue) recheckFlow(now time.Time, c *class, f *flow) {
+	for f.items.Len() > 0 {
+		it := f.items.Back().Value.(*item)
+		if it.due.IsZero() {
+			return
+		}
+		wait := q.wait(q.ahead(c, it.ticket, f.cost-it.ticket.Cost))
+		if !now.Add(wait).After(it.due) {
+			return
+		}
+		q.giveUp(it, wait)
+	}
+}
--- /dev/null
+++ b/pkg/decision/admission/ticket.go
@@ -0,0 +1,51 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+)
+
+// Ticket is a request for admission.
+type Ticket struct {
+	ID        string
+	Workspace string
+	Weight    int // Weight is the workspace's share under contention; less than 1 counts as 1.
+	Priority  configuration.Priority
+	Cost      float64   // Cost is the estimated number of tokens.
+	Deadline  time.Time // Deadline is when the answer must be complete; zero means none.
+}
+
+// Verdict is what was decided on a ticket.
+type Verdict string
+
+const (
+	// Admitted requests may run now.
+	Admitted Verdict = "Admitted"
+	// Queued requests wait for a later decision.
+	Queued Verdict = "Queued"
+	// Refused requests do not run.
+	Refused Verdict = "Refused"
+)
+
+// Reasons of refusals.
+const (
+	// ReasonFull says that the queue is full.
+	ReasonFull = "the queue is full"
+	// ReasonDeadline says that the request cannot meet its deadline at the observed rate.
+	ReasonDeadline = "the deadline cannot be met at the current rate"
+	// ReasonExpired says that the deadline of a queued request can no longer be met.
+	ReasonExpired = "the deadline can no longer be met"
+	// ReasonNoCapacity says that no target can serve the request now.
+	ReasonNoCapacity = "there is no capacity"
+	// ReasonDuplicate says that a request with the same ID is queued or running.
+	ReasonDuplicate = "the ID is in use"
+)
+
+// Decision is the answer to a ticket.
+type Decision struct {
+	ID         string
+	Verdict    Verdict
+	RetryAfter time.Duration // RetryAfter tells a refused caller when to come back.
+	Reason     string        // Reason says why a request was refused.
+}
