Add the quarantine ledger

Cause: other packages need the interface of the quarantine ledger. Change: pkg/decision/quarantine: suspects, verdicts, exchange of entries. Conclusion: a first version to build against; tests follow.

--- /dev/null
+++ b/pkg/decision/quarantine/crash.go
@@ -0,0 +1,148 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Crash notes that a target died, and returns the requests that ran on it, each with the verdict
+// so far. Held requests must not be run again.
+func (l *Ledger) Crash(target string, now time.Time) []Suspect {
+	batch := l.running[target]
+	delete(l.running, target)
+	l.sequence++
+	in := &incident{target: target, at: now, alone: true, shared: l.remote[target].After(now)}
+	for _, r := range batch {
+		l.leave(r.request, target)
+		if !slices.Contains(in.members, r.fingerprint) {
+			in.members = append(in.members, r.fingerprint)
+		}
+	}
+	l.implicate(in, batch)
+	delete(l.alive, target)
+	l.remember(in)
+	l.prune(now)
+	return l.suspectsOf(batch, now)
+}
+
+// implicate updates the suspects of an incident.
+func (l *Ledger) implicate(in *incident, batch map[string]*run) {
+	for _, fingerprint := range in.members {
+		runs := runsOf(batch, fingerprint)
+		s, known := l.suspects[fingerprint]
+		if !known || in.at.Sub(s.at) > suspectLife {
+			s = &suspect{fingerprint: fingerprint, crashes: 1, first: in}
+			l.suspects[fingerprint] = s
+		} else if r := s.again(runs); r != nil {
+			l.countAgain(s, r, in)
+		}
+		s.last = l.sequence
+		s.at = in.at
+		s.requests = nil
+		for _, r := range runs {
+			s.requests = append(s.requests, r.request)
+		}
+	}
+}
+
+// countAgain counts a further crash against a suspect.
+func (l *Ledger) countAgain(s *suspect, r *run, in *incident) {
+	in.alone = false
+	s.crashes++
+	s.cleared = false
+	if r.progressed || s.second != nil {
+		return
+	}
+	copied := r.started <= s.last
+	s.second = in
+	s.proven = copied || l.alive[in.target] > s.last
+}
+
+// again returns a run that counts as a further run of the content, one without progress if there
+// is any. The other targets of the route that was lost in the last crash don't count, since they
+// may have died together with it.
+func (s *suspect) again(runs []*run) *run {
+	var found *run
+	for _, r := range runs {
+		if r.started <= s.last && slices.Contains(s.requests, r.request) {
+			continue
+		}
+		if found == nil || !r.progressed {
+			found = r
+		}
+	}
+	return found
+}
+
+func runsOf(batch map[string]*run, fingerprint uint64) []*run {
+	var runs []*run
+	for _, r := range batch {
+		if r.fingerprint == fingerprint {
+			runs = append(runs, r)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *run) int { return cmp.Compare(a.request, b.request) })
+	return runs
+}
+
+func (l *Ledger) remember(in *incident) {
+	l.recent = append(l.recent, in)
+	if len(l.recent) > maxRecent {
+		l.recent = slices.Delete(l.recent, 0, len(l.recent)-maxRecent)
+	}
+}
+
+func (l *Ledger) suspectsOf(batch map[string]*run, now time.Time) []Suspect {
+	suspects := make([]Suspect, 0, len(batch))
+	for _, r := range batch {
+		suspects = append(suspects, Suspect{
+			Request:     r.request,
+			Fingerprint: r.fingerprint,
+			Verdict:     l.Check(r.fingerprint, now),
+		})
+	}
+	slices.SortFunc(suspects, func(a, b Suspect) int { return cmp.Compare(a.Request, b.Request) })
+	return suspects
+}
+
+// prune drops what has expired, and the oldest beyond the bounds.
+func (l *Ledger) prune(now time.Time) {
+	for fingerprint, s := range l.suspects {
+		if now.Sub(s.at) > suspectLife {
+			delete(l.suspects, fingerprint)
+		}
+	}
+	for fingerprint, until := range l.quarantined {
+		if !until.After(now) {
+			delete(l.quarantined, fingerprint)
+		}
+	}
+	for target, until := range l.remote {
+		if !until.After(now) {
+			delete(l.remote, target)
+		}
+	}
+	dropOldest(l.suspects, maxSuspects, func(s *suspect) time.Time { return s.at })
+	dropOldest(l.quarantined, maxEntries, func(until time.Time) time.Time { return until })
+	if len(l.suspects) == 0 {
+		clear(l.alive)
+	}
+}
+
+// dropOldest reduces m to the limit.
+func dropOldest[V any](m map[uint64]V, limit int, at func(V) time.Time) {
+	if len(m) <= limit {
+		return
+	}
+	keys := make([]uint64, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b uint64) int {
+		return cmp.Or(at(m[a]).Compare(at(m[b])), cmp.Compare(a, b))
+	})
+	for _, key := range keys[:len(m)-limit] {
+		delete(m, key)
+	}
+}
