Add the first version of the caller and service HTTP paths

Cause: the daemon needs the servers towards callers and the client towards services. Conclusion: the interfaces can be wired; the behaviour is not proved.

--- /dev/null
+++ b/pkg/peer/caller/exchange.go
@@ -0,0 +1,235 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+)
+
+// exchange is one request and its response.
+type exchange struct {
+	server        *Server
+	writer        http.ResponseWriter
+	request       *http.Request
+	id            string
+	began         time.Time
+	configuration *configuration.Configuration
+	caller        configuration.Caller
+	rules         configuration.Rules
+	generations   uint32
+	started       bool // started means that the response's headers are out.
+}
+
+func newExchange(s *Server, w http.ResponseWriter, r *http.Request) *exchange {
+	return &exchange{server: s, writer: w, request: r, id: uuid.NewString(), began: s.now(), configuration: s.snapshot()}
+}
+
+// keyCache remembers which caller a key belongs to in one version of the configuration, since the
+// search goes through every workspace.
+type keyCache struct {
+	current atomic.Pointer[cachedKeys]
+}
+
+type cachedKeys struct {
+	of      *configuration.Configuration
+	callers sync.Map
+}
+
+func (k *keyCache) authenticate(c *configuration.Configuration, key string) (configuration.Caller, bool) {
+	cached := k.current.Load()
+	if cached == nil || cached.of != c {
+		cached = &cachedKeys{of: c}
+		k.current.Store(cached)
+	}
+	// Only known keys are stored, under their hash, so the cache is bounded by the configuration.
+	hash := configuration.HashKey(key)
+	if found, ok := cached.callers.Load(hash); ok {
+		return found.(configuration.Caller), true
+	}
+	found, ok := c.Authenticate(key)
+	if ok {
+		cached.callers.Store(hash, found)
+	}
+	return found, ok
+}
+
+func (x *exchange) authenticate() error {
+	if x.configuration == nil {
+		return refusal.New(http.StatusServiceUnavailable, "not_ready", outcome.NotRun,
+			"this instance has no configuration yet").After(time.Second)
+	}
+	scheme, key, found := strings.Cut(x.request.Header.Get("Authorization"), " ")
+	if !found || !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return refusal.New(http.StatusUnauthorized, "missing_api_key", outcome.NotRun,
+			"the header Authorization must be Bearer and a key")
+	}
+	caller, ok := x.server.keys.authenticate(x.configuration, key)
+	if !ok {
+		return refusal.New(http.StatusUnauthorized, "invalid_api_key", outcome.NotRun, "the key belongs to no workspace")
+	}
+	x.caller = caller
+	x.rules = x.configuration.Rules(caller.Workspace, caller.Branch, x.began)
+	return nil
+}
+
+// priority returns the configured priority, lowered where the caller asks for less.
+func (x *exchange) priority(configured configuration.Priority) (configuration.Priority, error) {
+	given := configuration.Priority(x.request.Header.Get("Cuminroute-Priority"))
+	switch given {
+	case "":
+		return configured, nil
+	case configuration.Schedule, configuration.Interactive, configuration.Batch:
+	default:
+		return "", refusal.New(http.StatusBadRequest, "invalid_priority", outcome.NotRun,
+			"Cuminroute-Priority is %q; Schedule, Interactive and Batch are accepted", given)
+	}
+	if given.Rank() > configured.Rank() {
+		return given, nil
+	}
+	return configured, nil
+}
+
+// timeout returns the configured timeout, lowered where the caller asks for less.
+func (x *exchange) timeout(configured time.Duration) (time.Duration, error) {
+	given := x.request.Header.Get("Cuminroute-Timeout")
+	if given == "" {
+		return configured, nil
+	}
+	asked, err := time.ParseDuration(given)
+	if err != nil || asked <= 0 {
+		return 0, refusal.New(http.StatusBadRequest, "invalid_timeout", outcome.NotRun,
+			"Cuminroute-Timeout is %q; a positive duration such as 2s is accepted", given)
+	}
+	return min(asked, configured), nil
+}
+
+// bound returns the request's context with the deadline that follows from the configured timeout.
+func (x *exchange) bound(configured time.Duration) (context.Context, context.CancelFunc, error) {
+	timeout, err := x.timeout(configured)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(x.request.Context(), timeout)
+	return ctx, cancel, nil
+}
+
+// body reads the request's body within its size and time limits.
+func (x *exchange) body() ([]byte, error) {
+	control := http.NewResponseController(x.writer)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // A writer without deadlines is one of a test.
+	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, x.server.maxBody))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, refusal.New(http.StatusRequestEntityTooLarge, "body_too_large", outcome.NotRun,
+			"the body has more than %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, refusal.New(http.StatusBadRequest, "body_unreadable", outcome.NotRun, "the body could not be read").Because(err)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// errorBody is the JSON of a refusal.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Message    string          `json:"message"`
+	Type       string          `json:"type"`
+	Code       string          `json:"code"`
+	Outcome    outcome.Outcome `json:"Outcome"`
+	RetryAfter float64         `json:"RetryAfter"` // RetryAfter is in seconds; 0 means that coming back does not help.
+}
+
+func bodyOf(e *refusal.Error) errorBody {
+	return errorBody{Error: errorDetail{
+		Message: e.Message, Type: typeOf(e.Status), Code: e.Code, Outcome: e.Outcome, RetryAfter: e.RetryAfter.Seconds(),
+	}}
+}
+
+func typeOf(status int) string {
+	switch {
+	case status == http.StatusUnauthorized:
+		return "authentication_error"
+	case status == http.StatusForbidden:
+		return "permission_error"
+	case status == http.StatusTooManyRequests:
+		return "rate_limit_error"
+	case status >= http.StatusInternalServerError:
+		return "server_error"
+	default:
+		return "invalid_request_error"
+	}
+}
+
+// refuse sends the final refusal at once, as an event where the answer has begun.
+func (x *exchange) refuse(e *refusal.Error) {
+	x.server.refused.Inc(1)
+	if x.started {
+		_ = x.event(bodyOf(e)) // The caller may be gone; the log line holds the refusal.
+		return
+	}
+	if e.RetryAfter > 0 {
+		x.writer.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+	x.whole(e.Status, bodyOf(e))
+}
+
+// whole sends a JSON response.
+func (x *exchange) whole(status int, value any) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		status, encoded = http.StatusInternalServerError, []byte(`{"error":{"message":"the answer could not be encoded"}}`)
+	}
+	x.send(status, "application/json", encoded)
+}
+
+func (x *exchange) send(status int, contentType string, body []byte) {
+	x.started = true
+	x.writer.Header().Set("Content-Type", contentType)
+	x.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	x.writer.WriteHeader(status)
+	_ = x.write(body) // The caller may be gone.
+}
+
+// write writes and flushes within writeTimeout. The deadline is cleared, since the connection may carry another request.
+func (x *exchange) write(data []byte) error {
+	control := http.NewResponseController(x.writer)
+	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout)) // A writer without deadlines is one of a test.
+	if _, err := x.writer.Write(data); err != nil {
+		return err
+	}
+	if err := control.Flush(); err != nil {
+		return err
+	}
+	_ = control.SetWriteDeadline(time.Time{})
+	return nil
+}
+
+// log writes the one line of a request that has ended.
+func (x *exchange) log(err error) {
+	line := x.server.logger.Info()
+	if err != nil {
+		refused := refusal.From(err)
+		line = x.server.logger.Warn().Str("Code", refused.Code).Str("Outcome", string(refused.Outcome)).Err(err)
+	}
+	line.Str("Request", x.id).Str("Workspace", x.caller.Workspace).Str("Branch", x.caller.Branch).
+		Str("Method", x.request.Method).Str("Path", x.request.URL.Path).Uint32("Generation", x.generations).
+		Dur("Took", x.server.now().Sub(x.began)).Msg("request ended")
+}
--- /dev/null
+++ b/pkg/peer/caller/models.go
@@ -0,0 +1,64 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+)
+
+// model and modelList are the protocol's objects.
+type model struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"` // Created is 0, since the configuration holds no time for it.
+	OwnedBy string `json:"owned_by"`
+}
+
+type modelList struct {
+	Object string  `json:"object"`
+	Data   []model `json:"data"`
+}
+
+// models lists the pipelines of the caller's workspace, or shows one.
+func (s *Server) models(x *exchange) error {
+	if x.request.Method != http.MethodGet {
+		return wrongMethod(x, http.MethodGet)
+	}
+	workspace, _ := x.configuration.Workspace(x.caller.Workspace)
+	if name, one := strings.CutPrefix(x.request.URL.Path, "/v1/models/"); one {
+		return s.oneModel(x, workspace, name)
+	}
+	list := modelList{Object: "list", Data: []model{}}
+	for _, p := range workspace.Pipelines {
+		list.Data = append(list.Data, modelOf(workspace, p))
+	}
+	x.whole(http.StatusOK, list)
+	return nil
+}
+
+func (s *Server) oneModel(x *exchange, workspace configuration.Workspace, name string) error {
+	for _, p := range workspace.Pipelines {
+		if p.Name == name {
+			x.whole(http.StatusOK, modelOf(workspace, p))
+			return nil
+		}
+	}
+	return unknownModel(name)
+}
+
+func modelOf(w configuration.Workspace, p configuration.Pipeline) model {
+	return model{ID: p.Name, Object: "model", OwnedBy: w.Name}
+}
+
+func unknownModel(name string) error {
+	return refusal.New(http.StatusNotFound, "model_not_found", outcome.NotRun, "the workspace has no model %q", name)
+}
+
+func wrongMethod(x *exchange, allowed string) error {
+	x.writer.Header().Set("Allow", allowed)
+	return refusal.New(http.StatusMethodNotAllowed, "method_not_allowed", outcome.NotRun,
+		"the method %s is not accepted here; %s is", x.request.Method, allowed)
+}
--- /dev/null
+++ b/pkg/peer/caller/services.go
@@ -0,0 +1,84 @@
+package caller
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/peer/service"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+)
+
+// service serves /services/<service>/<path>.
+func (s *Server) service(x *exchange) error {
+	name, path, _ := strings.Cut(strings.TrimPrefix(x.request.URL.Path, "/services/"), "/")
+	if err := checkPath(path); err != nil {
+		return err
+	}
+	kind, err := kindOf(x, name, path)
+	if err != nil {
+		return err
+	}
+	if _, err := x.priority(x.rules.Priority); err != nil {
+		return err
+	}
+	timeout := x.rules.Timeout
+	if kind.Timeout > 0 {
+		timeout = kind.Timeout
+	}
+	ctx, cancel, err := x.bound(timeout)
+	if err != nil {
+		return err
+	}
+	defer cancel()
+	body, err := x.body()
+	if err != nil {
+		return err
+	}
+	answer, err := s.services.Do(ctx, serviceRequest(x, name, path, kind, body))
+	if err != nil {
+		return err
+	}
+	if answer.Replayed {
+		x.writer.Header().Set("Cuminroute-Replayed", "true")
+	}
+	x.send(answer.Status, answer.ContentType, answer.Body)
+	return nil
+}
+
+// checkPath refuses paths that a target could read as another one than the configuration allowed.
+func checkPath(path string) error {
+	elements := strings.Split(path, "/")
+	if slices.Contains(elements, ".") || slices.Contains(elements, "..") || strings.ContainsAny(path, "\\\x00") {
+		return invalid("invalid_path", "the path has an element that is not accepted")
+	}
+	return nil
+}
+
+// kindOf finds the kind of a request. The configuration may write a path with or without its leading slash.
+func kindOf(x *exchange, name, path string) (configuration.RequestKind, error) {
+	for _, written := range []string{path, "/" + path} {
+		kind, ok := x.configuration.RequestKind(x.caller.Workspace, name, x.request.Method, written)
+		if !ok {
+			continue
+		}
+		if kind.Phone && !x.rules.PhoneOrders {
+			return kind, refusal.New(http.StatusForbidden, "phone_orders_not_allowed", outcome.NotRun,
+				"requests of the kind %s need a branch with phone orders", kind.Name)
+		}
+		return kind, nil
+	}
+	return configuration.RequestKind{}, refusal.New(http.StatusNotFound, "request_kind_not_found", outcome.NotRun,
+		"the workspace has no request %s %s of a service %q", x.request.Method, path, name)
+}
+
+func serviceRequest(x *exchange, name, path string, kind configuration.RequestKind, body []byte) service.Request {
+	atMostOnce := slices.Contains(x.rules.NotIdempotent, name+"/"+kind.Name)
+	return service.Request{
+		ID: x.id, Workspace: x.caller.Workspace, Service: name, Kind: kind.Name, Method: x.request.Method, Path: path,
+		Query: x.request.URL.RawQuery, ContentType: x.request.Header.Get("Content-Type"), Accept: x.request.Header.Get("Accept"),
+		Body: body, Idempotent: kind.Idempotent && !atMostOnce, Key: x.request.Header.Get("Idempotency-Key"),
+	}
+}
--- a/pkg/peer/engine/unary.go
+++ b/pkg/peer/engine/unary.go
@@ -28,13 +28,17 @@
 
 func newHTTPClient(connections int) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxConnsPerHost:     connections,
-		MaxIdleConnsPerHost: connections,
-		IdleConnTimeout:     time.Minute,
-		DisableCompression:  true,
-	}}
+	return &http.Client{
+		Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxConnsPerHost:     connections,
+			MaxIdleConnsPerHost: connections,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		},
+		// A followed redirect would send a step to another engine.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 // Report returns the engine's load, held layers and state.
--- a/pkg/stream/answer.go
+++ b/pkg/stream/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -21,6 +22,7 @@
 	apart   bool // apart means that a target crashed while the answer ran there.
 	began   time.Time
 	latest  time.Time // latest is when the latest token was emitted.
+	refused error     // refused is the error of emit.
 }
 
 // reached is how far the request got on any target. It only rises.
@@ -88,8 +90,8 @@
 
 // final turns the end of the last generation into the answer's end.
 func (a *answer) final(ctx context.Context, err error) error {
-	if err == nil {
-		return nil
+	if err == nil || a.refused != nil {
+		return a.refused
 	}
 	if ctx.Err() != nil {
 		return a.expired(ctx)
@@ -110,7 +112,8 @@
 	a.tokens = append(a.tokens, id)
 	a.summary.CompletionTokens = len(a.tokens)
 	a.runner.counters.tokens.Inc(1)
-	return a.emit(token)
+	a.refused = a.emit(token)
+	return a.refused
 }
 
 func (a *answer) quarantined() error {
@@ -123,7 +126,7 @@
 
 // expired is the refusal of an answer whose caller has left or whose deadline has passed.
 func (a *answer) expired(ctx context.Context) error {
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refusal.New(http.StatusGatewayTimeout, "deadline_exceeded", a.outcome(),
 			"the request's timeout passed before its answer was complete").Because(context.Cause(ctx))
 	}
