--- a/pkg/peer/caller/exchange.go
+++ b/pkg/peer/caller/exchange.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -38,35 +36,6 @@
 	return &exchange{server: s, writer: w, request: r, id: uuid.NewString(), began: s.now(), configuration: s.snapshot()}
 }
 
-// keyCache remembers which caller a key belongs to in one version of the configuration, since the
-// search goes through every workspace.
-type keyCache struct {
-	current atomic.Pointer[cachedKeys]
-}
-
-type cachedKeys struct {
-	of      *configuration.Configuration
-	callers sync.Map
-}
-
-func (k *keyCache) authenticate(c *configuration.Configuration, key string) (configuration.Caller, bool) {
-	cached := k.current.Load()
-	if cached == nil || cached.of != c {
-		cached = &cachedKeys{of: c}
-		k.current.Store(cached)
-	}
-	// Only known keys are stored, under their hash, so the cache is bounded by the configuration.
-	hash := configuration.HashKey(key)
-	if found, ok := cached.callers.Load(hash); ok {
-		return found.(configuration.Caller), true
-	}
-	found, ok := c.Authenticate(key)
-	if ok {
-		cached.callers.Store(hash, found)
-	}
-	return found, ok
-}
-
 func (x *exchange) authenticate() error {
 	if x.configuration == nil {
 		return refusal.New(http.StatusServiceUnavailable, "not_ready", outcome.NotRun,
@@ -77,7 +46,7 @@
 		return refusal.New(http.StatusUnauthorized, "missing_api_key", outcome.NotRun,
 			"the header Authorization must be Bearer and a key")
 	}
-	caller, ok := x.server.keys.authenticate(x.configuration, key)
+	caller, ok := x.configuration.Authenticate(key)
 	if !ok {
 		return refusal.New(http.StatusUnauthorized, "invalid_api_key", outcome.NotRun, "the key belongs to no workspace")
 	}
--- a/pkg/peer/caller/server.go
+++ b/pkg/peer/caller/server.go
@@ -88,7 +88,6 @@
 	firstToken  metrics.Timer
 	maxBody     int64
 	maxTokens   int
-	keys        keyCache
 }
 
 // Option changes a server.
--- a/pkg/peer/caller/services.go
+++ b/pkg/peer/caller/services.go
@@ -57,21 +57,18 @@
 	return nil
 }
 
-// kindOf finds the kind of a request. The configuration may write a path with or without its leading slash.
+// kindOf finds the kind of a request.
 func kindOf(x *exchange, name, path string) (configuration.RequestKind, error) {
-	for _, written := range []string{path, "/" + path} {
-		kind, ok := x.configuration.RequestKind(x.caller.Workspace, name, x.request.Method, written)
-		if !ok {
-			continue
-		}
-		if kind.Phone && !x.rules.PhoneOrders {
-			return kind, refusal.New(http.StatusForbidden, "phone_orders_not_allowed", outcome.NotRun,
-				"requests of the kind %s need a branch with phone orders", kind.Name)
-		}
-		return kind, nil
+	kind, ok := x.configuration.RequestKind(x.caller.Workspace, name, x.request.Method, path)
+	if !ok {
+		return kind, refusal.New(http.StatusNotFound, "request_kind_not_found", outcome.NotRun,
+			"the workspace has no request %s %s of a service %q", x.request.Method, path, name)
 	}
-	return configuration.RequestKind{}, refusal.New(http.StatusNotFound, "request_kind_not_found", outcome.NotRun,
-		"the workspace has no request %s %s of a service %q", x.request.Method, path, name)
+	if kind.Phone && !x.rules.PhoneOrders {
+		return kind, refusal.New(http.StatusForbidden, "phone_orders_not_allowed", outcome.NotRun,
+			"requests of the kind %s need a branch with phone orders", kind.Name)
+	}
+	return kind, nil
 }
 
 func serviceRequest(x *exchange, name, path string, kind configuration.RequestKind, body []byte) service.Request {
--- a/pkg/stream/answer.go
+++ b/pkg/stream/answer.go
@@ -19,7 +19,8 @@
 	tokens  []uint32 // tokens are the tokens already emitted.
 	reached reached
 	avoid   []string
-	apart   bool // apart means that a target crashed while the answer ran there.
+	apart   bool // apart means that the content is suspected of a crash.
+	resumed bool // resumed means that the free resume has been used.
 	began   time.Time
 	latest  time.Time // latest is when the latest token was emitted.
 	refused error     // refused is the error of emit.
@@ -68,29 +69,55 @@
 // generations runs generation after generation until the answer is complete or given up.
 func (a *answer) generations(ctx context.Context) error {
 	for retry := 1; ; retry++ {
-		if a.runner.ledger.Quarantined(a.req.Fingerprint, a.runner.now()) {
-			return a.quarantined()
+		if err := a.awaitVerdict(ctx); err != nil {
+			return err
 		}
 		g, err := a.place(ctx)
 		if err != nil {
 			return err
 		}
 		err = g.run(ctx)
-		g.end(err)
 		f := faultOf(err)
+		if f != nil {
+			a.learn(f)
+		}
+		g.end()
 		if f == nil {
 			return a.final(ctx, err)
 		}
-		a.learn(f)
 		if err := a.mayRetry(ctx, f, retry); err != nil {
 			return err
 		}
 	}
 }
 
+// awaitVerdict refuses quarantined content. An answer that has begun waits a little while its content is held, since a
+// crash is usually explained soon.
+func (a *answer) awaitVerdict(ctx context.Context) error {
+	for wait := 1; ; wait++ {
+		switch a.runner.ledger.Check(a.req.Fingerprint, a.runner.now()) {
+		case Quarantined:
+			return a.quarantined()
+		case Suspected:
+			a.apart = true
+			return nil
+		case Held:
+			if a.reached == nowhere || wait > maxWaits || a.pause(ctx, wait) != nil {
+				return a.held()
+			}
+		default:
+			return nil
+		}
+	}
+}
+
 // final turns the end of the last generation into the answer's end.
 func (a *answer) final(ctx context.Context, err error) error {
-	if err == nil || a.refused != nil {
+	if err == nil {
+		a.runner.ledger.Completed(a.req.Fingerprint)
+		return nil
+	}
+	if a.refused != nil {
 		return a.refused
 	}
 	if ctx.Err() != nil {
@@ -116,13 +143,21 @@
 	return a.refused
 }
 
+// QuarantineRetryAfter is how long a quarantine lasts. A repeat before its end is refused again.
+const QuarantineRetryAfter = 10 * time.Minute
+
+// heldRetryAfter is the time in which the other suspects of a crash are usually cleared.
+const heldRetryAfter = 5 * time.Second
+
 func (a *answer) quarantined() error {
 	return refusal.New(http.StatusUnprocessableEntity, "request_quarantined", outcome.Failed,
 		"targets crashed while they ran this request; it is not run again until its quarantine ends").After(QuarantineRetryAfter)
 }
 
-// QuarantineRetryAfter is how long a quarantine lasts. A repeat before its end is refused again.
-const QuarantineRetryAfter = 10 * time.Minute
+func (a *answer) held() error {
+	return refusal.New(http.StatusServiceUnavailable, "request_held", a.outcome(),
+		"targets crashed while they ran this request; it waits until the cause is known").After(heldRetryAfter)
+}
 
 // expired is the refusal of an answer whose caller has left or whose deadline has passed.
 func (a *answer) expired(ctx context.Context) error {
--- a/pkg/stream/deadline.go
+++ b/pkg/stream/deadline.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	decode  latency.Estimator
 	prefill latency.Estimator
+	latest  time.Time // latest is when the target last answered a step of any stream.
 }
 
 func newDeadlines() *deadlines {
@@ -58,8 +59,6 @@
 	return time.Duration(float64(o.prefill.Deadline()) * units(size))
 }
 
-// observeDecode adds the time of a step. A step that ran into its deadline counts with its
-// deadline, so that a target that is slow but alive gets a longer one.
 func (o *observed) observeDecode(took time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -72,6 +71,19 @@
 	o.prefill.Observe(time.Duration(float64(took) / units(size)))
 }
 
+func (o *observed) answered(now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.latest = now
+}
+
+// silentSince reports whether the target has answered nobody since then. A target that answers others is slow, not frozen.
+func (o *observed) silentSince(began time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.latest.Before(began)
+}
+
 func units(size int) float64 {
 	return max(1, float64(size)/prefillUnit)
 }
--- a/pkg/stream/fault.go
+++ b/pkg/stream/fault.go
@@ -32,6 +32,7 @@
 	kind   kind
 	cause  error
 	began  time.Time // began is when the generation began.
+	gone   bool      // gone means that the target is lost, not merely slow or full.
 }
 
 func (f *fault) Error() string {
@@ -43,7 +44,11 @@
 }
 
 func (g *generation) fault(stage int, k kind, cause error) error {
-	return &fault{stage: stage, target: g.route[stage].Name, kind: k, cause: cause, began: g.began}
+	return g.faultWith(stage, k, cause, k == missingKv)
+}
+
+func (g *generation) faultWith(stage int, k kind, cause error, gone bool) error {
+	return &fault{stage: stage, target: g.route[stage].Name, kind: k, cause: cause, began: g.began, gone: gone}
 }
 
 func faultOf(err error) *fault {
--- a/pkg/stream/generation.go
+++ b/pkg/stream/generation.go
@@ -16,6 +16,8 @@
 	stages []Stage
 	began  time.Time
 	sent   []bool // sent tells which stages may hold something of this generation.
+	dead   []bool // dead tells which stages need no cancel.
+	apart  bool   // apart means that the route is held apart from other suspects.
 }
 
 func newGeneration(a *answer, route []target.Target) *generation {
@@ -23,7 +25,8 @@
 	a.runner.counters.generations.Inc(1)
 	g := &generation{
 		answer: a, number: a.summary.Generations, route: route,
-		began: a.runner.now(), sent: make([]bool, len(route)),
+		began: a.runner.now(), sent: make([]bool, len(route)), dead: make([]bool, len(route)),
+		apart: a.apart,
 	}
 	for _, t := range route {
 		g.stages = append(g.stages, a.runner.stages(t))
@@ -40,7 +43,7 @@
 		if err != nil {
 			return err
 		}
-		if err := g.notePrompt(position, result); err != nil {
+		if err := g.notePrefill(position, result); err != nil {
 			return err
 		}
 		if result.GetEnd() {
@@ -58,12 +61,13 @@
 	}
 }
 
-// notePrompt takes the prompt's size from the answer to a prefill, which also holds the tokens already emitted. A later
+// notePrefill takes the prompt's size from the answer to a prefill, which also holds the tokens already emitted. A later
 // prefill that counts differently did not compute the same text.
-func (g *generation) notePrompt(position uint32, prefill *enginepb.StepResult) error {
+func (g *generation) notePrefill(position uint32, prefill *enginepb.StepResult) error {
 	if position > 0 {
 		return nil
 	}
+	g.answer.runner.ledger.Progress(g.answer.req.ID)
 	size := int(prefill.GetCount()) - len(g.answer.tokens)
 	if g.answer.summary.PromptTokens == 0 {
 		g.answer.summary.PromptTokens = size
@@ -114,21 +118,18 @@
 	step.Tokens = []uint32{tokens[len(tokens)-1]}
 }
 
-// end frees what the generation holds on the stages that survive it, without waiting for them.
-func (g *generation) end(err error) {
-	failed := -1
-	if f := faultOf(err); f != nil && f.kind == crashed {
-		failed = f.stage
-	}
+// end frees what the generation holds on its stages, without waiting for them. A crash has been reported before.
+func (g *generation) end() {
+	runner := g.answer.runner
 	for i, t := range g.route {
-		if i == failed {
-			continue
-		}
-		g.answer.runner.ledger.Finish(g.answer.req.ID, t.Name)
-		if g.sent[i] {
-			g.answer.runner.cancelLater(g.stages[i], g.answer.req.ID, g.number)
+		runner.ledger.Finish(g.answer.req.ID, t.Name)
+		if g.sent[i] && !g.dead[i] {
+			runner.cancelLater(g.stages[i], g.answer.req.ID, g.number)
 		}
 	}
+	if g.apart {
+		runner.router.Release(g.route)
+	}
 }
 
 // cancelTimeout bounds the wait for a cancel. The engine drops the KV cache of a generation that nobody continues by itself.
--- a/pkg/stream/retry.go
+++ b/pkg/stream/retry.go
@@ -17,8 +17,8 @@
 	// maxRetries bounds the new generations of one answer. Independent failures of four stages in
 	// one answer are far less likely than a request that breaks every stage it meets.
 	maxRetries = 8
-	// maxWaits bounds the waits for a route or for the retry budget, about 5 s with the full backoff.
-	maxWaits = 12
+	// maxWaits bounds the waits for a route or for the retry budget, about 8 s with the full backoff.
+	maxWaits = 20
 	// maxFailedSteps bounds the attempts of a step that runs and fails, since it would most likely fail again.
 	maxFailedSteps = 2
 	// noRouteRetryAfter is the time in which a lost layer range is usually held again by another target's report.
@@ -56,7 +56,7 @@
 	case mismatched:
 		counted = a.runner.counters.mismatched
 	case leaving:
-		a.runner.router.Leaving(f.target, now)
+		a.runner.router.Leaving(f.target)
 	}
 	counted.Inc(1)
 	a.runner.logger.Warn().Str("Request", a.req.ID).Str("Workspace", a.req.Workspace).Uint32("Generation", a.summary.Generations).
@@ -92,9 +92,14 @@
 }
 
 // allowed asks the workspace's budget. The target's budget counts only where the target refused and may be asked again by
-// others; a dead target is avoided.
+// others; a dead target is avoided. The first resume of an answer whose stage is gone is free: a budget of a few retries
+// a second would lose most of the answers of a dead target, and one more prefill for each of them bounds the added load.
 func (a *answer) allowed(f *fault) bool {
 	now := a.runner.now()
+	if f.gone && !a.resumed {
+		a.resumed = true
+		return true
+	}
 	if f.kind == overloaded && !a.runner.budget.Allow(targetKey(f.target), now) {
 		return false
 	}
@@ -138,7 +143,7 @@
 
 func (a *answer) route() ([]target.Target, error) {
 	route, err := a.runner.router.Place(Placement{
-		Model: a.req.Model, Layers: a.req.Layers, PrefixHash: a.req.PrefixHash, PromptBytes: len(a.req.Prompt),
+		Request: a.req.ID, Fingerprint: a.req.Fingerprint, Model: a.req.Model, Layers: a.req.Layers, PrefixHash: a.req.PrefixHash, PromptBytes: len(a.req.Prompt),
 		Avoid: slices.Clone(a.avoid), Apart: a.apart, Now: a.runner.now(),
 	})
 	if err != nil {
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -92,10 +92,13 @@
 
 type noLedger struct{}
 
-func (noLedger) Start(string, uint64, string)       {}
-func (noLedger) Finish(string, string)              {}
-func (noLedger) Crash(string, time.Time)            {}
-func (noLedger) Quarantined(uint64, time.Time) bool { return false }
+func (noLedger) Check(uint64, time.Time) Verdict { return Free }
+func (noLedger) Start(string, uint64, string)    {}
+func (noLedger) Progress(string)                 {}
+func (noLedger) Alive(string)                    {}
+func (noLedger) Crash(string, time.Time)         {}
+func (noLedger) Finish(string, string)           {}
+func (noLedger) Completed(uint64)                {}
 
 type noBudget struct{}
 
--- a/pkg/stream/step.go
+++ b/pkg/stream/step.go
@@ -10,44 +10,91 @@
 	"github.com/cuminroute/cuminroute/pkg/refusal"
 )
 
+// attempt is one step on one stage.
+type attempt struct {
+	generation *generation
+	stage      int
+	step       *enginepb.Step
+	times      *observed
+	size       int // size is that of the prompt and the tokens so far, in bytes.
+	cost       float64
+	began      time.Time
+}
+
 // runStep runs one step on one stage within its deadline and checks the answer.
 func (g *generation) runStep(ctx context.Context, stage int, step *enginepb.Step) (*enginepb.StepResult, error) {
 	runner, name := g.answer.runner, g.route[stage].Name
-	times := runner.deadlines.of(name)
-	size := g.prefillSize()
-	limit := times.decodeDeadline()
-	if isPrefill(step) {
-		limit = times.prefillDeadline(size)
-	}
-	began, cost := runner.now(), g.cost(step)
-	runner.router.Sent(name, cost, began)
-	bounded, cancel := context.WithTimeoutCause(ctx, limit, errFrozen)
-	result, err := g.stages[stage].Step(bounded, step)
-	cause := context.Cause(bounded)
-	cancel()
-
-	now := runner.now()
-	took := now.Sub(began)
-	if err == nil || cause == errFrozen {
-		observe(times, step, took, size)
+	a := &attempt{
+		generation: g, stage: stage, step: step, times: runner.deadlines.of(name),
+		size: g.prefillSize(), cost: g.cost(step), began: runner.now(),
 	}
+	runner.router.Sent(name, a.cost, a.began)
+	result, cause, err := a.call(ctx)
 	g.note(stage, result, err)
 	if err != nil {
-		return nil, g.failedStep(ctx, stage, cost, cause, err)
+		return nil, a.failed(ctx, cause, err)
+	}
+	a.answered(result)
+	return result, g.check(stage, step, result)
+}
+
+// call returns the cause errFrozen where the step's deadline passed.
+func (a *attempt) call(ctx context.Context) (result *enginepb.StepResult, cause, err error) {
+	bounded, cancel := context.WithTimeoutCause(ctx, a.deadline(), errFrozen)
+	defer cancel()
+	result, err = a.generation.stages[a.stage].Step(bounded, a.step)
+	return result, context.Cause(bounded), err
+}
+
+func (a *attempt) deadline() time.Duration {
+	if isPrefill(a.step) {
+		return a.times.prefillDeadline(a.size)
 	}
-	runner.router.Finished(name, cost, took, now)
-	if f := g.check(stage, step, result); f != nil {
-		return nil, f
+	return a.times.decodeDeadline()
+}
+
+// observe adds the time of a step. A step that ran into its deadline counts with its deadline, so that a target that is slow but
+// alive gets a longer one.
+func (a *attempt) observe(now time.Time) {
+	if isPrefill(a.step) {
+		a.times.observePrefill(now.Sub(a.began), a.size)
+		return
 	}
-	return result, nil
+	a.times.observeDecode(now.Sub(a.began))
 }
 
-func observe(times *observed, step *enginepb.Step, took time.Duration, size int) {
-	if isPrefill(step) {
-		times.observePrefill(took, size)
+// answered takes in an answer of the target. Only a step that ran says how fast the target is.
+func (a *attempt) answered(result *enginepb.StepResult) {
+	runner, name := a.generation.answer.runner, a.generation.route[a.stage].Name
+	now := runner.now()
+	a.times.answered(now)
+	runner.ledger.Alive(name)
+	if result.GetStatus() != enginepb.StepStatus_STEP_STATUS_OK {
+		runner.router.Abandoned(name, a.cost, now)
 		return
 	}
-	times.observeDecode(took)
+	a.observe(now)
+	runner.router.Finished(name, a.cost, now.Sub(a.began), now)
+}
+
+// failed tells apart a caller that has left, a frozen stage and a dead one.
+func (a *attempt) failed(ctx context.Context, cause, err error) error {
+	g, runner := a.generation, a.generation.answer.runner
+	name, now := g.route[a.stage].Name, runner.now()
+	runner.router.Abandoned(name, a.cost, now)
+	if ctx.Err() != nil {
+		return err
+	}
+	runner.router.Failed(name, now)
+	if cause == errFrozen {
+		a.observe(now)
+		return g.faultWith(a.stage, frozen, err, a.times.silentSince(a.began))
+	}
+	g.dead[a.stage] = true
+	if g.sent[a.stage] {
+		return g.faultWith(a.stage, crashed, err, true)
+	}
+	return g.faultWith(a.stage, unreachable, err, true)
 }
 
 // isPrefill reports whether the step starts a generation, whatever its stage.
@@ -94,23 +141,6 @@
 	}
 }
 
-// failedStep tells apart a caller that has left, a frozen stage and a dead one.
-func (g *generation) failedStep(ctx context.Context, stage int, cost float64, cause, err error) error {
-	runner, name := g.answer.runner, g.route[stage].Name
-	if ctx.Err() != nil {
-		runner.router.Finished(name, cost, 0, runner.now())
-		return err
-	}
-	runner.router.Failed(name, runner.now())
-	if cause == errFrozen {
-		return g.fault(stage, frozen, err)
-	}
-	if g.sent[stage] {
-		return g.fault(stage, crashed, err)
-	}
-	return g.fault(stage, unreachable, err)
-}
-
 // check compares an answer with its step. A mismatch would mean a skipped or repeated layer or another caller's token, so the
 // check is always on and its violation ends the generation.
 func (g *generation) check(stage int, step *enginepb.Step, r *enginepb.StepResult) error {
--- a/pkg/stream/stream.go
+++ b/pkg/stream/stream.go
@@ -36,12 +36,14 @@
 
 // Placement asks for a route.
 type Placement struct {
+	Request     string
+	Fingerprint uint64
 	Model       string
 	Layers      int
 	PrefixHash  uint64
 	PromptBytes int
 	Avoid       []string // Avoid names targets that the answer has seen fail.
-	Apart       bool     // Apart asks for a route that shares no target with another suspect of a crash.
+	Apart       bool     // Apart asks for targets that run no other suspect of a crash. Release ends the hold on them.
 	Now         time.Time
 }
 
@@ -49,22 +51,50 @@
 type Router interface {
 	// Place returns targets whose layers tile the model in order.
 	Place(Placement) ([]target.Target, error)
+	// Release ends the hold of an Apart placement.
+	Release(route []target.Target)
 	// Sent counts cost, in positions, as outstanding at the target.
 	Sent(name string, cost float64, now time.Time)
 	// Finished ends what Sent counted, after the step took that long.
 	Finished(name string, cost float64, took time.Duration, now time.Time)
-	// Failed reports a target that is dead or frozen. It also ends what Sent counted for the failed step.
+	// Abandoned ends what Sent counted for a step without an answer.
+	Abandoned(name string, cost float64, now time.Time)
+	// Failed reports a target that is dead or frozen.
 	Failed(name string, now time.Time)
 	// Leaving reports a target that refused new work because it is leaving.
-	Leaving(name string, now time.Time)
+	Leaving(name string)
 }
 
-// Ledger is told which requests run on which targets and which targets crash. It is quarantine.Ledger behind an adapter.
+// Verdict is what a Ledger knows of a request's content.
+type Verdict string
+
+const (
+	// Free content may run anywhere.
+	Free Verdict = "Free"
+	// Suspected content may run apart from other suspects.
+	Suspected Verdict = "Suspected"
+	// Held content may not run until a crash is explained.
+	Held Verdict = "Held"
+	// Quarantined content may not run.
+	Quarantined Verdict = "Quarantined"
+)
+
+// Ledger is told which requests run on which targets and which targets crash. It is quarantine.Ledger behind an adapter
+// that takes a lock.
 type Ledger interface {
+	Check(fingerprint uint64, now time.Time) Verdict
+	// Start notes that a request is about to be sent to a target.
 	Start(request string, fingerprint uint64, target string)
-	Finish(request, target string)
+	// Progress notes that a step has come through the whole route. It is called once for each route.
+	Progress(request string)
+	// Alive notes that a target answered. It is called for each step and must be cheap.
+	Alive(target string)
+	// Crash notes that a target died. It comes before Finish of the requests that ran there.
 	Crash(target string, now time.Time)
-	Quarantined(fingerprint uint64, now time.Time) bool
+	// Finish notes that a request no longer runs on a target.
+	Finish(request, target string)
+	// Completed notes that a request with this content was answered in full.
+	Completed(fingerprint uint64)
 }
 
 // Budget limits retries. It is retry.Budget.
