--- /dev/null
+++ b/pkg/stream/faults_test.go
@@ -0,0 +1,230 @@
+package stream_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
+
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/stream"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// The seed is fixed, so that a failure is the same in each run. The flag -rapid.seed overrides it.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+}
+
+// The faults of one step.
+const (
+	none         = "none"
+	notSent      = "not sent"
+	lostRequest  = "lost request"
+	lostAnswer   = "lost answer"
+	lostMemory   = "lost memory"
+	isOverloaded = "overloaded"
+	isLeaving    = "leaving"
+	otherAnswer  = "answer to another step"
+)
+
+var faultNames = []string{none, none, none, notSent, lostRequest, lostAnswer, lostMemory, isOverloaded, isLeaving, otherAnswer}
+
+// memory is a model in memory whose token depends on every token before it and on the layers that each of them went through.
+type memory struct {
+	mu       sync.Mutex
+	faults   []string
+	held     map[string][]string // held maps a target and a generation to the positions in its KV cache.
+	executed int
+	answered int
+	newest   uint32
+	reused   int
+}
+
+type memoryStage struct {
+	*memory
+	name string
+}
+
+func (memoryStage) Cancel(context.Context, string, uint32) error { return nil }
+
+type notRunError struct{}
+
+func (notRunError) Error() string        { return "connection refused" }
+func (notRunError) Ran() outcome.Outcome { return outcome.NotRun }
+
+func (s memoryStage) Step(_ context.Context, step *enginepb.Step) (*enginepb.StepResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fault := none
+	if len(s.faults) > 0 {
+		fault, s.faults = s.faults[0], s.faults[1:]
+	}
+	key := fmt.Sprint(s.name, step.Generation)
+	s.noteGeneration(step)
+	switch fault {
+	case notSent:
+		return nil, notRunError{}
+	case lostRequest:
+		return nil, errors.New("connection reset")
+	case lostMemory:
+		delete(s.held, key)
+	case isOverloaded:
+		return status(step, enginepb.StepStatus_STEP_STATUS_OVERLOADED), nil
+	case isLeaving:
+		if step.Position == 0 {
+			return status(step, enginepb.StepStatus_STEP_STATUS_LEAVING), nil
+		}
+	}
+	if len(s.held[key]) != int(step.Position) {
+		return status(step, enginepb.StepStatus_STEP_STATUS_MISSING_KV), nil
+	}
+	result := s.execute(key, step)
+	switch fault {
+	case lostAnswer:
+		return nil, errors.New("connection reset")
+	case otherAnswer:
+		return otherResult(result), nil
+	}
+	s.answered++
+	return result, nil
+}
+
+// noteGeneration counts prefills that use the number of an earlier generation.
+func (m *memory) noteGeneration(step *enginepb.Step) {
+	if step.Position > 0 || step.FirstLayer > 0 {
+		return
+	}
+	if step.Generation <= m.newest {
+		m.reused++
+	}
+	m.newest = step.Generation
+}
+
+func (s memoryStage) execute(key string, step *enginepb.Step) *enginepb.StepResult {
+	s.executed++
+	inputs := strings.Fields(step.Prompt)
+	for _, token := range step.Tokens {
+		inputs = append(inputs, fmt.Sprint("t", token))
+	}
+	if step.FirstLayer > 0 {
+		inputs = strings.Fields(string(step.Activations))
+	}
+	for i := range inputs {
+		inputs[i] += fmt.Sprintf("/%d-%d", step.FirstLayer, step.EndLayer)
+	}
+	s.held[key] = append(s.held[key], inputs...)
+	result := status(step, enginepb.StepStatus_STEP_STATUS_OK)
+	result.Count = uint32(len(inputs))
+	result.Activations = []byte(strings.Join(inputs, " "))
+	result.Token = uint32(xxhash.Sum64String(strings.Join(s.held[key], " ")) % 1000)
+	result.Text = fmt.Sprint("t", result.Token)
+	return result
+}
+
+// otherResult is the answer to a step of another generation.
+func otherResult(r *enginepb.StepResult) *enginepb.StepResult {
+	r.Generation++
+	r.Token++
+	r.Text = "wrong"
+	r.Activations = append(r.Activations, "-wrong"...)
+	return r
+}
+
+func status(s *enginepb.Step, is enginepb.StepStatus) *enginepb.StepResult {
+	return &enginepb.StepResult{
+		Request: s.Request, Generation: s.Generation, Position: s.Position, Count: s.Count,
+		FirstLayer: s.FirstLayer, EndLayer: s.EndLayer, Status: is,
+	}
+}
+
+const memoryPrompt = "how long does oak burn"
+
+func memoryTargets() [][]target.Target {
+	var groups [][]target.Target
+	for first := 0; first < layers; first += 3 {
+		var group []target.Target
+		for i := range 3 {
+			group = append(group, target.Target{
+				Name: fmt.Sprintf("w%d-%d", first, i), State: target.Live, Layers: layer.Range{First: first, End: first + 3},
+			})
+		}
+		groups = append(groups, group)
+	}
+	return groups
+}
+
+func runInMemory(faults []string, tokens int) (*memory, []string, error) {
+	m := &memory{faults: faults, held: map[string][]string{}}
+	stage := func(t target.Target) stream.Stage { return memoryStage{memory: m, name: t.Name} }
+	runner := stream.NewRunner(newRouter(memoryTargets()), stage, stream.WithLogger(quiet),
+		stream.WithBackoff(func(int) time.Duration { return 0 }))
+	k := &collector{}
+	_, err := runner.Run(context.Background(), request("r", memoryPrompt, tokens), k.emit)
+	runner.Close()
+	return m, k.texts, err
+}
+
+// TestRandomFaults guards against a token that is duplicated, missing or computed from a wrong KV cache after any sequence of
+// faults, and against an outcome that is not true.
+func TestRandomFaults(t *testing.T) {
+	const tokens = 12
+	_, want, err := runInMemory(nil, tokens)
+	if err != nil || len(want) != tokens {
+		t.Fatalf("%d tokens without faults: %v", len(want), err)
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		faults := rapid.SliceOfN(rapid.SampledFrom(faultNames), 0, 40).Draw(t, "faults")
+		m, got, err := runInMemory(slices.Clone(faults), tokens)
+		if !slices.Equal(got, want[:len(got)]) {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+		if m.reused > 0 {
+			t.Fatalf("%d prefills reused the number of an earlier generation", m.reused)
+		}
+		if err == nil && len(got) != tokens {
+			t.Fatalf("the answer ended after %d tokens without an error", len(got))
+		}
+		if err == nil {
+			return
+		}
+		if few := len(faults) - count(faults, none); few < 3 {
+			t.Fatalf("%d faults ended the answer: %v", few, err)
+		}
+		checkOutcome(t, refusal.OutcomeOf(err), m)
+	})
+}
+
+func checkOutcome(t *rapid.T, is outcome.Outcome, m *memory) {
+	switch is {
+	case outcome.NotRun:
+		if m.executed > 0 {
+			t.Fatalf("NotRun after %d executed steps", m.executed)
+		}
+	case outcome.Failed:
+		if m.executed == 0 {
+			t.Fatalf("Failed although nothing was executed")
+		}
+	case outcome.Unknown:
+		if m.answered > 0 {
+			t.Fatalf("Unknown after %d answered steps", m.answered)
+		}
+	default:
+		t.Fatalf("the outcome is %q", is)
+	}
+}
+
+func count(all []string, one string) int {
+	return len(all) - len(slices.DeleteFunc(slices.Clone(all), func(s string) bool { return s == one }))
+}
