--- a/pkg/peer/service/balancer.go
+++ b/pkg/peer/service/balancer.go
@@ -19,34 +19,56 @@
 type load struct {
 	outstanding int
 	times       latency.Estimator
+	retryAt     time.Time // retryAt is when a failed target gets its next request, zero for one that has not failed.
 }
 
-// maxTargets bounds the targets that are remembered after they have gone.
-const maxTargets = 4096
+const (
+	// maxTargets bounds the targets that are remembered after they have gone.
+	maxTargets = 4096
+	// suspension keeps requests away from a target that failed, so that each frozen target stalls one request in
+	// this time and not every one.
+	suspension = 5 * time.Second
+)
 
 func newBalancer() *balancer {
 	return &balancer{targets: map[string]*load{}}
 }
 
 // choose returns the less loaded of two random targets that accept work and are not in avoid, and counts a request to it.
-func (b *balancer) choose(all []target.Target, avoid []string) (target.Target, bool) {
-	open := make([]target.Target, 0, len(all))
+// Targets that failed recently are chosen only where there are no others.
+func (b *balancer) choose(all []target.Target, avoid []string, now time.Time) (target.Target, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var open, suspended []target.Target
 	for _, t := range all {
-		if t.Accepting() && !slices.Contains(avoid, t.Name) {
+		switch {
+		case !t.Accepting() || slices.Contains(avoid, t.Name):
+		case b.of(t.Name).retryAt.After(now):
+			suspended = append(suspended, t)
+		default:
 			open = append(open, t)
 		}
 	}
+	if len(open) == 0 {
+		open = suspended
+	}
 	if len(open) == 0 {
 		return target.Target{}, false
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
+	return b.lessLoaded(open, now), true
+}
+
+func (b *balancer) lessLoaded(open []target.Target, now time.Time) target.Target {
 	chosen, other := open[rand.IntN(len(open))], open[rand.IntN(len(open))]
 	if b.of(other.Name).outstanding < b.of(chosen.Name).outstanding {
 		chosen = other
 	}
-	b.of(chosen.Name).outstanding++
-	return chosen, true
+	l := b.of(chosen.Name)
+	l.outstanding++
+	if !l.retryAt.IsZero() {
+		l.retryAt = now.Add(suspension) // Only this request tries the target until it answers.
+	}
+	return chosen
 }
 
 // of returns the load of a target. The lock is held.
@@ -71,13 +93,17 @@
 	}
 }
 
-// done ends what choose counted.
-func (b *balancer) done(name string, took time.Duration) {
+// done ends what choose counted. A request without an answer suspends its target.
+func (b *balancer) done(name string, began, now time.Time, answered bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	l := b.of(name)
 	l.outstanding--
-	l.times.Observe(took)
+	l.times.Observe(now.Sub(began))
+	l.retryAt = time.Time{}
+	if !answered {
+		l.retryAt = now.Add(suspension)
+	}
 }
 
 // deadline is the time after which another target is tried.
--- a/pkg/peer/service/once.go
+++ b/pkg/peer/service/once.go
@@ -113,7 +113,7 @@
 	var avoid []string
 	var last error = c.noTarget(req)
 	for {
-		t, ok := c.balancer.choose(all, avoid)
+		t, ok := c.balancer.choose(all, avoid, c.now())
 		if !ok {
 			return Answer{}, last
 		}
@@ -128,7 +128,7 @@
 func (c *Client) attemptOnce(ctx context.Context, t target.Target, req Request) (Answer, error) {
 	began := c.now()
 	answer, err := c.dispatch(ctx, c.once, t, req)
-	c.balancer.done(t.Name, c.now().Sub(began))
+	c.balancer.done(t.Name, began, c.now(), err == nil)
 	if err == nil || refusal.OutcomeOf(err) != outcome.NotRun {
 		c.counters.dispatched.Inc(1)
 	}
--- a/pkg/peer/service/repeat.go
+++ b/pkg/peer/service/repeat.go
@@ -27,7 +27,7 @@
 			return trial.answer, nil
 		}
 	}
-	return trial.give()
+	return trial.give(ctx)
 }
 
 // trial is one idempotent request and what its attempts gave.
@@ -44,7 +44,7 @@
 
 // attempt reports whether the answer needs no further attempt.
 func (t *trial) attempt(ctx context.Context, number int) bool {
-	chosen, ok := t.client.balancer.choose(t.all, t.avoid)
+	chosen, ok := t.client.balancer.choose(t.all, t.avoid, t.client.now())
 	if !ok {
 		return false
 	}
@@ -54,7 +54,7 @@
 	defer cancel()
 	began := t.client.now()
 	answer, err := t.client.dispatch(bounded, t.client.pooled, chosen, t.req)
-	t.client.balancer.done(chosen.Name, t.client.now().Sub(began))
+	t.client.balancer.done(chosen.Name, began, t.client.now(), err == nil)
 	if err != nil {
 		t.note(err)
 		return false
@@ -98,10 +98,13 @@
 }
 
 // give returns a target's own failure where there is one, and otherwise the refusal.
-func (t *trial) give() (Answer, error) {
+func (t *trial) give(ctx context.Context) (Answer, error) {
 	switch {
 	case t.answered:
 		return t.answer, nil
+	case ctx.Err() != nil:
+		return Answer{}, refusal.New(http.StatusGatewayTimeout, "deadline_exceeded", t.ran,
+			"the request's timeout passed before the service %s answered", t.req.Service).Because(t.last)
 	case t.last == nil || t.ran == outcome.NotRun:
 		return Answer{}, t.client.noTarget(t.req).Because(t.last)
 	default:
