--- a/pkg/stream/answer.go
+++ b/pkg/stream/answer.go
@@ -18,7 +18,9 @@
 	summary Summary
 	tokens  []uint32 // tokens are the tokens already emitted.
 	reached reached
-	avoid   []string
+	avoid   []avoided
+	waits   int  // waits counts the pauses, which are bounded for the whole answer.
+	retries int  // retries counts the new generations after a step was sent.
 	apart   bool // apart means that the content is suspected of a crash.
 	resumed bool // resumed means that the free resume has been used.
 	began   time.Time
@@ -68,7 +70,7 @@
 
 // generations runs generation after generation until the answer is complete or given up.
 func (a *answer) generations(ctx context.Context) error {
-	for retry := 1; ; retry++ {
+	for {
 		if err := a.awaitVerdict(ctx); err != nil {
 			return err
 		}
@@ -85,7 +87,7 @@
 		if f == nil {
 			return a.final(ctx, err)
 		}
-		if err := a.mayRetry(ctx, f, retry); err != nil {
+		if err := a.mayRetry(ctx, f); err != nil {
 			return err
 		}
 	}
@@ -94,7 +96,7 @@
 // awaitVerdict refuses quarantined content. An answer that has begun waits a little while its content is held, since a
 // crash is usually explained soon.
 func (a *answer) awaitVerdict(ctx context.Context) error {
-	for wait := 1; ; wait++ {
+	for {
 		switch a.runner.ledger.Check(a.req.Fingerprint, a.runner.now()) {
 		case Quarantined:
 			return a.quarantined()
@@ -102,7 +104,7 @@
 			a.apart = true
 			return nil
 		case Held:
-			if a.reached == nowhere || wait > maxWaits || a.pause(ctx, wait) != nil {
+			if a.reached == nowhere || a.pause(ctx) != nil {
 				return a.held()
 			}
 		default:
--- a/pkg/stream/deadline.go
+++ b/pkg/stream/deadline.go
@@ -24,7 +24,7 @@
 	mu      sync.Mutex
 	decode  latency.Estimator
 	prefill latency.Estimator
-	latest  time.Time // latest is when the target last answered a step of any stream.
+	latest  time.Time // latest is when the target last answered a step of any stream, by the machine's clock.
 }
 
 func newDeadlines() *deadlines {
@@ -71,17 +71,21 @@
 	o.prefill.Observe(time.Duration(float64(took) / units(size)))
 }
 
-func (o *observed) answered(now time.Time) {
+func (o *observed) answered() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.latest = now
+	o.latest = time.Now()
 }
 
-// silentSince reports whether the target has answered nobody since then. A target that answers others is slow, not frozen.
-func (o *observed) silentSince(began time.Time) bool {
+func (o *observed) latestAnswer() time.Time {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.latest.Before(began)
+	return o.latest
+}
+
+// prefillCap is the longest time that a prefill may take.
+func prefillCap(size int) time.Duration {
+	return time.Duration(float64(latency.Cap) * units(size))
 }
 
 func units(size int) float64 {
--- a/pkg/stream/retry.go
+++ b/pkg/stream/retry.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -17,7 +19,7 @@
 	// maxRetries bounds the new generations of one answer. Independent failures of four stages in
 	// one answer are far less likely than a request that breaks every stage it meets.
 	maxRetries = 8
-	// maxWaits bounds the waits for a route or for the retry budget, about 8 s with the full backoff.
+	// maxWaits bounds the waits of one answer for a route, a verdict or the retry budget, about 8 s with the full backoff.
 	maxWaits = 20
 	// maxFailedSteps bounds the attempts of a step that runs and fails, since it would most likely fail again.
 	maxFailedSteps = 2
@@ -39,30 +41,59 @@
 func workspaceKey(workspace string) string { return "workspace/" + workspace }
 func targetKey(name string) string         { return "target/" + name }
 
+// avoided is a target that the answer has seen fail.
+type avoided struct {
+	name string
+	dead bool
+}
+
+func (a *answer) avoidNames() []string {
+	names := make([]string, 0, len(a.avoid))
+	for _, v := range a.avoid {
+		names = append(names, v.name)
+	}
+	return names
+}
+
+// forgive lets one avoided target be tried again where there is no route without it: one that was slow or full before one that
+// was dead, which may be back by now too.
+func (a *answer) forgive() {
+	if len(a.avoid) == 0 {
+		return
+	}
+	alive := max(0, slices.IndexFunc(a.avoid, func(v avoided) bool { return !v.dead }))
+	a.avoid = slices.Delete(a.avoid, alive, alive+1)
+}
+
 // learn remembers which targets to avoid and passes on what the fault tells.
 func (a *answer) learn(f *fault) {
-	now := a.runner.now()
-	if !slices.Contains(a.avoid, f.target) {
-		a.avoid = append(a.avoid, f.target)
-	}
-	counted := a.runner.counters.refused
+	a.avoid = slices.DeleteFunc(a.avoid, func(v avoided) bool { return v.name == f.target })
+	a.avoid = append(a.avoid, avoided{name: f.target, dead: f.kind == crashed || f.kind == unreachable})
+	a.countFault(f.kind).Inc(1)
 	switch f.kind {
 	case crashed:
-		counted = a.runner.counters.crashed
 		a.apart = true
-		a.reportCrash(f, now)
-	case frozen:
-		counted = a.runner.counters.frozen
-	case mismatched:
-		counted = a.runner.counters.mismatched
+		a.reportCrash(f, a.runner.now())
 	case leaving:
 		a.runner.router.Leaving(f.target)
 	}
-	counted.Inc(1)
 	a.runner.logger.Warn().Str("Request", a.req.ID).Str("Workspace", a.req.Workspace).Uint32("Generation", a.summary.Generations).
 		Str("Target", f.target).Str("Fault", string(f.kind)).Int("TokensSent", len(a.tokens)).Err(f.cause).Msg("a stage failed")
 }
 
+func (a *answer) countFault(k kind) metrics.Counter {
+	switch k {
+	case crashed:
+		return a.runner.counters.crashed
+	case frozen:
+		return a.runner.counters.frozen
+	case mismatched:
+		return a.runner.counters.mismatched
+	default:
+		return a.runner.counters.refused
+	}
+}
+
 // reportCrash tells the ledger of a crash that no other answer has reported.
 func (a *answer) reportCrash(f *fault, now time.Time) {
 	if a.runner.crashes.first(f.target, f.began, now) {
@@ -71,17 +102,19 @@
 }
 
 // mayRetry returns nil when a new generation may start, and otherwise the final error.
-func (a *answer) mayRetry(ctx context.Context, f *fault, retry int) error {
-	if retry > maxRetries || f.kind == failed && retry >= maxFailedSteps {
+func (a *answer) mayRetry(ctx context.Context, f *fault) error {
+	if f.kind == unreachable {
+		return nil // Nothing was sent. The waits for a route bound these attempts.
+	}
+	a.retries++
+	if a.retries > maxRetries || f.kind == failed && a.retries >= maxFailedSteps {
 		return a.givenUp(f)
 	}
-	if f.kind == overloaded {
-		if err := a.pause(ctx, retry); err != nil {
-			return a.givenUp(f)
-		}
+	if f.kind == overloaded && a.pause(ctx) != nil {
+		return a.givenUp(f)
 	}
-	for wait := 1; !a.allowed(f); wait++ {
-		if wait > maxWaits || a.pause(ctx, wait) != nil {
+	for !a.allowed(f) {
+		if a.pause(ctx) != nil {
 			return a.givenUp(f)
 		}
 	}
@@ -106,10 +139,12 @@
 	return a.runner.budget.Allow(workspaceKey(a.req.Workspace), now)
 }
 
-// pause waits before an attempt. It fails at once where the caller's deadline comes first.
-func (a *answer) pause(ctx context.Context, attempt int) error {
-	wait := a.runner.backoff(attempt)
-	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
+// pause waits a little longer each time. It fails at once where the caller's deadline comes first, or after maxWaits.
+func (a *answer) pause(ctx context.Context) error {
+	a.waits++
+	wait := a.runner.backoff(a.waits)
+	deadline, ok := ctx.Deadline()
+	if a.waits > maxWaits || ok && time.Until(deadline) <= wait {
 		return context.DeadlineExceeded
 	}
 	timer := time.NewTimer(wait)
@@ -125,26 +160,22 @@
 // place finds a route for the next generation. An answer that has not begun is refused at once; one that has
 // begun waits a little for a replacement.
 func (a *answer) place(ctx context.Context) (*generation, error) {
-	for wait := 1; ; wait++ {
+	for {
 		route, err := a.route()
 		if err == nil {
 			return newGeneration(a, route), nil
 		}
-		if a.reached == nowhere || wait > maxWaits {
-			return nil, a.noRoute(err)
-		}
-		if a.pause(ctx, wait) != nil {
+		if a.reached == nowhere || a.pause(ctx) != nil {
 			return nil, a.noRoute(err)
 		}
-		// A target that failed may be the only one left that holds its layers and may be back by now.
-		a.avoid = a.avoid[min(1, len(a.avoid)):]
+		a.forgive()
 	}
 }
 
 func (a *answer) route() ([]target.Target, error) {
 	route, err := a.runner.router.Place(Placement{
 		Request: a.req.ID, Fingerprint: a.req.Fingerprint, Model: a.req.Model, Layers: a.req.Layers, PrefixHash: a.req.PrefixHash, PromptBytes: len(a.req.Prompt),
-		Avoid: slices.Clone(a.avoid), Apart: a.apart, Now: a.runner.now(),
+		Avoid: a.avoidNames(), Apart: a.apart, Now: a.runner.now(),
 	})
 	if err != nil {
 		return nil, err
--- a/pkg/stream/step.go
+++ b/pkg/stream/step.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/latency"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
@@ -40,17 +41,19 @@
 
 // call returns the cause errFrozen where the step's deadline passed.
 func (a *attempt) call(ctx context.Context) (result *enginepb.StepResult, cause, err error) {
-	bounded, cancel := context.WithTimeoutCause(ctx, a.deadline(), errFrozen)
-	defer cancel()
+	bounded, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	w := a.watch(func() { cancel(errFrozen) })
+	defer w.stop()
 	result, err = a.generation.stages[a.stage].Step(bounded, a.step)
 	return result, context.Cause(bounded), err
 }
 
-func (a *attempt) deadline() time.Duration {
+func (a *attempt) watch(frozen func()) *watch {
 	if isPrefill(a.step) {
-		return a.times.prefillDeadline(a.size)
+		return newWatch(a.times, a.times.prefillDeadline(a.size), prefillCap(a.size), frozen)
 	}
-	return a.times.decodeDeadline()
+	return newWatch(a.times, a.times.decodeDeadline(), latency.Cap, frozen)
 }
 
 // observe adds the time of a step. A step that ran into its deadline counts with its deadline, so that a target that is slow but
@@ -67,7 +70,7 @@
 func (a *attempt) answered(result *enginepb.StepResult) {
 	runner, name := a.generation.answer.runner, a.generation.route[a.stage].Name
 	now := runner.now()
-	a.times.answered(now)
+	a.times.answered()
 	runner.ledger.Alive(name)
 	if result.GetStatus() != enginepb.StepStatus_STEP_STATUS_OK {
 		runner.router.Abandoned(name, a.cost, now)
@@ -88,7 +91,7 @@
 	runner.router.Failed(name, now)
 	if cause == errFrozen {
 		a.observe(now)
-		return g.faultWith(a.stage, frozen, err, a.times.silentSince(a.began))
+		return g.faultWith(a.stage, frozen, err, time.Since(a.times.latestAnswer()) >= latency.Floor)
 	}
 	g.dead[a.stage] = true
 	if g.sent[a.stage] {
