--- /dev/null
+++ b/pkg/claim/clerk_test.go
@@ -0,0 +1,173 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/claim"
+	"github.com/cuminroute/cuminroute/pkg/peer/table"
+	"github.com/cuminroute/cuminroute/pkg/standin/platform"
+)
+
+type fixture struct {
+	server *platform.Server
+	table  *table.Client
+}
+
+func start(t *testing.T) fixture {
+	s, err := platform.New()
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(s.Close)
+	return fixture{server: s, table: table.New(s.URL(), table.WithTimeout(300*time.Millisecond))}
+}
+
+func (f fixture) clerk(t *testing.T, opts ...claim.Option) *claim.Clerk {
+	c := claim.New(f.table, "entry-1", append([]claim.Option{claim.WithSweep(0, 2)}, opts...)...)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func key(name string) claim.Key {
+	return claim.Key{Workspace: "w", Key: name, Content: [32]byte{1}}
+}
+
+// TestRepeats guards against a repeat that runs, gets no answer, or gets the answer to other content.
+func TestRepeats(t *testing.T) {
+	ctx := context.Background()
+	c := start(t).clerk(t, claim.WithBodyLimit(4))
+	first, err := c.Claim(ctx, key("k"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, first.State, qt.Equals, claim.Won)
+	expect := func(k claim.Key, want claim.State) claim.Ticket {
+		t.Helper()
+		got, err := c.Claim(ctx, k)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got.State, qt.Equals, want)
+		return got
+	}
+	held := expect(key("k"), claim.Held)
+	qt.Assert(t, held.Holder, qt.Equals, "entry-1")
+	qt.Assert(t, held.At.IsZero(), qt.IsFalse)
+	other := key("k")
+	other.Content[0]++
+	expect(other, claim.Mismatch)
+	again, err := c.ClaimAs(ctx, key("k"), first.ID, "entry-1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, again.State, qt.Equals, claim.Won)
+
+	qt.Assert(t, c.Finish(ctx, first, claim.Answer{Status: 201, Body: []byte("long body")}), qt.IsNil)
+	qt.Assert(t, c.Finish(ctx, first, claim.Answer{Status: 500}), qt.IsNil)
+	got := expect(key("k"), claim.Finished)
+	qt.Assert(t, got.Answer, qt.DeepEquals, claim.Answer{Status: 201, Omitted: true})
+	qt.Assert(t, c.Abandon(ctx, first), qt.ErrorIs, claim.ErrLost)
+
+	second := expect(key("abandoned"), claim.Won)
+	qt.Assert(t, c.Abandon(ctx, second), qt.IsNil)
+	qt.Assert(t, c.Finish(ctx, second, claim.Answer{}), qt.ErrorIs, claim.ErrLost)
+	expect(key("abandoned"), claim.Won)
+}
+
+// TestFaults guards against a claim that is reported lost although it took effect, a refusal that
+// leaves the claim behind, and a refusal that takes long.
+func TestFaults(t *testing.T) {
+	ctx := context.Background()
+	f := start(t)
+	c := f.clerk(t)
+	f.server.SetFaults(platform.Faults{Table: platform.Fault{LoseAnswers: 2}})
+	ticket, err := c.Claim(ctx, key("lost answer"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, ticket.State, qt.Equals, claim.Won)
+
+	f.server.SetFaults(platform.Faults{Table: platform.Fault{Outage: platform.Refused}})
+	began := time.Now()
+	_, err = c.Claim(ctx, key("outage"))
+	qt.Assert(t, err, qt.ErrorIs, claim.ErrUnavailable)
+	qt.Assert(t, time.Since(began) < 200*time.Millisecond, qt.IsTrue)
+	stored := make(chan error)
+	go func() { stored <- c.Finish(ctx, ticket, claim.Answer{Status: 200}) }()
+	time.Sleep(50 * time.Millisecond)
+	f.server.SetFaults(platform.Faults{})
+	qt.Assert(t, <-stored, qt.IsNil)
+	ticket, err = c.Claim(ctx, key("outage"))
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, ticket.State, qt.Equals, claim.Won)
+
+	f.server.SetFaults(platform.Faults{Table: platform.Fault{Latency: 100 * time.Millisecond}})
+	impatient, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+	defer cancel()
+	_, err = c.Claim(impatient, key("caller left"))
+	qt.Assert(t, err, qt.ErrorIs, claim.ErrUnavailable)
+	f.server.SetFaults(platform.Faults{})
+	for range 100 {
+		if ticket, err = c.Claim(ctx, key("caller left")); ticket.State == claim.Won {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("the claim of a caller that left was not withdrawn: %v %v", ticket, err)
+}
+
+// TestConflictsLeaveTheRest guards against a conflicting row that fails the others of its batch.
+func TestConflictsLeaveTheRest(t *testing.T) {
+	f := start(t)
+	first, second := f.clerk(t), f.clerk(t, claim.WithGather(50*time.Millisecond))
+	var all sync.WaitGroup
+	claimAll := func(c *claim.Clerk, from, to int, want func(n int) claim.State) {
+		for n := from; n < to; n++ {
+			all.Go(func() {
+				got, err := c.Claim(context.Background(), key(fmt.Sprint(n)))
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, got.State, qt.Equals, want(n))
+			})
+		}
+		all.Wait()
+	}
+	claimAll(first, 0, 10, func(int) claim.State { return claim.Won })
+	before := f.server.Counts().TableWrites
+	claimAll(second, 5, 100, func(n int) claim.State {
+		if n < 10 {
+			return claim.Held
+		}
+		return claim.Won
+	})
+	writes := f.server.Counts().TableWrites - before
+	qt.Assert(t, writes < 20, qt.IsTrue, qt.Commentf("%d writes for 95 claims", writes))
+}
+
+// TestExpiry guards against keys that are forgotten early, or never.
+func TestExpiry(t *testing.T) {
+	ctx := context.Background()
+	f := start(t)
+	var mu sync.Mutex
+	now := time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC)
+	clock := func() time.Time { mu.Lock(); defer mu.Unlock(); return now }
+	advance := func(d time.Duration) { mu.Lock(); defer mu.Unlock(); now = now.Add(d) }
+	c := f.clerk(t, claim.WithClock(clock))
+	for _, name := range []string{"a", "b", "c"} {
+		_, err := c.Claim(ctx, key(name))
+		qt.Assert(t, err, qt.IsNil)
+	}
+	expect := func(want claim.State) {
+		t.Helper()
+		got, err := c.Claim(ctx, key("a"))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, got.State, qt.Equals, want)
+	}
+	advance(claim.DefaultRetention)
+	expect(claim.Held)
+	advance(time.Hour)
+	expect(claim.Won)
+	deleted := 0
+	for range 5 {
+		n, err := c.Sweep(ctx)
+		qt.Assert(t, err, qt.IsNil)
+		deleted += n
+	}
+	qt.Assert(t, deleted, qt.Equals, 2)
+	expect(claim.Held)
+}
