--- /dev/null
+++ b/pkg/configlog/log.go
@@ -0,0 +1,195 @@
+package configlog
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/peer/table"
+)
+
+const (
+	// DefaultPatience is how long Apply resolves a lost answer.
+	DefaultPatience = 5 * time.Second
+	// firstBackoff and maxBackoff space the attempts of Apply.
+	firstBackoff = 20 * time.Millisecond
+	maxBackoff   = time.Second
+	// inlineLimit is the size above which a document is kept in the object store. A workspace
+	// document has about 2 KB, so the table holds nearly all of them.
+	inlineLimit = 64 << 10
+	// page is the number of change rows in one read: 200 KB with documents of 2 KB.
+	page = 100
+	// MaxChanges bounds the result of Changes.
+	MaxChanges = 500
+	// reloads bounds how often a reader starts again because a compaction overtook it.
+	reloads = 5
+)
+
+// Table is what the log needs of the table service.
+type Table interface {
+	Commit(ctx context.Context, t table.Transaction) (table.Result, error)
+	Get(ctx context.Context, key string) (table.Row, error)
+	Scan(ctx context.Context, prefix, after string, limit int) ([]table.Row, error)
+}
+
+// Objects is what the log needs of the object store.
+type Objects interface {
+	Put(ctx context.Context, name string, content []byte) error
+	Get(ctx context.Context, name string) ([]byte, error)
+	Delete(ctx context.Context, name string) error
+}
+
+// Log reads and writes the configuration log. It is safe for concurrent use, by any number of
+// logs on one table.
+type Log struct {
+	table    Table
+	objects  Objects
+	patience time.Duration
+	now      func() time.Time
+	wait     func(ctx context.Context, d time.Duration) error
+
+	mu    sync.Mutex
+	state state // state is the last one read, from which Snapshot reads on.
+}
+
+// Option changes a Log when it is made.
+type Option func(*Log)
+
+// WithObjects sets the object store. Without one, large documents are refused and Compact fails.
+func WithObjects(o Objects) Option { return func(l *Log) { l.objects = o } }
+
+// WithPatience sets how long Apply resolves a lost answer.
+func WithPatience(d time.Duration) Option { return func(l *Log) { l.patience = d } }
+
+// WithClock replaces the clock that dates changes and bounds their resolution.
+func WithClock(now func() time.Time) Option { return func(l *Log) { l.now = now } }
+
+// WithWait replaces the pause between two attempts of Apply.
+func WithWait(wait func(ctx context.Context, d time.Duration) error) Option {
+	return func(l *Log) { l.wait = wait }
+}
+
+// New returns a log on the table.
+func New(t Table, opts ...Option) *Log {
+	l := &Log{table: t, objects: noObjects{}, patience: DefaultPatience, now: time.Now, wait: wait}
+	for _, opt := range opts {
+		opt(l)
+	}
+	return l
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Head returns the last change. Its version is 0 before the first one.
+func (l *Log) Head(ctx context.Context) (Head, error) {
+	head, _, err := l.head(ctx)
+	return head, err
+}
+
+func (l *Log) head(ctx context.Context) (Head, uint64, error) {
+	var head Head
+	revision, err := l.get(ctx, headKey, &head)
+	return head, revision, err
+}
+
+// get decodes a row. An absent row has revision 0 and leaves into unchanged.
+func (l *Log) get(ctx context.Context, key string, into any) (revision uint64, err error) {
+	row, err := l.table.Get(ctx, key)
+	if errors.Is(err, table.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	if err := json.Unmarshal(row.Value, into); err != nil {
+		return 0, fmt.Errorf("%w: row %s: %v", ErrUnavailable, key, err)
+	}
+	return row.Revision, nil
+}
+
+// Changes returns the changes after a version in order, at most MaxChanges. It returns
+// ErrCompacted if the next one was replaced by a snapshot.
+func (l *Log) Changes(ctx context.Context, after uint64) ([]Change, error) {
+	changes, err := l.scan(ctx, after, MaxChanges)
+	if err != nil {
+		return nil, err
+	}
+	for n := range changes {
+		if err := l.load(ctx, changes[n].Documents); err != nil {
+			return nil, err
+		}
+	}
+	return changes, nil
+}
+
+// scan reads up to limit change rows, without the content of large documents.
+func (l *Log) scan(ctx context.Context, after uint64, limit int) ([]Change, error) {
+	var changes []Change
+	for len(changes) < limit {
+		size := min(page, limit-len(changes))
+		rows, err := l.table.Scan(ctx, changesPrefix, changeKey(after), size)
+		if err != nil {
+			return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+		}
+		for _, row := range rows {
+			var c Change
+			if err := json.Unmarshal(row.Value, &c); err != nil {
+				return nil, fmt.Errorf("%w: row %s: %v", ErrUnavailable, row.Key, err)
+			}
+			if c.Version != after+1 {
+				return nil, fmt.Errorf("%w: version %d", ErrCompacted, after+1)
+			}
+			changes, after = append(changes, c), c.Version
+		}
+		if len(rows) < size {
+			break
+		}
+	}
+	return changes, nil
+}
+
+// Snapshot returns the configuration of the last version.
+func (l *Log) Snapshot(ctx context.Context) (*configuration.Configuration, error) {
+	s, err := l.latest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c, err := Join(s.documents())
+	if err != nil {
+		return nil, err
+	}
+	c.Version = s.version
+	return c, nil
+}
+
+// History returns up to limit changes, the last one first. The content of large documents is
+// left out.
+func (l *Log) History(ctx context.Context, limit int) ([]Change, error) {
+	head, err := l.Head(ctx)
+	if err != nil {
+		return nil, err
+	}
+	after := head.Version - min(head.Version, uint64(max(limit, 0)))
+	var base base
+	if _, err := l.get(ctx, baseKey, &base); err != nil {
+		return nil, err
+	}
+	changes, err := l.scan(ctx, max(after, base.Version), limit)
+	if err != nil {
+		return nil, err
+	}
+	return reversed(changes), nil
+}
--- /dev/null
+++ b/pkg/configlog/state.go
@@ -0,0 +1,156 @@
+package configlog
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/cuminroute/cuminroute/pkg/peer/objectstore"
+)
+
+// state is the content of all documents at one version. A state that was read is not changed
+// afterwards.
+type state struct {
+	version uint64
+	content map[string][]byte
+}
+
+// advanced returns the state after the changes, which follow its version.
+func (s state) advanced(changes []Change) state {
+	next := state{version: s.version, content: maps.Clone(s.content)}
+	if next.content == nil {
+		next.content = map[string][]byte{}
+	}
+	for _, c := range changes {
+		next.version = c.Version
+		for _, d := range c.Documents {
+			if d.Deleted {
+				delete(next.content, d.Name)
+				continue
+			}
+			next.content[d.Name] = d.Content
+		}
+	}
+	return next
+}
+
+// documents returns the documents in order of name.
+func (s state) documents() []Document {
+	documents := make([]Document, 0, len(s.content))
+	for _, name := range slices.Sorted(maps.Keys(s.content)) {
+		documents = append(documents, Document{Name: name, Content: s.content[name]})
+	}
+	return documents
+}
+
+// difference returns the documents that turn s into other.
+func (s state) difference(other state) []Document {
+	var documents []Document
+	for _, d := range other.documents() {
+		if found, exists := s.content[d.Name]; !exists || !bytes.Equal(found, d.Content) {
+			documents = append(documents, d)
+		}
+	}
+	for _, d := range s.documents() {
+		if _, exists := other.content[d.Name]; !exists {
+			documents = append(documents, Document{Name: d.Name, Deleted: true})
+		}
+	}
+	return documents
+}
+
+// latest returns the state at the head.
+func (l *Log) latest(ctx context.Context) (state, error) {
+	l.mu.Lock()
+	s := l.state
+	l.mu.Unlock()
+	s, err := l.readOn(ctx, s)
+	for n := 0; n < reloads && overtakenByCompaction(err); n++ {
+		s, err = l.fromBase(ctx)
+		if err == nil {
+			s, err = l.readOn(ctx, s)
+		}
+	}
+	if err != nil {
+		return state{}, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if s.version > l.state.version {
+		l.state = s
+	}
+	return s, nil
+}
+
+// overtakenByCompaction reports whether what a reader wanted was replaced while it read.
+func overtakenByCompaction(err error) bool {
+	return errors.Is(err, ErrCompacted) || errors.Is(err, objectstore.ErrNotFound)
+}
+
+// readOn returns the state after all changes that follow s.
+func (l *Log) readOn(ctx context.Context, s state) (state, error) {
+	for {
+		changes, err := l.Changes(ctx, s.version)
+		if err != nil {
+			return state{}, err
+		}
+		s = s.advanced(changes)
+		if len(changes) < MaxChanges {
+			return s, nil
+		}
+	}
+}
+
+// at returns the state at a version that is not older than the last snapshot.
+func (l *Log) at(ctx context.Context, version uint64) (state, error) {
+	s, err := l.fromBase(ctx)
+	if err != nil {
+		return state{}, err
+	}
+	if version < s.version {
+		return state{}, fmt.Errorf("%w: version %d, the oldest is %d", ErrCompacted, version, s.version)
+	}
+	for s.version < version {
+		changes, err := l.Changes(ctx, s.version)
+		if err != nil {
+			return state{}, err
+		}
+		if len(changes) == 0 {
+			return state{}, &NoVersion{Version: version, Head: s.version}
+		}
+		s = s.advanced(changes[:min(uint64(len(changes)), version-s.version)])
+	}
+	return s, nil
+}
+
+// NoVersion is the error of a rollback to or from a version that does not exist.
+type NoVersion struct {
+	Version uint64
+	Head    uint64
+}
+
+// Error names the version and the head.
+func (e *NoVersion) Error() string {
+	return fmt.Sprintf("there is no version %d; the head is version %d", e.Version, e.Head)
+}
+
+// fromBase returns the state of the last snapshot, or an empty state before the first one.
+func (l *Log) fromBase(ctx context.Context) (state, error) {
+	var b base
+	if _, err := l.get(ctx, baseKey, &b); err != nil || b.Version == 0 {
+		return state{}, err
+	}
+	content, err := l.objects.Get(ctx, b.Object)
+	if err != nil {
+		return state{}, fmt.Errorf("%w: snapshot %s: %w", ErrUnavailable, b.Object, err)
+	}
+	var documents []Document
+	if err := json.Unmarshal(content, &documents); err != nil {
+		return state{}, fmt.Errorf("%w: snapshot %s: %v", ErrUnavailable, b.Object, err)
+	}
+	return state{}.advanced([]Change{{Version: b.Version, Documents: documents}}), nil
+}
