Place the proving fleet by the planner

Cause: a hand-made layout kept kinds apart, so that policies of choice could not differ, and its bound was not the planner's. Change: workers hold what the planner assigns; the first entry instance gets the configuration through the operator API; the prefix cache also ends prefixes where messages end. Conclusion: the bound of the measurements is the planner's.

--- a/pkg/soak/traffic.go
+++ b/pkg/soak/traffic.go
@@ -104,7 +104,7 @@
 	default:
 		prompt := q.prompt()
 		if q.kind == "Ask" {
-			rec.want = strings.Join(engine.Answer(fleet.Model, fleet.Layers, prompt, q.tokens), "")
+			rec.want = strings.Join(engine.Answer(fleet.Model, fleet.Layers, fleet.EnginePrompt(prompt), q.tokens), "")
 		}
 		rec.answer = r.client.Ask(r.ctx, caller.Question{Address: m.Callers(), Key: key, Pipeline: fleet.Pipeline, Prompt: prompt, Tokens: q.tokens, Timeout: askTimeout})
 	}
--- a/pkg/standin/engine/prefix.go
+++ b/pkg/standin/engine/prefix.go
@@ -2,8 +2,8 @@
 
 import (
 	"container/list"
-	"strings"
 	"time"
+	"unicode"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -57,18 +57,27 @@
 	return promptPrefixes(step.Prompt)
 }
 
+// promptPrefixes ends prefixes after every block of words, at each line's end, where chat
+// templates end a message, and at the prompt's end.
 func promptPrefixes(prompt string) []prefix {
 	var found []prefix
-	words, end := 0, 0
-	for word := range strings.FieldsSeq(prompt) {
-		end += strings.Index(prompt[end:], word) + len(word)
-		words++
-		if words%prefixBlock == 0 {
-			found = append(found, prefix{xxhash.Sum64String(prompt[:end]), end, words})
+	words, inWord := 0, false
+	add := func(end int) { found = append(found, prefix{xxhash.Sum64String(prompt[:end]), end, words}) }
+	for i, r := range prompt {
+		space := unicode.IsSpace(r)
+		if inWord && space && words%prefixBlock == 0 && r != '\n' {
+			add(i)
+		}
+		if !inWord && !space {
+			words++
+		}
+		inWord = !space
+		if r == '\n' && words > 0 {
+			add(i + 1)
 		}
 	}
-	if words%prefixBlock != 0 {
-		found = append(found, prefix{xxhash.Sum64String(prompt), len(prompt), words})
+	if words > 0 && (len(found) == 0 || found[len(found)-1].bytes < len(prompt)) {
+		add(len(prompt))
 	}
 	return found
 }
--- a/pkg/standin/fleet/fleet.go
+++ b/pkg/standin/fleet/fleet.go
@@ -15,8 +15,9 @@
 	"sync"
 	"time"
 
-	"github.com/cuminroute/cuminroute/pkg/configuration"
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
+	"github.com/cuminroute/cuminroute/pkg/peer/operator"
+	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
 	"github.com/cuminroute/cuminroute/pkg/standin/engine"
 	"github.com/cuminroute/cuminroute/pkg/standin/platform"
 	"github.com/cuminroute/cuminroute/pkg/standin/service"
@@ -46,21 +47,9 @@
 	DataCentre string
 	Platform   string // Platform is the base URL of the platform's services.
 	Seeds      []netip.AddrPort
-	Policy     Policy
-	Initial    *configuration.Configuration // Initial is in force where the table holds none yet.
+	Routing    string // Routing is the policy as the settings name it.
 }
 
-// Policy names a way to choose targets.
-type Policy string
-
-// Policies of the comparison.
-const (
-	Ours             Policy = "Ours"
-	Random           Policy = "Random"
-	RoundRobin       Policy = "RoundRobin"
-	LeastOutstanding Policy = "LeastOutstanding"
-)
-
 // StartEntry starts an entry instance.
 type StartEntry func(ctx context.Context, s Spec) (Entry, error)
 
@@ -68,11 +57,14 @@
 type Options struct {
 	Seed      uint64
 	Entries   int
-	Policy    Policy
-	Recording bool // Recording keeps every execution for an oracle.
+	Routing   string // Routing is the policy by which entry instances choose targets, empty for the default.
+	Recording bool   // Recording keeps every execution for an oracle.
 	Start     StartEntry
 }
 
+// configureLimit is the time that the first entry instance has to take the first configuration.
+const configureLimit = 10 * time.Second
+
 // services is the number of order-and-stock workers.
 const services = 3
 
@@ -80,6 +72,7 @@
 type Fleet struct {
 	Platform *platform.Server
 	Workers  []Worker
+	Bound    float64          // Bound is the planner's, in tokens/s.
 	Engines  []*engine.Server // Engines are in the order of Workers.
 	Services []*service.Server
 
@@ -101,10 +94,14 @@
 
 // New starts a fleet. The context is that of its entry instances.
 func New(ctx context.Context, o Options) (*Fleet, error) {
-	f := &Fleet{options: o, ctx: ctx, Workers: Workers(o.Seed), leaving: map[string]bool{}}
+	f := &Fleet{options: o, ctx: ctx, leaving: map[string]bool{}}
+	f.Workers, f.Bound = Workers(o.Seed)
 	err := f.startTargets()
 	for i := 0; err == nil && i < o.Entries; i++ {
 		_, err = f.AddEntry()
+		if err == nil && i == 0 {
+			err = f.configure()
+		}
 	}
 	if err != nil {
 		f.Close()
@@ -138,6 +135,15 @@
 	return nil
 }
 
+// configure applies the fleet's configuration at the first entry instance.
+func (f *Fleet) configure() error {
+	ctx, cancel := context.WithTimeout(f.ctx, configureLimit)
+	defer cancel()
+	client := operator.NewClient("http://"+f.entries[0].Operators().String(), OperatorKey)
+	_, err := client.Apply(ctx, api.Change{ID: "initial", Configuration: Configuration()})
+	return err
+}
+
 // publish writes the instance list to the platform.
 func (f *Fleet) publish() {
 	var list []platform.Instance
@@ -176,8 +182,8 @@
 func (f *Fleet) WaitReady(ctx context.Context, n int, limit time.Duration) error {
 	const interval = 50 * time.Millisecond
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(interval) {
-		if ctx.Err() != nil {
-			return ctx.Err()
+		if err := ctx.Err(); err != nil {
+			return err
 		}
 		if len(f.Ready()) >= n {
 			return nil
@@ -192,7 +198,7 @@
 	n := f.started
 	f.started++
 	m := &Member{Name: fmt.Sprintf("entry-%d", n), DataCentre: DataCentre(n)}
-	spec := Spec{Name: m.Name, DataCentre: m.DataCentre, Platform: f.Platform.URL(), Policy: f.options.Policy, Initial: Configuration()}
+	spec := Spec{Name: m.Name, DataCentre: m.DataCentre, Platform: f.Platform.URL(), Routing: f.options.Routing}
 	for _, other := range f.entries {
 		spec.Seeds = append(spec.Seeds, other.Gossip())
 	}
--- a/pkg/standin/fleet/layout.go
+++ b/pkg/standin/fleet/layout.go
@@ -4,10 +4,13 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/decision/placement"
 	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/peer/caller"
 	"github.com/cuminroute/cuminroute/pkg/standin/engine"
 )
 
@@ -29,22 +32,14 @@
 	OperatorKey = "operator-key"
 )
 
-// group is a layer range and the number of workers of each accelerator kind that hold it.
-type group struct {
-	layers layer.Range
-	counts [4]int // counts are in the order of engine.Accelerators, fastest first.
-}
-
-// groups hold 10 workers of each kind. Each range bears about 6 times the rate of the fastest
-// kind for one layer, so that no range limits the fleet much more than the others.
-var groups = []group{
-	{layer.Range{First: 0, End: 8}, [4]int{6, 0, 0, 0}},
-	{layer.Range{First: 8, End: 14}, [4]int{4, 1, 0, 0}},
-	{layer.Range{First: 14, End: 18}, [4]int{0, 6, 0, 0}},
-	{layer.Range{First: 18, End: 20}, [4]int{0, 3, 0, 0}},
-	{layer.Range{First: 20, End: 22}, [4]int{0, 0, 6, 0}},
-	{layer.Range{First: 22, End: 24}, [4]int{0, 0, 4, 10}},
-}
+const (
+	// perKind is the number of workers of each accelerator kind.
+	perKind = 10
+	// memoryLayers is the number of layers that fit in a worker: no machine holds the model.
+	memoryLayers = Layers / 2
+	// activationBytes is the size of the activations of one position between stand-in engines.
+	activationBytes = 8
+)
 
 // Worker is the place of a model worker in the fleet.
 type Worker struct {
@@ -55,22 +50,28 @@
 	Link        engine.Link
 }
 
-// Workers returns the default fleet of 40 workers. The seed draws their links.
-func Workers(seed uint64) []Worker {
+// Workers returns the default fleet of 40 workers, placed by the planner, and the planner's
+// bound in tokens/s. The seed draws their links.
+func Workers(seed uint64) ([]Worker, float64) {
 	r := rand.New(rand.NewPCG(seed, 1))
 	var workers []Worker
-	for _, g := range groups {
-		for kind, count := range g.counts {
-			for range count {
-				n := len(workers)
-				workers = append(workers, Worker{
-					Name: fmt.Sprintf("w%02d", n), DataCentre: DataCentre(n), Layers: g.layers,
-					Accelerator: engine.Accelerators[kind].Slower(slowdown), Link: drawLink(r),
-				})
-			}
-		}
+	var hosts []placement.Worker
+	for n := range perKind * len(engine.Accelerators) {
+		kind := engine.Accelerators[n/perKind].Slower(slowdown)
+		w := Worker{Name: fmt.Sprintf("w%02d", n), DataCentre: DataCentre(n), Accelerator: kind, Link: drawLink(r)}
+		workers = append(workers, w)
+		hosts = append(hosts, placement.Worker{
+			Name: w.Name, Accelerator: kind.Name, DataCentre: w.DataCentre, Memory: memoryLayers,
+			Rate: kind.LayerRate(MaxBatch), Link: float64(w.Link.BytesPerSecond),
+		})
 	}
-	return workers
+	model := placement.Model{Name: Model, Layers: Layers, LayerBytes: 1, LayerCost: 1, ActivationBytes: activationBytes}
+	plan := placement.New().Plan(hosts, []placement.Model{model})
+	for _, a := range plan.Assignments {
+		i := slices.IndexFunc(workers, func(w Worker) bool { return w.Name == a.Worker })
+		workers[i].Layers = a.Layers
+	}
+	return workers, plan.Bound
 }
 
 // drawLink spreads bandwidth and latency a hundredfold.
@@ -84,16 +85,6 @@
 	return fmt.Sprintf("dc%d", n%3+1)
 }
 
-// Bound returns the tokens/s that the workers could bear if the layers were spread evenly over
-// them: the sum of their layer rates over the number of layers.
-func Bound(workers []Worker) float64 {
-	sum := 0.0
-	for _, w := range workers {
-		sum += w.Accelerator.LayerRate(MaxBatch)
-	}
-	return sum / Layers
-}
-
 // Workspaces is the number of workspaces, of which the first three are large.
 const Workspaces = 10
 
@@ -140,3 +131,8 @@
 	}
 	return c
 }
+
+// EnginePrompt returns what engines get for a question of one message.
+func EnginePrompt(question string) string {
+	return caller.Prompt([]caller.Message{{Role: "user", Text: question}})
+}
