--- /dev/null
+++ b/pkg/bench/throughput.go
@@ -0,0 +1,115 @@
+package bench
+
+import (
+	"context"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/standin/caller"
+	"github.com/cuminroute/cuminroute/pkg/standin/fleet"
+)
+
+const (
+	// overload is the load offered for throughput, relative to the bound.
+	overload = 1.5
+	// moderate is the load at which latencies are measured.
+	moderate = 0.8
+)
+
+// policies are those that the settings name, ours first.
+var policies = []string{"Cost", "Random", "RoundRobin", "LeastOutstanding"}
+
+// PolicyResult is the measurement of one policy.
+type PolicyResult struct {
+	Policy        string                  `json:"Policy"`
+	Throughput    float64                 `json:"Throughput"` // Throughput is in tokens/s of answers complete within their deadline, at 1.5 of the bound.
+	OfBound       float64                 `json:"OfBound"`
+	Overload      map[outcome.Outcome]int `json:"Overload"`      // Overload counts the requests at 1.5 of the bound by outcome.
+	FirstToken    Percentiles             `json:"FirstToken"`    // FirstToken is at 0.8 of the bound, in milliseconds.
+	BetweenTokens Percentiles             `json:"BetweenTokens"` // BetweenTokens is at 0.8 of the bound, in milliseconds.
+	Moderate      map[outcome.Outcome]int `json:"Moderate"`
+}
+
+// ThroughputResult compares the policies.
+type ThroughputResult struct {
+	Measurement string         `json:"Measurement"`
+	Seed        uint64         `json:"Seed"`
+	Bound       float64        `json:"Bound"`
+	Policies    []PolicyResult `json:"Policies"`
+}
+
+// Throughput measures every policy on the same arrivals.
+func Throughput(ctx context.Context, o Options) (ThroughputResult, error) {
+	o = o.withDefaults()
+	result := ThroughputResult{Measurement: "Throughput", Seed: o.Seed}
+	for _, policy := range policies {
+		f, err := o.startFleet(ctx, fleet.Options{Entries: o.Entries, Routing: policy})
+		if err != nil {
+			return result, err
+		}
+		result.Bound = f.Bound
+		p := o.measurePolicy(ctx, f)
+		f.Close()
+		p.Policy = policy
+		result.Policies = append(result.Policies, p)
+		if ctx.Err() != nil {
+			return result, ctx.Err()
+		}
+	}
+	return result, nil
+}
+
+func (o Options) measurePolicy(ctx context.Context, f *fleet.Fleet) PolicyResult {
+	l := load{fleet: f, client: caller.New()}
+	defer l.client.Close()
+	length := warmUp + o.Duration
+	p := PolicyResult{}
+	answers := l.play(ctx, arrivals(o.Seed, moderate*f.Bound, length))
+	p.Moderate = outcomes(answers)
+	p.FirstToken, p.BetweenTokens = latencies(answers)
+	began := time.Now()
+	answers = l.play(ctx, arrivals(o.Seed, overload*f.Bound, length))
+	p.Overload = outcomes(answers)
+	p.Throughput = delivered(answers, began.Add(warmUp), began.Add(length)) / o.Duration.Seconds()
+	p.OfBound = p.Throughput / f.Bound
+	return p
+}
+
+func outcomes(answers []sent) map[outcome.Outcome]int {
+	counts := map[outcome.Outcome]int{}
+	for _, s := range answers {
+		counts[s.answer.Outcome]++
+	}
+	return counts
+}
+
+// delivered counts the tokens that arrived in the window and belong to answers complete in time.
+func delivered(answers []sent, from, to time.Time) float64 {
+	tokens := 0
+	for _, s := range answers {
+		if s.answer.Outcome != outcome.Done || s.answer.Ended.Sub(s.answer.Started) > deadline {
+			continue
+		}
+		for _, at := range s.answer.At {
+			if at.After(from) && at.Before(to) {
+				tokens++
+			}
+		}
+	}
+	return float64(tokens)
+}
+
+// latencies are those of the answers that started after the warm-up.
+func latencies(answers []sent) (first, between Percentiles) {
+	f, b := newRecorder(), newRecorder()
+	for _, s := range answers {
+		if s.at < warmUp || len(s.answer.At) == 0 {
+			continue
+		}
+		f.add(s.answer.At[0].Sub(s.answer.Started))
+		for i := 1; i < len(s.answer.At); i++ {
+			b.add(s.answer.At[i].Sub(s.answer.At[i-1]))
+		}
+	}
+	return f.percentiles(), b.percentiles()
+}
--- /dev/null
+++ b/pkg/soak/command.go
@@ -0,0 +1,39 @@
+package soak
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/cuminroute/cuminroute/pkg/standin/fleet"
+)
+
+// NewCommand returns the command soak. The last line of its output is the report in JSON; it fails
+// where a promise was violated.
+func NewCommand(stdout io.Writer, start fleet.StartEntry) *ffcli.Command {
+	flags := flag.NewFlagSet("cuminroute soak", flag.ContinueOnError)
+	seed := flags.Uint64("seed", 1, "seed of requests and faults")
+	duration := flags.Duration("duration", DefaultDuration, "time in which faults are injected")
+	entries := flags.Int("entries", defaultEntries, "number of entry instances")
+	rate := flags.Float64("rate", defaultRate, "requests a second")
+	return &ffcli.Command{
+		Name: "soak", ShortUsage: "cuminroute soak [flags]", FlagSet: flags,
+		ShortHelp: "run a fleet of stand-ins under random faults and check the promises P1 to P7",
+		Exec: func(ctx context.Context, _ []string) error {
+			report, err := Run(ctx, Options{Seed: *seed, Duration: *duration, Entries: *entries, Rate: *rate, Start: start})
+			if err != nil {
+				return fmt.Errorf("soak: %w", err)
+			}
+			if err := report.Write(stdout); err != nil {
+				return err
+			}
+			if n := report.Violated(); n > 0 {
+				return fmt.Errorf("soak: %d violations with seed %d", n, *seed)
+			}
+			return nil
+		},
+	}
+}
--- a/pkg/standin/fleet/fleet.go
+++ b/pkg/standin/fleet/fleet.go
@@ -57,8 +57,9 @@
 type Options struct {
 	Seed      uint64
 	Entries   int
-	Routing   string // Routing is the policy by which entry instances choose targets, empty for the default.
-	Recording bool   // Recording keeps every execution for an oracle.
+	Routing   string   // Routing is the policy by which entry instances choose targets, empty for the default.
+	Recording bool     // Recording keeps every execution for an oracle.
+	Workers   []Worker // Workers replace the default fleet where they are given.
 	Start     StartEntry
 }
 
@@ -96,6 +97,9 @@
 func New(ctx context.Context, o Options) (*Fleet, error) {
 	f := &Fleet{options: o, ctx: ctx, leaving: map[string]bool{}}
 	f.Workers, f.Bound = Workers(o.Seed)
+	if o.Workers != nil {
+		f.Workers, f.Bound = o.Workers, 0
+	}
 	err := f.startTargets()
 	for i := 0; err == nil && i < o.Entries; i++ {
 		_, err = f.AddEntry()
--- a/pkg/standin/fleet/layout.go
+++ b/pkg/standin/fleet/layout.go
@@ -74,6 +74,19 @@
 	return workers, plan.Bound
 }
 
+// WholeModelWorkers returns fast workers that each hold every layer, so that the time of a request
+// is mostly that of the way to them.
+func WholeModelWorkers() []Worker {
+	var workers []Worker
+	for n := range 4 {
+		workers = append(workers, Worker{
+			Name: fmt.Sprintf("w%02d", n), DataCentre: DataCentre(n),
+			Accelerator: engine.Accelerators[0], Layers: layer.Range{End: Layers},
+		})
+	}
+	return workers
+}
+
 // drawLink spreads bandwidth and latency a hundredfold.
 func drawLink(r *rand.Rand) engine.Link {
 	spread := math.Pow(100, r.Float64())
