Drop options of the stand-in engine that nothing uses

Cause: four options had no user. Change: they are removed; the defaults stay. Conclusion: fewer settings to read.

--- a/pkg/standin/engine/options.go
+++ b/pkg/standin/engine/options.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/layer"
@@ -62,7 +61,6 @@
 
 type options struct {
 	name        string
-	address     string
 	model       string
 	version     string
 	modelLayers int
@@ -82,7 +80,7 @@
 
 func defaults() options {
 	return options{
-		name: "engine", address: "127.0.0.1:0", model: "darning", version: "1", modelLayers: 8,
+		name: "engine", model: "darning", version: "1", modelLayers: 8,
 		layers: layer.Range{First: 0, End: 8}, accelerator: Accelerators[0], maxBatch: defaultMaxBatch,
 		maxQueue: defaultQueue, generations: defaultGenerations, prefixes: defaultPrefixes,
 		reportLag: defaultReportLag, eventLag: defaultEventLag, eventGap: defaultEventGap,
@@ -96,9 +94,6 @@
 // WithName sets the name in reports and executions.
 func WithName(name string) Option { return func(o *options) { o.name = name } }
 
-// WithAddress sets the loopback address to listen at. The default is a free port.
-func WithAddress(a netip.AddrPort) Option { return func(o *options) { o.address = a.String() } }
-
 // WithModel sets the model, its number of layers and the range that the engine holds.
 func WithModel(model string, modelLayers int, held layer.Range) Option {
 	return func(o *options) { o.model, o.modelLayers, o.layers = model, modelLayers, held }
@@ -110,15 +105,6 @@
 // WithMaxBatch sets the number of steps in one iteration.
 func WithMaxBatch(n int) Option { return func(o *options) { o.maxBatch = n } }
 
-// WithMaxQueue sets the number of steps that may wait.
-func WithMaxQueue(n int) Option { return func(o *options) { o.maxQueue = n } }
-
-// WithGenerations sets the number of generations whose KV cache fits in memory.
-func WithGenerations(n int) Option { return func(o *options) { o.generations = n } }
-
-// WithPrefixes sets the number of prompt prefixes that the prefix cache holds.
-func WithPrefixes(n int) Option { return func(o *options) { o.prefixes = n } }
-
 // WithReportLag sets the age of the load in reports.
 func WithReportLag(d time.Duration) Option { return func(o *options) { o.reportLag = d } }
 
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -71,6 +71,7 @@
 		opt(&o)
 	}
 	s := &Server{options: o, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+	s.address = netip.MustParseAddrPort("127.0.0.1:0")
 	s.held = holding{model: o.model, version: o.version, layers: o.layers, role: "Decode"}
 	if err := s.Restart(); err != nil {
 		return nil, err
@@ -93,11 +94,7 @@
 	if s.alive {
 		return nil
 	}
-	address := s.options.address
-	if s.address.IsValid() {
-		address = s.address.String()
-	}
-	listener, err := net.Listen("tcp", address)
+	listener, err := net.Listen("tcp", s.address.String())
 	if err != nil {
 		return err
 	}
