Run an entry instance as a daemon

Cause: the parts existed without a process around them. Conclusion: report polls are bounded to 8 a second for each instance, whatever the number of targets.

--- /dev/null
+++ b/pkg/daemon/control.go
@@ -0,0 +1,312 @@
+package daemon
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
+	"github.com/cuminroute/cuminroute/pkg/decision/roster"
+	"github.com/cuminroute/cuminroute/pkg/decision/route"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
+	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+const (
+	// listInterval and the list's own timeout keep a leaving target in use for at most 2 s after
+	// the list shows it; the stated bound is 3 s.
+	listInterval = time.Second
+	// tickInterval is how often queued requests are checked against their deadlines.
+	tickInterval = 50 * time.Millisecond
+	// reportsPerSecond bounds report polls to 8 a second, about 2 KB/s, however many targets there are.
+	reportsPerSecond = 8
+	// reportTimeout ends a poll of a target that does not answer.
+	reportTimeout = 500 * time.Millisecond
+	// entryRole is the role of entry instances in the platform's list.
+	entryRole = "Entry"
+	// engineRole is the role of model engines; every other role is the name of a plain service.
+	engineRole = "Engine"
+	// eventQueue holds control events while the control goroutine is busy.
+	eventQueue = 256
+)
+
+// control owns the control state of an instance. Only its goroutine touches the roster; traffic
+// goroutines read the snapshots that it publishes.
+type control struct {
+	d       *Daemon
+	roster  *roster.Roster
+	events  chan func(now time.Time)
+	targets atomic.Pointer[[]target.Target]
+	engines map[string]*engineView
+	polling []string
+	drains  map[string]membership.Drain
+	listed  atomic.Bool
+}
+
+// engineView is what is known of one engine besides its place in the roster.
+type engineView struct {
+	maxBatch    int
+	accelerator string
+	inPoll      bool
+}
+
+func newControl(d *Daemon) *control {
+	c := &control{
+		d: d, roster: roster.New(), events: make(chan func(time.Time), eventQueue),
+		engines: make(map[string]*engineView), drains: make(map[string]membership.Drain),
+	}
+	c.targets.Store(&[]target.Target{})
+	return c
+}
+
+// run is the control goroutine.
+func (c *control) run(ctx context.Context) {
+	list := time.NewTicker(listInterval)
+	defer list.Stop()
+	tick := time.NewTicker(tickInterval)
+	defer tick.Stop()
+	reports := time.NewTicker(time.Second / reportsPerSecond)
+	defer reports.Stop()
+	c.pollList(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-c.events:
+			event(time.Now())
+		case now := <-list.C:
+			c.pollList(ctx)
+			c.refreshDrains(now)
+			c.publishLoad()
+		case <-reports.C:
+			c.pollNextReport(ctx)
+		case now := <-tick.C:
+			c.d.gate.admission.Tick(now)
+			c.publishQuarantine(now)
+		}
+	}
+}
+
+// post hands an event to the control goroutine. It is dropped if the instance stops.
+func (c *control) post(ctx context.Context, event func(now time.Time)) {
+	select {
+	case c.events <- event:
+	case <-ctx.Done():
+	}
+}
+
+// pollList reads the platform's list outside the control goroutine.
+func (c *control) pollList(ctx context.Context) {
+	go func() {
+		listed, err := c.d.list.List(ctx)
+		if err != nil {
+			c.d.counters.listFailures.Inc(1)
+			return
+		}
+		c.post(ctx, func(now time.Time) { c.observeList(listed, now) })
+	}()
+}
+
+func (c *control) observeList(listed []instancelist.Instance, now time.Time) {
+	var targets []target.Target
+	var peers []netip.AddrPort
+	for _, i := range listed {
+		if i.Role == entryRole {
+			peers = append(peers, i.Address)
+			continue
+		}
+		targets = append(targets, listedTarget(i))
+	}
+	c.d.node.SetSeeds(append(peers, c.d.settings.Seeds...))
+	c.roster.ObserveList(targets, now)
+	c.listed.Store(true)
+	c.publish()
+}
+
+func listedTarget(i instancelist.Instance) target.Target {
+	t := target.Target{Name: i.Name, Address: i.Address, DataCentre: i.DataCentre, State: target.State(i.State)}
+	if i.Role == engineRole {
+		t.Kind = target.Engine
+		return t
+	}
+	t.Kind, t.Service = target.Service, i.Role
+	return t
+}
+
+// publish gives traffic goroutines the targets in force.
+func (c *control) publish() {
+	targets := c.roster.Targets()
+	c.targets.Store(&targets)
+	var routable []target.Target
+	var addresses []netip.AddrPort
+	for _, t := range targets {
+		addresses = append(addresses, t.Address)
+		if t.Kind == target.Engine && t.Layers.Valid() {
+			routable = append(routable, t)
+		}
+	}
+	c.d.picker.SetTargets(routable)
+	c.d.engines.Keep(addresses)
+	c.forgetEngines(targets)
+	c.setCapacity()
+}
+
+func (c *control) forgetEngines(targets []target.Target) {
+	known := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		if t.Kind != target.Engine {
+			continue
+		}
+		known[t.Name] = true
+		if c.engines[t.Name] == nil {
+			c.engines[t.Name] = &engineView{}
+			// A new engine is asked first: without its layers it cannot be used.
+			c.polling = append([]string{t.Name}, c.polling...)
+		}
+	}
+	for name := range c.engines {
+		if !known[name] {
+			delete(c.engines, name)
+		}
+	}
+}
+
+// pollNextReport asks the next engine in turn for its report.
+func (c *control) pollNextReport(ctx context.Context) {
+	for len(c.polling) > 0 {
+		name := c.polling[0]
+		c.polling = c.polling[1:]
+		view := c.engines[name]
+		if view == nil {
+			continue
+		}
+		c.polling = append(c.polling, name)
+		if !view.inPoll {
+			view.inPoll = true
+			c.pollReport(ctx, name)
+		}
+		return
+	}
+}
+
+func (c *control) pollReport(ctx context.Context, name string) {
+	address, ok := c.address(name)
+	if !ok {
+		return
+	}
+	client := c.d.engines.Client(address)
+	go func() {
+		bounded, cancel := context.WithTimeout(ctx, reportTimeout)
+		defer cancel()
+		report, err := client.Report(bounded)
+		c.post(ctx, func(now time.Time) { c.observeReport(name, report, err, now) })
+	}()
+}
+
+func (c *control) address(name string) (netip.AddrPort, bool) {
+	for _, t := range *c.targets.Load() {
+		if t.Name == name {
+			return t.Address, true
+		}
+	}
+	return netip.AddrPort{}, false
+}
+
+func (c *control) observeReport(name string, report *enginepb.Report, err error, now time.Time) {
+	view := c.engines[name]
+	if view == nil {
+		return
+	}
+	view.inPoll = false
+	if err != nil {
+		c.d.counters.reportFailures.Inc(1)
+		return
+	}
+	view.maxBatch, view.accelerator = int(report.GetMaxBatch()), report.GetAccelerator()
+	c.d.ledger.Alive(name)
+	c.roster.ObserveReport(name, roster.Report{
+		Leaving: report.GetLeaving(), Model: report.GetModel(), ModelLayers: int(report.GetModelLayers()),
+		Layers: layer.Range{First: int(report.GetFirstLayer()), End: int(report.GetEndLayer())}, Accelerator: report.GetAccelerator(),
+	})
+	c.publish()
+	c.d.picker.ObserveReport(name, route.Report{
+		Queued: int(report.GetQueuedSteps()), Running: int(report.GetRunningSteps()), MaxBatch: int(report.GetMaxBatch()),
+		StepTime: time.Duration(report.GetStepMicros()) * time.Microsecond,
+		Measured: time.UnixMilli(report.GetMeasuredUnixMilli()), Leaving: report.GetLeaving(),
+	}, now)
+}
+
+// observeLeaving takes a target's announcement in the answer to a step.
+func (c *control) observeLeaving(ctx context.Context, name string) {
+	c.post(ctx, func(time.Time) {
+		c.roster.ObserveLeaving(name)
+		c.publish()
+	})
+}
+
+// observeItem takes news from another instance.
+func (c *control) observeItem(ctx context.Context, item membership.Item) {
+	switch i := item.(type) {
+	case membership.Drain:
+		c.post(ctx, func(now time.Time) { c.observeDrain(i, now) })
+	case membership.Quarantine:
+		c.d.ledger.add(quarantine.Entry{Fingerprint: i.Fingerprint, Until: i.Until})
+	}
+}
+
+func (c *control) observeDrain(d membership.Drain, now time.Time) {
+	c.drains[d.Target] = d
+	c.refreshDrains(now)
+}
+
+// refreshDrains passes the drains that have not ended to the roster.
+func (c *control) refreshDrains(now time.Time) {
+	var names []string
+	for name, drain := range c.drains {
+		if drain.Cancelled || drain.Expired(now) {
+			delete(c.drains, name)
+			continue
+		}
+		names = append(names, name)
+	}
+	c.roster.SetDrained(names)
+	c.publish()
+}
+
+func (c *control) publishQuarantine(now time.Time) {
+	for _, e := range c.d.ledger.fresh(now) {
+		if err := c.d.node.Publish(membership.Quarantine{Fingerprint: e.Fingerprint, Until: e.Until}); err != nil {
+			c.d.logger.Warn().Err(err).Msg("a quarantine entry could not be published")
+		}
+	}
+}
+
+func (c *control) publishLoad() {
+	share := membership.LoadShare{
+		Origin: c.d.node.Address(), At: time.Now(),
+		Running: uint32(c.d.running.Running()), Queued: uint32(c.d.gate.admission.Queued()),
+	}
+	if err := c.d.node.Publish(share); err != nil {
+		c.d.logger.Warn().Err(err).Msg("the load share could not be published")
+	}
+}
+
+// answerCost is the cost in tokens that admission counts for a usual answer, as the caller API estimates it.
+const answerCost = 256
+
+// setCapacity gives admission this instance's share of the streams that the engines can hold. A
+// stream occupies one stage at a time, so the streams in flight are the sum of the batches.
+func (c *control) setCapacity() {
+	slots := 0
+	for _, t := range *c.targets.Load() {
+		if t.Kind == target.Engine && t.Accepting() && t.Layers.Valid() {
+			slots += max(c.engines[t.Name].maxBatch, 1)
+		}
+	}
+	instances := max(len(c.d.node.Members()), 1)
+	c.d.gate.admission.SetCapacity(time.Now(), float64(slots*answerCost)/float64(instances))
+}
--- /dev/null
+++ b/pkg/daemon/daemon.go
@@ -0,0 +1,334 @@
+// Package daemon runs one entry instance: it connects the decisions, the peers and the
+// listeners, and owns their start and stop.
+//
+// One control goroutine owns the control state. Traffic goroutines read the snapshots that it
+// publishes: the configuration in force, the targets, and the picker's own snapshot.
+//
+// Usage:
+//
+//	d, err := daemon.New(ctx, settings)
+//	if err != nil { ... }
+//	err = d.Wait() // It returns after SIGTERM, once every request in flight has its answer.
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cuminroute/cuminroute/pkg/claim"
+	"github.com/cuminroute/cuminroute/pkg/configlog"
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/decision/admission"
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/route"
+	"github.com/cuminroute/cuminroute/pkg/drain"
+	"github.com/cuminroute/cuminroute/pkg/peer/caller"
+	"github.com/cuminroute/cuminroute/pkg/peer/engine"
+	"github.com/cuminroute/cuminroute/pkg/peer/instance"
+	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
+	"github.com/cuminroute/cuminroute/pkg/peer/objectstore"
+	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
+	"github.com/cuminroute/cuminroute/pkg/peer/service"
+	"github.com/cuminroute/cuminroute/pkg/peer/table"
+	"github.com/cuminroute/cuminroute/pkg/settings"
+	"github.com/cuminroute/cuminroute/pkg/stream"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// Daemon is one running entry instance.
+type Daemon struct {
+	settings settings.Settings
+	logger   *log.Logger
+	registry metrics.Registry
+	counters counters
+	output   io.Writer
+
+	table    *table.Client
+	objects  *objectstore.Client
+	list     *instancelist.Client
+	engines  *engine.Pool
+	versions *versions
+	// bootstrap holds the operators of the settings.
+	bootstrap *configuration.Configuration
+	log       *configlog.Log
+	clerk     *claim.Clerk
+	picker    *route.Picker
+	ledger    *ledger
+	gate      *gate
+	running   *drain.Counter
+	runner    *stream.Runner
+	services  *service.Client
+	node      *instance.Node
+	control   *control
+
+	callers, operators *khttp.Server
+	callersAt          net.Listener
+	operatorsAt        net.Listener
+	app                *kratos.App
+	cancel             context.CancelFunc
+	stopOnce           sync.Once
+	done               chan struct{}
+	err                error
+	stopping           chan struct{}
+}
+
+// Addresses are where a daemon listens.
+type Addresses struct {
+	Callers   netip.AddrPort
+	Operators netip.AddrPort
+	Peers     netip.AddrPort
+}
+
+// Option changes a daemon.
+type Option func(*Daemon)
+
+// WithLogOutput sends the log to w instead of standard error.
+func WithLogOutput(w io.Writer) Option {
+	return func(d *Daemon) { d.output = w }
+}
+
+type counters struct {
+	listFailures   metrics.Counter
+	reportFailures metrics.Counter
+}
+
+// New starts an instance. It listens at once, and is ready when a configuration and the
+// platform's list have been read. The instance ends with Stop, with Kill, or with ctx.
+func New(ctx context.Context, s settings.Settings, options ...Option) (*Daemon, error) {
+	d := &Daemon{settings: s, registry: metrics.NewRegistry(), done: make(chan struct{}), stopping: make(chan struct{})}
+	for _, option := range options {
+		option(d)
+	}
+	d.bootstrap = &configuration.Configuration{HeadOffice: configuration.HeadOffice{Operators: s.Operators}}
+	d.logger = newLogger(s, d.output)
+	d.counters = counters{
+		listFailures:   metrics.GetOrRegisterCounter("list.failures", d.registry),
+		reportFailures: metrics.GetOrRegisterCounter("reports.failures", d.registry),
+	}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithCancel(ctx)
+	d.cancel = cancel
+	if err := d.assemble(run); err != nil {
+		cancel()
+		d.closeListeners()
+		return nil, err
+	}
+	d.start(run)
+	return d, nil
+}
+
+func newLogger(s settings.Settings, output io.Writer) *log.Logger {
+	logger := &log.Logger{Level: log.ParseLevel(s.LogLevel), TimeField: "Time", TimeFormat: time.RFC3339Nano}
+	logger.Context = log.NewContext(nil).Str("Instance", s.Instance).Str("DataCentre", s.DataCentre).Value()
+	if output != nil {
+		logger.Writer = &log.IOWriter{Writer: output}
+	}
+	return logger
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.callersAt, err = net.Listen("tcp", d.settings.Listen.Callers.String()); err != nil {
+		return errListen.Wrap(err, "the callers' address cannot be used")
+	}
+	if d.operatorsAt, err = net.Listen("tcp", d.settings.Listen.Operators.String()); err != nil {
+		_ = d.callersAt.Close()
+		return errListen.Wrap(err, "the operators' address cannot be used")
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	_ = d.callersAt.Close()
+	_ = d.operatorsAt.Close()
+}
+
+// assemble makes the parts of the instance, from the platform's clients outwards.
+func (d *Daemon) assemble(ctx context.Context) error {
+	d.assemblePlatform()
+	d.picker = route.NewPicker(route.WithPolicy(policyOf(d.settings.Routing)))
+	d.ledger = newLedger()
+	d.gate = &gate{admission: admission.NewGate(admission.New(), time.Now)}
+	d.running = &drain.Counter{}
+	d.control = newControl(d)
+	if err := d.assembleNode(ctx); err != nil {
+		return err
+	}
+	d.assembleTraffic(ctx)
+	return d.assembleListeners()
+}
+
+func (d *Daemon) assemblePlatform() {
+	d.table = table.New(d.settings.Platform.Table, table.WithMetrics(d.registry))
+	d.objects = objectstore.New(d.settings.Platform.ObjectStore)
+	d.list = instancelist.New(d.settings.Platform.InstanceList)
+	d.log = configlog.New(d.table, configlog.WithObjects(d.objects))
+	d.versions = newVersions(d.log)
+	// A restarted process under the same name must not pass for the holder of its predecessor's claims.
+	holder := fmt.Sprintf("%s/%08x", d.settings.Instance, rand.Uint32())
+	d.clerk = claim.New(d.table, holder, claim.WithMetrics(d.registry))
+}
+
+func (d *Daemon) assembleNode(ctx context.Context) error {
+	node, err := instance.New(ctx, instance.Config{
+		Fleet: d.settings.Fleet, Name: d.settings.Instance, DataCentre: d.settings.DataCentre,
+		Address: d.settings.Listen.Peers, Seeds: d.settings.Seeds,
+	},
+		instance.WithApplier(d.versions), instance.WithSource(source{d.versions}), instance.WithState(fleet{d}.dump),
+		instance.WithLogger(d.logger), instance.WithMetrics(d.registry))
+	if err != nil {
+		return errListen.Wrap(err, "the peers' address cannot be used")
+	}
+	d.node = node
+	node.OnItem(func(i membership.Item) { d.control.observeItem(ctx, i) })
+	return nil
+}
+
+func (d *Daemon) assembleTraffic(ctx context.Context) {
+	d.engines = engine.NewPool(engine.WithRegistry(d.registry))
+	shared := newBudget()
+	routes := newRouter(d.picker, d.ledger, func(name string) { d.control.observeLeaving(ctx, name) })
+	stages := func(t target.Target) stream.Stage { return d.engines.Client(t.Address) }
+	d.runner = stream.NewRunner(routes, stages, stream.WithLedger(d.ledger), stream.WithBudget(shared),
+		stream.WithLogger(d.logger), stream.WithRegistry(d.registry))
+	d.services = service.New(d.serviceTargets, &claims{clerk: d.clerk}, service.WithBudget(shared),
+		service.WithHolder(d.running), service.WithLogger(d.logger), service.WithRegistry(d.registry))
+}
+
+func (d *Daemon) serviceTargets(name string) []target.Target {
+	var found []target.Target
+	for _, t := range *d.control.targets.Load() {
+		if t.Kind == target.Service && t.Service == name {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
+// policyOf maps the setting to the picker's policy; "Cost" is the default rule.
+func policyOf(setting string) route.Policy {
+	if setting == "Cost" || setting == "" {
+		return route.EstimatedFinish
+	}
+	return route.Policy(setting)
+}
+
+// start runs the control goroutine and the kratos application.
+func (d *Daemon) start(ctx context.Context) {
+	go d.control.run(ctx)
+	d.app = kratos.New(
+		kratos.Name("cuminrouted"), kratos.ID(d.settings.Instance), kratos.Context(ctx),
+		kratos.Logger(newKratosLogger(d.logger)),
+		kratos.Server(d.callers, d.operators),
+		kratos.BeforeStop(func(ctx context.Context) error { return d.drain(ctx) }),
+	)
+	go func() {
+		defer close(d.done)
+		d.err = d.app.Run()
+		d.release()
+	}()
+	d.logger.Info().Str("Callers", d.callersAt.Addr().String()).Str("Operators", d.operatorsAt.Addr().String()).
+		Str("Peers", d.node.Address().String()).Msg("listening")
+}
+
+// Ready reports whether callers may be sent here.
+func (d *Daemon) Ready() bool {
+	select {
+	case <-d.stopping:
+		return false
+	default:
+		return d.node.View().Ready() && d.control.listed.Load()
+	}
+}
+
+// drain is the first part of a planned stop: not ready, then no new requests, then wait for the
+// running ones. No timeout cuts a request off.
+func (d *Daemon) drain(ctx context.Context) error {
+	close(d.stopping)
+	d.logger.Info().Int("Running", d.running.Running()).Msg("stopping")
+	select {
+	case <-time.After(d.settings.StopNotice):
+	case <-ctx.Done():
+	}
+	d.running.Drain()
+	return d.running.Wait(ctx)
+}
+
+// release ends what is left after the listeners are closed.
+func (d *Daemon) release() {
+	d.runner.Close()
+	if err := d.node.Close(); err != nil {
+		d.logger.Warn().Err(err).Msg("the departure could not be announced")
+	}
+	d.clerk.Close()
+	d.services.Close()
+	d.engines.Close()
+	d.cancel()
+	d.table.Close()
+	d.objects.Close()
+	d.list.Close()
+	d.logger.Info().Msg("stopped")
+}
+
+// Stop stops the instance without cutting off any request. It returns early, with the context's
+// error, if ctx ends first; the stop then goes on.
+func (d *Daemon) Stop(ctx context.Context) error {
+	d.stopOnce.Do(func() {
+		go func() { _ = d.app.Stop() }()
+	})
+	select {
+	case <-d.done:
+		return d.err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Kill ends the instance at once, as the loss of its machine would.
+func (d *Daemon) Kill() {
+	_ = d.callers.Close()
+	_ = d.operators.Close()
+	d.cancel()
+	<-d.done
+}
+
+// Wait returns when the instance has ended.
+func (d *Daemon) Wait() error {
+	<-d.done
+	return d.err
+}
+
+// Addresses returns where the instance listens.
+func (d *Daemon) Addresses() Addresses {
+	return Addresses{
+		Callers:   d.callersAt.Addr().(*net.TCPAddr).AddrPort(),
+		Operators: d.operatorsAt.Addr().(*net.TCPAddr).AddrPort(),
+		Peers:     d.node.Address(),
+	}
+}
+
+// State returns the state dump of the instance.
+func (d *Daemon) State() api.State {
+	state, _ := fleet{d}.State(context.Background()) // It never fails: every part is in memory.
+	return state
+}
+
+// Version returns the configuration version in force.
+func (d *Daemon) Version() uint64 {
+	return d.versions.current().Version
+}
+
+var _ caller.Gate = (*gate)(nil)
--- /dev/null
+++ b/pkg/daemon/fleet.go
@@ -0,0 +1,178 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/peer/operator"
+	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+const (
+	// drainLife is how long a drain lasts without being ordered again. It covers the longest planned work on a target.
+	drainLife = 24 * time.Hour
+	// stateTimeout bounds the wait for another instance's state.
+	stateTimeout = time.Second
+)
+
+// fleet answers operators' questions about this instance, the others and the targets.
+type fleet struct {
+	d *Daemon
+}
+
+// State implements operator.Fleet. It holds no keys and no content of requests.
+func (f fleet) State(context.Context) (api.State, error) {
+	d := f.d
+	state := api.State{
+		Instance: d.settings.Instance, Version: d.versions.current().Version, Ready: d.Ready(),
+		Streams: d.running.Running(), Queued: d.gate.admission.Queued(), Targets: *d.control.targets.Load(),
+		Details: map[string]any{"Membership": d.node.View(), "DataCentre": d.settings.DataCentre, "Stopping": d.running.Draining()},
+	}
+	for _, e := range d.ledger.entries(time.Now()) {
+		state.Quarantine = append(state.Quarantine, api.Quarantined{Fingerprint: fmt.Sprintf("%016x", e.Fingerprint), Until: e.Until})
+	}
+	return state, nil
+}
+
+// dump returns the state as JSON, for other instances.
+func (f fleet) dump(ctx context.Context) ([]byte, error) {
+	state, err := f.State(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(state)
+}
+
+// Instances implements operator.Fleet. It asks every live instance for its version.
+func (f fleet) Instances(ctx context.Context) ([]api.Instance, error) {
+	bounded, cancel := context.WithTimeout(ctx, stateTimeout)
+	defer cancel()
+	members := f.d.node.Members()
+	listed := make([]api.Instance, len(members))
+	var wait sync.WaitGroup
+	for i, m := range members {
+		wait.Go(func() { listed[i] = f.instanceOf(bounded, m) })
+	}
+	wait.Wait()
+	return listed, nil
+}
+
+func (f fleet) instanceOf(ctx context.Context, m membership.Member) api.Instance {
+	i := api.Instance{Name: m.Name, DataCentre: m.DataCentre, State: string(m.State)}
+	var state api.State
+	content, err := f.stateOf(ctx, m)
+	if err == nil {
+		err = json.Unmarshal(content, &state)
+	}
+	if err != nil {
+		return i
+	}
+	i.Version, i.Live = state.Version, true
+	return i
+}
+
+func (f fleet) stateOf(ctx context.Context, m membership.Member) ([]byte, error) {
+	if m.Address == f.d.node.Address() {
+		return f.dump(ctx)
+	}
+	return f.d.node.State(ctx, m.Address)
+}
+
+// Pipelines implements operator.Fleet.
+func (f fleet) Pipelines(context.Context) ([]api.Pipeline, error) {
+	c := f.d.versions.current()
+	var pipelines []api.Pipeline
+	for _, w := range c.Workspaces {
+		for _, p := range w.Pipelines {
+			pipelines = append(pipelines, f.pipeline(c, w.Name, p))
+		}
+	}
+	return pipelines, nil
+}
+
+func (f fleet) pipeline(c *configuration.Configuration, workspace string, p configuration.Pipeline) api.Pipeline {
+	listed := api.Pipeline{Workspace: workspace, Name: p.Name, Model: p.Model, Priority: p.Priority}
+	model, _ := c.Model(p.Model)
+	var held []layer.Range
+	for _, t := range *f.d.control.targets.Load() {
+		if t.Kind == target.Engine && t.Accepting() && t.Model == p.Model {
+			listed.Targets++
+			held = append(held, t.Layers)
+		}
+	}
+	listed.Complete = reaches(held, model.Layers)
+	return listed
+}
+
+// reaches reports whether some of the ranges, put end to end, cover [0, layers).
+func reaches(held []layer.Range, layers int) bool {
+	boundaries := map[int]bool{0: true}
+	for grown := true; grown; {
+		grown = false
+		for _, r := range held {
+			if boundaries[r.First] && !boundaries[r.End] {
+				boundaries[r.End], grown = true, true
+			}
+		}
+	}
+	return layers > 0 && boundaries[layers]
+}
+
+// Plan implements operator.Fleet. It shows the placement that the engines report.
+func (f fleet) Plan(context.Context) (api.Plan, error) {
+	plan := api.Plan{LimitedBy: "not computed: the engines' memory and rates are not reported"}
+	for _, t := range *f.d.control.targets.Load() {
+		if t.Kind == target.Engine && t.Layers.Valid() {
+			plan.Assignments = append(plan.Assignments, api.Assignment{Target: t.Name, Model: t.Model, First: t.Layers.First, End: t.Layers.End})
+		}
+	}
+	return plan, nil
+}
+
+// drains lets operators drain targets. Drains travel by gossip and end after drainLife.
+type drains struct {
+	d *Daemon
+}
+
+// Drains implements operator.Drains.
+func (o drains) Drains(context.Context) ([]api.Drain, error) {
+	var listed []api.Drain
+	for _, item := range o.d.node.View().Items {
+		if drain, ok := item.(membership.Drain); ok && !drain.Cancelled {
+			listed = append(listed, api.Drain{Target: drain.Target, At: drain.At})
+		}
+	}
+	return listed, nil
+}
+
+// Drain implements operator.Drains.
+func (o drains) Drain(_ context.Context, drain api.Drain) error {
+	if _, known := o.d.control.address(drain.Target); !known {
+		return operator.ErrNotFound
+	}
+	now := time.Now()
+	o.d.logger.Info().Str("Target", drain.Target).Str("By", drain.By).Str("Reason", drain.Reason).Msg("drain ordered")
+	return o.d.node.Publish(membership.Drain{Target: drain.Target, At: now, Expires: now.Add(drainLife)})
+}
+
+// Undrain implements operator.Drains.
+func (o drains) Undrain(ctx context.Context, name string) error {
+	listed, err := o.Drains(ctx)
+	if err != nil {
+		return err
+	}
+	for _, drain := range listed {
+		if drain.Target == name {
+			now := time.Now()
+			return o.d.node.Publish(membership.Drain{Target: name, At: now, Expires: now.Add(drainLife), Cancelled: true})
+		}
+	}
+	return operator.ErrNotFound
+}
--- /dev/null
+++ b/pkg/daemon/listeners.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	klog "github.com/go-kratos/kratos/v2/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/phuslu/log"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
+	"github.com/cuminroute/cuminroute/pkg/metricspage"
+	"github.com/cuminroute/cuminroute/pkg/peer/caller"
+	"github.com/cuminroute/cuminroute/pkg/peer/operator"
+	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
+)
+
+const (
+	// operatorTimeout bounds reading one operator request; a whole configuration can be 32 MB.
+	operatorTimeout = time.Minute
+	headerTimeout   = 5 * time.Second
+)
+
+func (d *Daemon) assembleListeners() error {
+	certificate, err := d.certificate()
+	if err != nil {
+		return err
+	}
+	callers := caller.New(d.versions.current, d.runner, d.services, caller.WithGate(d.gate), caller.WithDrain(d.running),
+		caller.WithFingerprint(quarantine.Fingerprint), caller.WithLogger(d.logger), caller.WithRegistry(d.registry))
+	d.callers = newListener(d.callersAt, certificate)
+	d.callers.HandleFunc("/ready", d.serveReady)
+	d.callers.HandlePrefix("/", callers)
+	d.operators = newListener(d.operatorsAt, certificate)
+	d.operators.ReadTimeout = operatorTimeout
+	d.operators.HandleFunc("/live", serveLive)
+	d.operators.HandleFunc("/ready", d.serveReady)
+	d.operators.Handle("/metrics", metricspage.New(d.registry))
+	d.operators.HandlePrefix(api.Prefix, operator.NewServer(operatorLog{d.log}, fleet{d}, drains{d},
+		operator.AuthenticatorFunc(d.authenticateOperator)))
+	return nil
+}
+
+func (d *Daemon) certificate() (*tls.Config, error) {
+	c := d.settings.Certificate
+	if c.File == "" {
+		return nil, nil
+	}
+	pair, err := tls.LoadX509KeyPair(c.File, c.KeyFile)
+	if err != nil {
+		return nil, errListen.Wrap(err, "the certificate cannot be used")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{pair}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// newListener returns a kratos server on l. The library's timeout is off, since answers are
+// streamed for longer than any fixed time.
+func newListener(l net.Listener, certificate *tls.Config) *khttp.Server {
+	options := []khttp.ServerOption{khttp.Listener(l), khttp.Timeout(0), khttp.StrictSlash(false)}
+	if certificate != nil {
+		options = append(options, khttp.TLSConfig(certificate))
+	}
+	s := khttp.NewServer(options...)
+	s.ReadHeaderTimeout = headerTimeout
+	return s
+}
+
+// authenticateOperator accepts the operators of the configuration, and those of the settings, who
+// make the first change.
+func (d *Daemon) authenticateOperator(key string) (string, bool) {
+	if name, ok := d.versions.current().AuthenticateOperator(key); ok {
+		return name, true
+	}
+	return d.bootstrap.AuthenticateOperator(key)
+}
+
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "not ready\n")
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+func serveLive(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "live\n")
+}
+
+// kratosLogger writes the log lines of the application framework as JSON like all others.
+type kratosLogger struct {
+	logger *log.Logger
+}
+
+func newKratosLogger(l *log.Logger) klog.Logger {
+	return kratosLogger{logger: l}
+}
+
+// Log implements the framework's logger.
+func (k kratosLogger) Log(level klog.Level, pairs ...any) error {
+	e := k.logger.WithLevel(log.ParseLevel(level.String()))
+	for i := 0; i+1 < len(pairs); i += 2 {
+		if name, ok := pairs[i].(string); ok {
+			e = e.Any(name, pairs[i+1])
+		}
+	}
+	e.Msg("framework")
+	return nil
+}
--- /dev/null
+++ b/pkg/daemon/router.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/route"
+	"github.com/cuminroute/cuminroute/pkg/stream"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// router lets streams choose routes by a picker. Random sources are pooled, since the picker
+// takes one and traffic goroutines must not share it.
+type router struct {
+	picker  *route.Picker
+	ledger  *ledger
+	leaving func(name string)
+	sources sync.Pool
+}
+
+func newRouter(picker *route.Picker, l *ledger, leaving func(name string)) *router {
+	return &router{
+		picker: picker, ledger: l, leaving: leaving,
+		sources: sync.Pool{New: func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }},
+	}
+}
+
+// Place implements stream.Router.
+func (r *router) Place(p stream.Placement) ([]target.Target, error) {
+	source := r.sources.Get().(*rand.Rand)
+	defer r.sources.Put(source)
+	chosen, err := r.picker.Pick(source, route.Request{
+		Model: p.Model, Layers: p.Layers, PrefixHash: p.PrefixHash, PromptBytes: p.PromptBytes,
+		Avoid: p.Avoid, Now: p.Now,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return chosen.Stages, nil
+}
+
+// Sent implements stream.Router.
+func (r *router) Sent(name string, cost float64, now time.Time) {
+	r.picker.Sent(name, cost, now)
+}
+
+// Finished implements stream.Router. An answer proves that the target is alive.
+func (r *router) Finished(name string, cost float64, took time.Duration, now time.Time) {
+	r.picker.Finished(name, cost, took, now)
+	r.ledger.Alive(name)
+}
+
+// Failed implements stream.Router.
+func (r *router) Failed(name string, now time.Time) {
+	r.picker.Failed(name, now)
+	r.picker.Abandoned(name, 1, now)
+}
+
+// Leaving implements stream.Router.
+func (r *router) Leaving(name string, _ time.Time) {
+	r.picker.Leaving(name)
+	r.leaving(name)
+}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -35,6 +35,7 @@
 	s := Settings{
 		Instance:   c.name("$.Instance", f.Instance),
 		DataCentre: c.name("$.DataCentre", f.DataCentre),
+		Fleet:      c.name("$.Fleet", f.Fleet),
 		Listen: Listen{
 			Callers:   c.address("$.Listen.Callers", f.Listen.Callers),
 			Operators: c.address("$.Listen.Operators", f.Listen.Operators),
--- a/pkg/settings/file.go
+++ b/pkg/settings/file.go
@@ -5,6 +5,7 @@
 type file struct {
 	Instance    string          `yaml:"Instance"`
 	DataCentre  string          `yaml:"DataCentre"`
+	Fleet       string          `yaml:"Fleet"`
 	Listen      fileListen      `yaml:"Listen"`
 	Certificate fileCertificate `yaml:"Certificate"`
 	Platform    filePlatform    `yaml:"Platform"`
--- a/pkg/settings/load.go
+++ b/pkg/settings/load.go
@@ -72,6 +72,7 @@
 	return []overridable{
 		{"instance", "unique `name` of this instance", &f.Instance},
 		{"data-centre", "`name` of the data centre", &f.DataCentre},
+		{"fleet", "`name` of the fleet", &f.Fleet},
 		{"listen-callers", "`address` for callers, such as 10.0.0.1:8080", &f.Listen.Callers},
 		{"listen-operators", "`address` for operators", &f.Listen.Operators},
 		{"listen-peers", "`address` for other instances, TCP and UDP", &f.Listen.Peers},
--- a/pkg/settings/load_test.go
+++ b/pkg/settings/load_test.go
@@ -16,6 +16,7 @@
 
 const valid = `Instance: entry-1
 DataCentre: mb-1
+Fleet: krpanka
 Listen:
   Callers: 127.0.0.1:8080
   Operators: 127.0.0.1:8081
@@ -59,11 +60,11 @@
 		path     string
 		line     int
 	}{
-		{"address without port", "127.0.0.1:8081", "127.0.0.1", "$.Listen.Operators", 5},
-		{"host name", "127.0.0.1:8082", "peer.example:8082", "$.Listen.Peers", 6},
-		{"no URL", "Table: http://127.0.0.1:7400", "Table: 127.0.0.1", "$.Platform.Table", 8},
-		{"bad seed", "127.0.0.1:9082", "nowhere", "$.Seeds[0]", 13},
-		{"bad hash", "sha256:00", "md5:00", "$.Operators[0].Hash", 16},
+		{"address without port", "127.0.0.1:8081", "127.0.0.1", "$.Listen.Operators", 6},
+		{"host name", "127.0.0.1:8082", "peer.example:8082", "$.Listen.Peers", 7},
+		{"no URL", "Table: http://127.0.0.1:7400", "Table: 127.0.0.1", "$.Platform.Table", 9},
+		{"bad seed", "127.0.0.1:9082", "nowhere", "$.Seeds[0]", 14},
+		{"bad hash", "sha256:00", "md5:00", "$.Operators[0].Hash", 17},
 		{"unknown field", "DataCentre", "Zone", "$.Zone", 2},
 		{"bad name", "entry-1", "entry 1", "$.Instance", 1},
 	}
@@ -78,7 +79,7 @@
 				lines[f.Path] = f.Line
 			}
 			qt.Assert(t, lines[test.path], qt.Equals, test.line)
-			qt.Assert(t, lines["$.LogLevel"], qt.Equals, 17)
+			qt.Assert(t, lines["$.LogLevel"], qt.Equals, 18)
 		})
 	}
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -26,6 +26,7 @@
 type Settings struct {
 	Instance    string // Instance is the unique name of the process.
 	DataCentre  string
+	Fleet       string // Fleet names the deployment; instances of another fleet are not talked to.
 	Listen      Listen
 	Certificate Certificate
 	Platform    Platform
