--- /dev/null
+++ b/pkg/branch/branch.go
@@ -0,0 +1,115 @@
+// Package branch explains which values are in force for one branch and which rule gave each.
+//
+// Usage:
+//
+//	c, places, err := configuration.Load("configuration.yaml")
+//	b, err := branch.Of(c, "krpanka-centre", "market-hall")
+//	for _, v := range b.Explain(places, time.Now()) {
+//		fmt.Println(v)
+//	}
+package branch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/yamlfile"
+)
+
+var namespace = errorx.NewNamespace("branch")
+
+// ErrNotFound is the type of errors about a workspace or branch that the configuration does not have.
+var ErrNotFound = namespace.NewType("not_found")
+
+// Source is the rule that gave a value.
+type Source string
+
+// Sources, from the most general to the most special.
+const (
+	Default      Source = "Default"      // Default is the value used where no rule is written.
+	HeadOffice   Source = "HeadOffice"   // HeadOffice rules apply to every branch.
+	Workspace    Source = "Workspace"    // Workspace rules apply to the branches of one workspace.
+	OneBranch    Source = "Branch"       // OneBranch rules apply to the branch itself.
+	Pipeline     Source = "Pipeline"     // Pipeline values apply to one pipeline, whatever the branch.
+	RequestKind  Source = "RequestKind"  // RequestKind values apply to one kind of service request.
+	OpeningHours Source = "OpeningHours" // OpeningHours lower the priority of a closed branch.
+)
+
+// Value is one value in force.
+type Value struct {
+	Name   string         `json:"Name"`
+	Value  string         `json:"Value"`
+	Source Source         `json:"Source"`
+	Place  yamlfile.Place `json:"Place,omitzero"` // Place is where the value is written; it is zero for a default.
+}
+
+// String returns the value on one line.
+func (v Value) String() string {
+	if v.Place.Line == 0 {
+		return fmt.Sprintf("%s = %s (%s)", v.Name, v.Value, v.Source)
+	}
+	return fmt.Sprintf("%s = %s (%s, %s:%d:%d)", v.Name, v.Value, v.Source, v.Place.File, v.Place.Line, v.Place.Column)
+}
+
+// Branch is one branch of a workspace with the rules above it.
+type Branch struct {
+	configuration *configuration.Configuration
+	workspace     configuration.Workspace
+	workspacePath string
+	name          string
+	levels        []level
+}
+
+// level holds the rules of one level and where they are written.
+type level struct {
+	source Source
+	path   string
+	rules  configuration.Overrides
+}
+
+// Of returns a branch. An empty name stands for callers with a key of the whole workspace.
+func Of(c *configuration.Configuration, workspace, name string) (*Branch, error) {
+	for i, w := range c.Workspaces {
+		if w.Name == workspace {
+			return ofWorkspace(c, i, name)
+		}
+	}
+	return nil, ErrNotFound.New("there is no workspace %q", workspace)
+}
+
+func ofWorkspace(c *configuration.Configuration, i int, name string) (*Branch, error) {
+	w := c.Workspaces[i]
+	b := &Branch{configuration: c, workspace: w, workspacePath: fmt.Sprintf("$.Workspaces[%d]", i), name: name}
+	b.levels = []level{
+		{HeadOffice, "$.HeadOffice.Rules", c.HeadOffice.Rules},
+		{Workspace, b.workspacePath + ".Rules", w.Rules},
+	}
+	if name == "" {
+		return b, nil
+	}
+	for j, branch := range w.Branches {
+		if branch.Name == name {
+			path := fmt.Sprintf("%s.Branches[%d].Rules", b.workspacePath, j)
+			b.levels = append(b.levels, level{OneBranch, path, branch.Rules})
+			return b, nil
+		}
+	}
+	return nil, ErrNotFound.New("the workspace %q has no branch %q", w.Name, name)
+}
+
+// Explain returns each value in force at that time: the rules, then the pipelines, then the kinds
+// of service requests. Places may be nil.
+func (b *Branch) Explain(places *yamlfile.Places, at time.Time) []Value {
+	e := &explainer{
+		branch: b, places: places,
+		rules:   b.configuration.Rules(b.workspace.Name, b.name, at),
+		weekday: b.configuration.LocalTime(at).Weekday().String(),
+	}
+	e.explainRules()
+	e.explainPipelines()
+	e.explainRequests()
+	return e.values
+}
--- /dev/null
+++ b/pkg/branch/explain.go
@@ -0,0 +1,177 @@
+package branch
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/yamlfile"
+)
+
+// explainer collects the values of one branch at one time.
+type explainer struct {
+	branch *Branch
+	places *yamlfile.Places
+	rules  configuration.Rules
+	// weekday is today's name in the time zone of the fleet.
+	weekday string
+	values  []Value
+}
+
+// origin is the rule that gave a value.
+type origin struct {
+	source Source
+	path   string
+}
+
+func (e *explainer) add(name, value string, from origin) {
+	v := Value{Name: name, Value: value, Source: from.source}
+	if from.path != "" {
+		v.Place = e.places.Of(from.path)
+	}
+	e.values = append(e.values, v)
+}
+
+// origin returns the most special level that sets the rule.
+func (e *explainer) origin(rule string, set func(configuration.Overrides) bool) origin {
+	for _, l := range slices.Backward(e.branch.levels) {
+		if set(l.rules) {
+			return origin{source: l.source, path: l.path + "." + rule}
+		}
+	}
+	return origin{source: Default}
+}
+
+func (e *explainer) explainRules() {
+	hours, hoursOrigin := e.hours()
+	days, daysOrigin := e.days()
+	e.add("OpeningHours", hours, hoursOrigin)
+	e.add("MarketDays", days, daysOrigin)
+	e.add("Open", strconv.FormatBool(e.rules.Open), e.openOrigin(hoursOrigin, daysOrigin))
+	e.add("PhoneOrders", strconv.FormatBool(e.rules.PhoneOrders), e.phoneOrigin())
+	e.add("Priority", string(e.rules.Priority), e.priorityOrigin())
+	e.add("Timeout", e.rules.Timeout.String(), e.timeoutOrigin())
+	e.add("NotIdempotent", listOr(e.rules.NotIdempotent, "none"), e.notIdempotentOrigin())
+}
+
+func (e *explainer) hours() (string, origin) {
+	from := e.origin("OpeningHours", func(o configuration.Overrides) bool { return o.OpeningHours != nil })
+	text := "always"
+	for _, l := range e.branch.levels {
+		if l.rules.OpeningHours != nil {
+			text = l.rules.OpeningHours.Open + " to " + l.rules.OpeningHours.Close
+		}
+	}
+	return text, from
+}
+
+func (e *explainer) days() (string, origin) {
+	from := e.origin("MarketDays", func(o configuration.Overrides) bool { return o.MarketDays != nil })
+	text := "every day"
+	for _, l := range e.branch.levels {
+		if l.rules.MarketDays != nil {
+			text = listOr(*l.rules.MarketDays, "every day")
+		}
+	}
+	return text, from
+}
+
+// openOrigin names the market days where they close the branch today, else the opening hours.
+func (e *explainer) openOrigin(hours, days origin) origin {
+	if e.closedToday() || hours.source == Default {
+		return days
+	}
+	return hours
+}
+
+func (e *explainer) closedToday() bool {
+	closed := false
+	for _, l := range e.branch.levels {
+		if days := l.rules.MarketDays; days != nil {
+			closed = len(*days) > 0 && !slices.Contains(*days, e.weekday)
+		}
+	}
+	return closed
+}
+
+func (e *explainer) phoneOrigin() origin {
+	return e.origin("PhoneOrders", func(o configuration.Overrides) bool { return o.PhoneOrders != nil })
+}
+
+func (e *explainer) timeoutOrigin() origin {
+	return e.origin("Timeout", func(o configuration.Overrides) bool { return o.Timeout != nil })
+}
+
+func (e *explainer) notIdempotentOrigin() origin {
+	return e.origin("NotIdempotent", func(o configuration.Overrides) bool { return o.NotIdempotent != nil })
+}
+
+// priorityOrigin names the opening hours where they, and no rule, give the priority Batch.
+func (e *explainer) priorityOrigin() origin {
+	from := e.origin("Priority", func(o configuration.Overrides) bool { return o.Priority != nil })
+	if e.rules.Open {
+		return from
+	}
+	_, hours := e.hours()
+	_, days := e.days()
+	closing := e.openOrigin(hours, days)
+	return origin{source: OpeningHours, path: closing.path}
+}
+
+func (e *explainer) explainPipelines() {
+	for i, p := range e.branch.workspace.Pipelines {
+		path := fmt.Sprintf("%s.Pipelines[%d]", e.branch.workspacePath, i)
+		name := "Pipeline " + p.Name
+		e.add(name+" Model", p.Model, origin{Pipeline, path + ".Model"})
+		priority, from := e.rules.Priority, e.priorityOrigin()
+		if p.Priority != "" {
+			priority, from = p.Priority, origin{Pipeline, path + ".Priority"}
+		}
+		e.add(name+" Priority", string(priority), from)
+		e.timeout(name, p.Timeout, origin{Pipeline, path + ".Timeout"})
+	}
+}
+
+func (e *explainer) timeout(name string, own time.Duration, ownOrigin origin) {
+	if own != 0 {
+		e.add(name+" Timeout", own.String(), ownOrigin)
+		return
+	}
+	e.add(name+" Timeout", e.rules.Timeout.String(), e.timeoutOrigin())
+}
+
+func (e *explainer) explainRequests() {
+	for i, s := range e.branch.configuration.HeadOffice.Services {
+		if !slices.Contains(e.branch.workspace.Services, s.Name) {
+			continue
+		}
+		for j, k := range s.Requests {
+			e.explainRequest(s.Name, k, fmt.Sprintf("$.HeadOffice.Services[%d].Requests[%d]", i, j))
+		}
+	}
+}
+
+func (e *explainer) explainRequest(service string, k configuration.RequestKind, path string) {
+	kind := service + "/" + k.Name
+	allowed, allowedFrom := true, origin{RequestKind, path}
+	if k.Phone {
+		allowed, allowedFrom = e.rules.PhoneOrders, e.phoneOrigin()
+	}
+	e.add("Request "+kind+" Allowed", strconv.FormatBool(allowed), allowedFrom)
+	once, onceFrom := !k.Idempotent, origin{RequestKind, path + ".Idempotent"}
+	if k.Idempotent && slices.Contains(e.rules.NotIdempotent, kind) {
+		once, onceFrom = true, e.notIdempotentOrigin()
+	}
+	e.add("Request "+kind+" AtMostOnce", strconv.FormatBool(once), onceFrom)
+	e.timeout("Request "+kind, k.Timeout, origin{RequestKind, path + ".Timeout"})
+}
+
+func listOr(items []string, none string) string {
+	if len(items) == 0 {
+		return none
+	}
+	return strings.Join(items, ", ")
+}
--- a/pkg/command/commands.go
+++ b/pkg/command/commands.go
@@ -7,5 +7,8 @@
 
 // commands lists the commands in the order of the help text. A further command is one more line.
 var commands = []Constructor{
+	newQuestionnaire,
+	newGenerate,
 	newValidate,
+	newExplain,
 }
--- a/pkg/configuration/check.go
+++ b/pkg/configuration/check.go
@@ -36,7 +36,7 @@
 type checker struct {
 	c        *Configuration
 	kinds    map[string]bool   // kinds are the request kinds as service/kind.
-	hashes   map[string]string // hashes maps a key hash to the path where it was seen first.
+	hashes   map[string]string // hashes maps a key hash to the first holder of the key.
 	findings []finding.Finding
 }
 
@@ -63,7 +63,7 @@
 	if len(h.Operators) == 0 {
 		ch.add("$.HeadOffice.Operators", "", "Without an operator nobody could change the configuration", "one operator or more")
 	}
-	ch.keys("$.HeadOffice.Operators", h.Operators)
+	ch.keys("$.HeadOffice.Operators", "operator ", h.Operators)
 	ch.overrides("$.HeadOffice.Rules", h.Rules)
 	ch.models(h.Models)
 	ch.services(h.Services)
@@ -92,7 +92,7 @@
 
 func (ch *checker) workspace(path string, w Workspace) {
 	ch.between(path+".Weight", w.Weight, 1, MaxWeight, "Weight is out of range")
-	ch.keys(path+".Keys", w.Keys)
+	ch.keys(path+".Keys", "workspace "+w.Name+", key ", w.Keys)
 	ch.servicesOf(path+".Services", w.Services)
 	ch.overrides(path+".Rules", w.Rules)
 	seen := map[string]bool{}
@@ -100,7 +100,7 @@
 		branchPath := fmt.Sprintf("%s.Branches[%d]", path, i)
 		ch.name(branchPath+".Name", b.Name)
 		ch.unique(branchPath+".Name", b.Name, "branch", seen)
-		ch.keys(branchPath+".Keys", b.Keys)
+		ch.keys(branchPath+".Keys", "workspace "+w.Name+", branch "+b.Name+", key ", b.Keys)
 		ch.overrides(branchPath+".Rules", b.Rules)
 	}
 	ch.pipelines(path, w.Pipelines)
--- a/pkg/configuration/check_value.go
+++ b/pkg/configuration/check_value.go
@@ -73,8 +73,8 @@
 }
 
 // keys checks names and hashes. A hash may appear once in the whole configuration: a key that
-// stands for two callers would act as whichever is found first.
-func (ch *checker) keys(path string, keys []Key) {
+// stands for two callers would act as whichever is found first. Holder describes who holds the keys.
+func (ch *checker) keys(path, holder string, keys []Key) {
 	seen := map[string]bool{}
 	for i, k := range keys {
 		keyPath := fmt.Sprintf("%s[%d]", path, i)
@@ -85,10 +85,10 @@
 			continue
 		}
 		if first, found := ch.hashes[k.Hash]; found {
-			ch.add(keyPath+".Hash", k.Hash, "The key is already in use at "+first, "a key of its own")
+			ch.add(keyPath+".Hash", k.Hash, "The key is already in use by "+first, "a key of its own")
 			continue
 		}
-		ch.hashes[k.Hash] = keyPath
+		ch.hashes[k.Hash] = holder + k.Name
 	}
 }
 
--- a/pkg/configuration/file.go
+++ b/pkg/configuration/file.go
@@ -18,17 +18,12 @@
 }
 
 // Parse reads and checks a configuration. File is the name to report in findings. The error is a
-// *finding.Error that holds every finding: first those of the structure and, if there are none,
-// those of Check. Places are returned in both cases.
+// *finding.Error that holds every finding of the structure and of Check. Places are returned in
+// both cases.
 func Parse(file string, content []byte) (*Configuration, *yamlfile.Places, error) {
 	var c Configuration
 	places, findings := yamlfile.Decode(file, content, &c)
-	if err := findings.Err(); err != nil {
-		return nil, places, err
-	}
-	for _, f := range Check(&c) {
-		findings.Add(places.Locate(f))
-	}
+	places.AddChecked(&findings, Check(&c))
 	if err := findings.Err(); err != nil {
 		return nil, places, err
 	}
--- a/pkg/configuration/rules.go
+++ b/pkg/configuration/rules.go
@@ -33,10 +33,11 @@
 			}
 		}
 	}
-	return merged.resolve(c.localTime(at))
+	return merged.resolve(c.LocalTime(at))
 }
 
-func (c *Configuration) localTime(at time.Time) time.Time {
+// LocalTime returns at in the time zone of the fleet, and in UTC where the zone is not known.
+func (c *Configuration) LocalTime(at time.Time) time.Time {
 	if i, ok := c.indexed(); ok {
 		return at.In(i.zone)
 	}
--- /dev/null
+++ b/pkg/questionnaire/asker.go
@@ -0,0 +1,129 @@
+package questionnaire
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ErrIncomplete means that the input ended before the last question. The answers given so far are kept.
+var ErrIncomplete = errors.New("the input ended before the last question; the answers so far are kept")
+
+// asker asks one question after the other. After the input has ended, it asks nothing more.
+type asker struct {
+	in      *bufio.Scanner
+	out     io.Writer
+	answers *Answers
+	ended   bool
+}
+
+// line asks once and returns the answer, or preset for an empty answer.
+func (q *asker) line(question, preset string) string {
+	if q.ended {
+		return preset
+	}
+	if preset != "" {
+		question += " [" + preset + "]"
+	}
+	_, _ = fmt.Fprint(q.out, question, ": ")
+	if !q.in.Scan() {
+		q.ended = true
+		return preset
+	}
+	if answer := strings.TrimSpace(q.in.Text()); answer != "" {
+		return answer
+	}
+	return preset
+}
+
+// ask repeats a question until set accepts the answer and Check finds no fault at path.
+func (q *asker) ask(path, question, preset string, set func(string) error) {
+	for !q.ended {
+		answer := q.line(question, preset)
+		if q.ended {
+			return
+		}
+		fault := ""
+		if err := set(answer); err != nil {
+			fault = err.Error()
+		} else {
+			fault = q.fault(path)
+		}
+		if fault == "" {
+			return
+		}
+		_, _ = fmt.Fprintln(q.out, "  Not accepted:", fault)
+	}
+}
+
+// fault returns the first finding at path or below it.
+func (q *asker) fault(path string) string {
+	for _, f := range Check(q.answers) {
+		if f.Path == path || strings.HasPrefix(f.Path, path+".") || strings.HasPrefix(f.Path, path+"[") {
+			return fmt.Sprintf("%s. Accepted: %s", f.Rule, f.Accepted)
+		}
+	}
+	return ""
+}
+
+func (q *asker) text(path, question, preset string, into *string) {
+	q.ask(path, question, preset, func(answer string) error {
+		*into = answer
+		return nil
+	})
+}
+
+func (q *asker) number(path, question string, into *int) {
+	q.ask(path, question, "", func(answer string) error {
+		n, err := strconv.Atoi(answer)
+		if err != nil {
+			return errors.New("a whole number such as 1 is expected")
+		}
+		*into = n
+		return nil
+	})
+}
+
+func (q *asker) duration(path, question, preset string, into *time.Duration) {
+	q.ask(path, question, preset, func(answer string) error {
+		d, err := time.ParseDuration(answer)
+		if err != nil {
+			return errors.New("a duration such as 500ms, 30s or 2m is expected")
+		}
+		*into = d
+		return nil
+	})
+}
+
+// words asks for names with spaces or commas between them.
+func (q *asker) words(path, question, preset string, into *[]string) {
+	q.ask(path, question, preset, func(answer string) error {
+		*into = strings.FieldsFunc(answer, func(r rune) bool { return r == ',' || r == ' ' })
+		if *into == nil {
+			*into = []string{}
+		}
+		return nil
+	})
+}
+
+// yes asks for y or n and returns whether it was y.
+func (q *asker) yes(question string, preset bool) bool {
+	text := "n"
+	if preset {
+		text = "y"
+	}
+	for !q.ended {
+		switch strings.ToLower(q.line(question+" (y/n)", text)) {
+		case "y", "yes":
+			return !q.ended
+		case "n", "no":
+			return false
+		}
+		_, _ = fmt.Fprintln(q.out, "  Not accepted: y or n is expected")
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/questionnaire/form.go
@@ -0,0 +1,20 @@
+package questionnaire
+
+import (
+	_ "embed"
+
+	"github.com/goccy/go-yaml"
+)
+
+//go:embed form.yaml
+var form []byte
+
+// Form returns the form with its explanations and example answers. It is itself a valid answers file.
+func Form() []byte {
+	return append([]byte(nil), form...)
+}
+
+// Marshal returns answers as YAML that Parse reads back.
+func Marshal(a *Answers) ([]byte, error) {
+	return yaml.MarshalWithOptions(a, yaml.IndentSequence(true))
+}
--- a/pkg/yamlfile/file.go
+++ b/pkg/yamlfile/file.go
@@ -8,8 +8,7 @@
 //
 //	var answers Answers
 //	places, findings := yamlfile.Decode("answers.yaml", content, &answers)
-//	checked := check(answers)
-//	findings.Add(places.Locate(checked[0]))
+//	places.AddChecked(&findings, check(answers))
 //	return findings.Err()
 package yamlfile
 
@@ -30,7 +29,7 @@
 const MaxBytes = 32 << 20
 
 // Decode reads content into the struct that into points to. File is the name to report. The list
-// holds every fault of the structure; into is complete only if the list is empty.
+// holds every fault of the structure. Values with a fault keep their zero value.
 func Decode(file string, content []byte, into any) (places *Places, findings finding.List) {
 	places = newPlaces(file)
 	d := &decoder{places: places}
--- a/pkg/yamlfile/places.go
+++ b/pkg/yamlfile/places.go
@@ -53,6 +53,32 @@
 	return f
 }
 
+// AddChecked adds the findings of a later check with their places. A finding at or below a value
+// that the decoder has already refused is left out: it would report the same fault again.
+func (p *Places) AddChecked(findings *finding.List, checked []finding.Finding) {
+	if len(p.at) == 0 {
+		return
+	}
+	refused := map[string]bool{}
+	for _, f := range findings.All() {
+		refused[f.Path] = true
+	}
+	for _, f := range checked {
+		if !refusedAbove(refused, f.Path) {
+			findings.Add(p.Locate(f))
+		}
+	}
+}
+
+func refusedAbove(refused map[string]bool, path string) bool {
+	for ; path != ""; path = parent(path) {
+		if refused[path] {
+			return true
+		}
+	}
+	return false
+}
+
 func parent(path string) string {
 	return path[:max(strings.LastIndexByte(path, '.'), strings.LastIndexByte(path, '['), 0)]
 }
