--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -100,11 +100,12 @@
 		}
 	}
 	for _, rec := range f.records {
-		r.Requests[rec.kind+"."+string(rec.answer.Outcome)]++
 		if rec.answer.Broken {
+			r.Requests[rec.kind+".Broken"]++
 			r.judgeBroken(rec, f.stops[rec.entry])
 			continue
 		}
+		r.Requests[rec.kind+"."+string(rec.answer.Outcome)]++
 		if rec.want != "" && !rec.right() {
 			r.add(rec.promiseOfWrongText(others), "%s at %s answered %q and not %q", rec.id, rec.entry, rec.answer.Text, rec.want)
 		}
--- a/pkg/soak/report.go
+++ b/pkg/soak/report.go
@@ -12,7 +12,7 @@
 	Seed       uint64         `json:"Seed"`
 	Duration   string         `json:"Duration"`
 	Faults     map[Kind]int   `json:"Faults"`
-	Requests   map[string]int `json:"Requests"` // Requests are counted by kind and outcome.
+	Requests   map[string]int `json:"Requests"` // Requests are counted by kind and outcome; broken ones ended without a stated outcome.
 	Violations map[string]int `json:"Violations"`
 	Findings   []string       `json:"Findings,omitempty"` // Findings describe the first violations of each promise.
 	// TargetsPerCrash is the largest number of targets that one crashing request killed.
--- a/pkg/standin/fleet/layout.go
+++ b/pkg/standin/fleet/layout.go
@@ -24,9 +24,9 @@
 	// Service is the name of the order-and-stock service.
 	Service = "shop"
 	// MaxBatch is the number of steps in one iteration of a worker.
-	MaxBatch = 8
+	MaxBatch = 4
 	// slowdown makes the workers slow enough that they limit the throughput and not the
-	// processors of the machine that runs them all: 40 workers bear about 1,500 tokens/s.
+	// processors of the machine that runs them all: 40 workers bear about 1,300 tokens/s.
 	slowdown = 16
 	// OperatorKey is the key of the only operator.
 	OperatorKey = "operator-key"
@@ -35,12 +35,13 @@
 const (
 	// perKind is the number of workers of each accelerator kind.
 	perKind = 10
-	// memoryLayers is the number of layers that fit in a worker: no machine holds the model.
-	memoryLayers = Layers / 2
 	// activationBytes is the size of the activations of one position between stand-in engines.
 	activationBytes = 8
 )
 
+// memoryLayers is the number of layers that fit in a worker of each kind. No machine holds the model.
+var memoryLayers = [...]int64{12, 12, 6, 3}
+
 // Worker is the place of a model worker in the fleet.
 type Worker struct {
 	Name        string
@@ -61,7 +62,7 @@
 		w := Worker{Name: fmt.Sprintf("w%02d", n), DataCentre: DataCentre(n), Accelerator: kind, Link: drawLink(r)}
 		workers = append(workers, w)
 		hosts = append(hosts, placement.Worker{
-			Name: w.Name, Accelerator: kind.Name, DataCentre: w.DataCentre, Memory: memoryLayers,
+			Name: w.Name, Accelerator: kind.Name, DataCentre: w.DataCentre, Memory: memoryLayers[n/perKind],
 			Rate: kind.LayerRate(MaxBatch), Link: float64(w.Link.BytesPerSecond),
 		})
 	}
