Add the operators' commands and serve the operator API from the log

Cause: operators could not change, inspect or roll back the configuration, and nothing connected the operator API to the configuration log.

--- a/pkg/branch/branch.go
+++ b/pkg/branch/branch.go
@@ -19,7 +19,7 @@
 	"github.com/cuminroute/cuminroute/pkg/yamlfile"
 )
 
-var namespace = errorx.NewNamespace("branch")
+var namespace = errorx.NewNamespace("branch").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 // ErrNotFound is the type of errors about a workspace or branch that the configuration does not have.
 var ErrNotFound = namespace.NewType("not_found")
--- /dev/null
+++ b/pkg/command/history.go
@@ -0,0 +1,69 @@
+package command
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
+)
+
+func newHistory(e *Environment) *ffcli.Command {
+	set := e.flagSet("history")
+	limit := set.Int("limit", 20, "number of changes to list, at most 1000")
+	r := remoteFlags(set)
+	return &ffcli.Command{
+		Name:       "history",
+		ShortUsage: "cuminroute history -address <url> -key <key> [-limit 20] [-output json]",
+		ShortHelp:  "list the last changes of the configuration",
+		LongHelp:   remoteHelp,
+		FlagSet:    set,
+		Options:    options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments("history", args); err != nil {
+				return err
+			}
+			client, err := r.client()
+			if err != nil {
+				return err
+			}
+			changes, err := client.History(ctx, *limit)
+			if err != nil {
+				return e.report(err, r.format)
+			}
+			return e.write(r.format, changes, func() { e.tabulate(historyRows(changes)) })
+		},
+	}
+}
+
+func historyRows(changes []api.Change) [][]string {
+	rows := [][]string{{"VERSION", "AT", "BY", "CHANGE", "DOCUMENTS"}}
+	for _, c := range changes {
+		rows = append(rows, []string{number(c.Version), stamp(c.At), c.By, c.ID, documentNames(c.Documents)})
+	}
+	return rows
+}
+
+// maxNames keeps a line of the history readable when a change replaced every document.
+const maxNames = 5
+
+func documentNames(documents []api.Document) string {
+	var names []string
+	for _, d := range documents {
+		name := d.Name
+		if d.Deleted {
+			name += " (deleted)"
+		}
+		names = append(names, name)
+	}
+	if len(names) > maxNames {
+		names = append(names[:maxNames], "…")
+	}
+	return strings.Join(names, ", ")
+}
+
+func stamp(at time.Time) string {
+	return at.UTC().Format(time.RFC3339)
+}
--- a/pkg/peer/operator/backend.go
+++ b/pkg/peer/operator/backend.go
@@ -58,7 +58,7 @@
 	return f(key)
 }
 
-var namespace = errorx.NewNamespace("operator")
+var namespace = errorx.NewNamespace("operator").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 // Errors of Log, Fleet and Drains that the server answers with a code of their own.
 var (
