Run the whole path: callers, entry instances, stages and services

Cause: streams, quarantine and daemon were written against interfaces and had not met. Change: the daemon's router and ledger adapters follow stream.Router and stream.Ledger; a suspect of a crash is placed only on targets that the ledger permits; the client has soak, bench, standin.

--- a/pkg/command/commands.go
+++ b/pkg/command/commands.go
@@ -11,4 +11,7 @@
 	newGenerate,
 	newValidate,
 	newExplain,
+	newSoak,
+	newBench,
+	newStandin,
 }
--- /dev/null
+++ b/pkg/command/proving.go
@@ -0,0 +1,22 @@
+package command
+
+import (
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/cuminroute/cuminroute/pkg/bench"
+	"github.com/cuminroute/cuminroute/pkg/soak"
+	"github.com/cuminroute/cuminroute/pkg/standin"
+	"github.com/cuminroute/cuminroute/pkg/standin/entry"
+)
+
+func newSoak(e *Environment) *ffcli.Command {
+	return soak.NewCommand(e.Stdout, entry.Start)
+}
+
+func newBench(e *Environment) *ffcli.Command {
+	return bench.NewCommand(e.Stdout, entry.Start)
+}
+
+func newStandin(e *Environment) *ffcli.Command {
+	return standin.NewCommand(e.Stdout)
+}
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -200,7 +200,8 @@
 func (d *Daemon) assembleTraffic(ctx context.Context) {
 	d.engines = engine.NewPool(engine.WithRegistry(d.registry))
 	shared := newBudget()
-	routes := newRouter(d.picker, d.ledger, func(name string) { d.control.observeLeaving(ctx, name) })
+	routes := newRouter(d.picker, d.ledger, func() []target.Target { return *d.control.targets.Load() },
+		func(name string) { d.control.observeLeaving(ctx, name) })
 	stages := func(t target.Target) stream.Stage { return d.engines.Client(t.Address) }
 	d.runner = stream.NewRunner(routes, stages, stream.WithLedger(d.ledger), stream.WithBudget(shared),
 		stream.WithLogger(d.logger), stream.WithRegistry(d.registry))
--- a/pkg/daemon/ledger.go
+++ b/pkg/daemon/ledger.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
+	"github.com/cuminroute/cuminroute/pkg/stream"
+	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
 // ledger shares one quarantine ledger between traffic goroutines, and reports each new entry once.
@@ -39,14 +41,41 @@
 	l.state.Crash(target, now)
 }
 
-// Quarantined implements stream.Ledger.
-func (l *ledger) Quarantined(fingerprint uint64, now time.Time) bool {
+// Check implements stream.Ledger.
+func (l *ledger) Check(fingerprint uint64, now time.Time) stream.Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.state.Quarantined(fingerprint, now)
+	return stream.Verdict(l.state.Check(fingerprint, now))
 }
 
-// Alive notes that a target answered something.
+// Progress implements stream.Ledger.
+func (l *ledger) Progress(request string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.Progress(request)
+}
+
+// Completed implements stream.Ledger.
+func (l *ledger) Completed(fingerprint uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.Completed(fingerprint)
+}
+
+// forbidden returns the targets on which the content may not be started now.
+func (l *ledger) forbidden(fingerprint uint64, targets []target.Target, now time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var names []string
+	for _, t := range targets {
+		if t.Kind == target.Engine && !l.state.MayRun(fingerprint, t.Name, now) {
+			names = append(names, t.Name)
+		}
+	}
+	return names
+}
+
+// Alive implements stream.Ledger.
 func (l *ledger) Alive(target string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- /dev/null
+++ b/pkg/standin/entry/entry.go
@@ -0,0 +1,59 @@
+// Package entry starts entry instances inside the process, on loopback, for a stand-in fleet.
+//
+// Usage:
+//
+//	f, err := fleet.New(ctx, fleet.Options{Entries: 3, Start: entry.Start})
+package entry
+
+import (
+	"context"
+	"io"
+	"net/netip"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/daemon"
+	"github.com/cuminroute/cuminroute/pkg/settings"
+	"github.com/cuminroute/cuminroute/pkg/standin/fleet"
+)
+
+// Instance is a daemon as a stand-in fleet sees it.
+type Instance struct {
+	*daemon.Daemon
+}
+
+// Callers implements fleet.Entry.
+func (i Instance) Callers() netip.AddrPort { return i.Addresses().Callers }
+
+// Operators implements fleet.Entry.
+func (i Instance) Operators() netip.AddrPort { return i.Addresses().Operators }
+
+// Gossip implements fleet.Entry.
+func (i Instance) Gossip() netip.AddrPort { return i.Addresses().Peers }
+
+// Start starts a daemon on free loopback ports, without a log. It is a fleet.StartEntry.
+func Start(ctx context.Context, s fleet.Spec) (fleet.Entry, error) {
+	return StartLogging(io.Discard)(ctx, s)
+}
+
+// StartLogging returns a fleet.StartEntry whose daemons log to w.
+func StartLogging(w io.Writer) fleet.StartEntry {
+	return func(ctx context.Context, s fleet.Spec) (fleet.Entry, error) {
+		d, err := daemon.New(ctx, settingsOf(s), daemon.WithLogOutput(w))
+		if err != nil {
+			return nil, err
+		}
+		return Instance{d}, nil
+	}
+}
+
+func settingsOf(s fleet.Spec) settings.Settings {
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	return settings.Settings{
+		Instance: s.Name, DataCentre: s.DataCentre, Fleet: "standin",
+		Listen:     settings.Listen{Callers: loopback, Operators: loopback, Peers: loopback},
+		Platform:   settings.Platform{Table: s.Platform, ObjectStore: s.Platform, InstanceList: s.Platform, WeightStore: s.Platform},
+		Seeds:      s.Seeds,
+		Operators:  []configuration.Key{{Name: "operator", Hash: configuration.HashKey(fleet.OperatorKey)}},
+		StopNotice: settings.DefaultStopNotice, LogLevel: "info", Routing: s.Routing,
+	}
+}
