--- a/pkg/command/commands.go
+++ b/pkg/command/commands.go
@@ -21,4 +21,7 @@
 	instancesQuery.constructor,
 	pipelinesQuery.constructor,
 	planQuery.constructor,
+	newSoak,
+	newBench,
+	newStandin,
 }
