Bound retry amplification in a driven outage

Cause: the amplification under a full outage was not measured, and a retry has to fit two budgets (workspace and target) at once.

--- a/pkg/decision/retry/retry.go
+++ b/pkg/decision/retry/retry.go
@@ -4,19 +4,20 @@
 // a quiet key may retry too, with time. A full outage therefore amplifies the load by at most 1.1
 // plus the minimum rate.
 //
-// A Budget is not safe for concurrent use.
+// A Budget is safe for concurrent use.
 //
 // Usage:
 //
 //	budget := retry.New()
 //	budget.Request("workspace-1", now)
-//	if budget.Allow("workspace-1", now) {
+//	if budget.AllowAll(now, "workspace-1", "target-7") {
 //		delay := retry.Backoff(attempt, random)
 //	}
 package retry
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 )
 
@@ -25,8 +26,10 @@
 	ratio = 0.1
 	// minimumRate is the number of retries per second that a key may always make.
 	minimumRate = 3.0
-	// burst bounds the retries saved up, in seconds of the minimum rate and of the request share.
+	// burst bounds the retries saved up, so that a long quiet time does not pay for a storm.
 	burst = 10.0
+	// initial is what a new key has: one second of the minimum rate.
+	initial = minimumRate
 	// idle is the time after which an unused key is forgotten; its bucket is full by then.
 	idle = time.Minute
 
@@ -44,6 +47,7 @@
 
 // Budget holds a token bucket for each key.
 type Budget struct {
+	mu      sync.Mutex
 	buckets map[string]*bucket
 	swept   time.Time
 }
@@ -55,26 +59,46 @@
 
 // Request notes a first attempt, which pays for a tenth of a retry.
 func (b *Budget) Request(key string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	k := b.bucket(key, now)
 	k.tokens = min(burst, k.tokens+ratio)
 }
 
 // Allow reports whether the key may make a retry now, and takes it out of the budget if so.
 func (b *Budget) Allow(key string, now time.Time) bool {
-	k := b.bucket(key, now)
-	if k.tokens < 1 {
-		return false
+	return b.AllowAll(now, key)
+}
+
+// AllowAll reports whether every key, such as a workspace and a target, may make a retry now. It
+// takes the retry out of the budgets of all of them or of none.
+func (b *Budget) AllowAll(now time.Time, keys ...string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, key := range keys {
+		if b.bucket(key, now).tokens < 1 {
+			return false
+		}
+	}
+	for _, key := range keys {
+		b.bucket(key, now).tokens--
 	}
-	k.tokens--
 	return true
 }
 
+// Keys returns the number of keys that are kept.
+func (b *Budget) Keys() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return len(b.buckets)
+}
+
 // bucket returns the key's bucket, filled up to now.
 func (b *Budget) bucket(key string, now time.Time) *bucket {
 	b.sweep(now)
 	k, ok := b.buckets[key]
 	if !ok {
-		k = &bucket{tokens: minimumRate, filled: now}
+		k = &bucket{tokens: initial, filled: now}
 		b.buckets[key] = k
 	}
 	if passed := now.Sub(k.filled); passed > 0 {
