Test and measure a driven cluster

Cause: failure detection, gossip and configuration spread need evidence under cuts, loss, restarts and outages, and figures at size.

--- a/pkg/decision/membership/config.go
+++ b/pkg/decision/membership/config.go
@@ -26,8 +26,8 @@
 	maxHealth = 8
 	// fanout is the number of members that news is sent to at once.
 	fanout = 3
-	// syncInterval is the time between digest comparisons. syncCatchUp applies while the last
-	// comparison differed in more than syncManyBuckets.
+	// syncInterval is the time between digest comparisons. It starts at syncCatchUp
+	// and doubles, and starts again after a comparison that differed in more than syncManyBuckets.
 	syncInterval    = 10 * time.Second
 	syncCatchUp     = 500 * time.Millisecond
 	syncManyBuckets = 8
--- a/pkg/decision/membership/sync.go
+++ b/pkg/decision/membership/sync.go
@@ -42,12 +42,14 @@
 	t.digest[bucket(hash)] ^= uint32(sum)
 }
 
-// tickSync starts a comparison of digests with a random member.
+// tickSync starts a comparison of digests with a random member, often at first and after a comparison
+// that differed much.
 func (t *Table) tickSync() {
 	if len(t.live) == 0 || t.now.Before(t.nextSync) {
 		return
 	}
-	t.nextSync = t.now.Add(syncInterval)
+	t.syncWait = min(max(2*t.syncWait, syncCatchUp), syncInterval)
+	t.nextSync = t.now.Add(t.syncWait)
 	t.sendDigest(Sync, t.live[t.rand.IntN(len(t.live))].Address)
 }
 
@@ -72,6 +74,7 @@
 		return
 	}
 	if p.Kind == SyncBack && count > syncManyBuckets {
+		t.syncWait = 0
 		t.nextSync = t.now.Add(syncCatchUp)
 	}
 	t.sendEntries(p.From.Address, &differ)
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -53,6 +53,8 @@
 	refused uint64
 	nextSync, nextSeed, nextDead, nextForget time.Time
 
+	syncWait time.Duration // syncWait is the present time between comparisons
+
 	out    []Packet
 	events []Event
 }
--- /dev/null
+++ b/pkg/peer/instance/cluster_test.go
@@ -0,0 +1,146 @@
+package instance_test
+
+import (
+	"flag"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+)
+
+// TestMain fixes the seed of the property tests and bounds their number; the flags -rapid.seed and
+// -rapid.checks of a longer search win.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "30")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// TestJoin guards against instances that do not find each other through a seed list of which only a
+// part is live, and against a list that is empty at first.
+func TestJoin(t *testing.T) {
+	c := newCluster(t, 1)
+	c.head = 1
+	for i := range 40 {
+		c.start(i, address(900), address(0), address(901))
+	}
+	late := c.start(40)
+	c.runUntil(10*time.Second, "all but one know each other", c.everyone(func(p *process) bool {
+		return p == late || len(p.table.Members()) == 40
+	}))
+	late.table.SetSeeds([]netip.AddrPort{address(7)})
+	c.runUntil(5*time.Second, "all know all", c.agreed)
+	c.runUntil(6*time.Second, "all have the version", c.everyone(c.current))
+}
+
+// TestFailures guards against live members declared dead under loss, dead ones not detected, and
+// restarted ones not accepted at their old address.
+func TestFailures(t *testing.T) {
+	c := newCluster(t, 2)
+	c.loss = 0.05
+	c.startAll(30)
+	c.onEvent = func(p *process, e membership.Event) {
+		if e.Item == nil && e.Member.State == membership.Dead && c.byAddress[e.Member.Address].up {
+			t.Errorf("%s declares %s dead", p.self.Name, e.Member.Name)
+		}
+	}
+	c.run(2 * time.Minute)
+	c.processes[3].up = false
+	c.runUntil(20*time.Second, "the killed instance is detected", c.agreed)
+	c.start(3, address(5))
+	c.runUntil(10*time.Second, "the restarted instance is accepted", c.agreed)
+	c.send(c.processes[4], c.processes[4].table.Leave(c.now()))
+	c.run(10 * time.Millisecond)
+	c.processes[4].up = false
+	c.runUntil(3*time.Second, "the departure is known", c.agreed)
+}
+
+// TestCut guards against two regions that declared each other dead and do not find together again,
+// also without any seed, and against one side's deaths or versions that win over the living.
+func TestCut(t *testing.T) {
+	c := newCluster(t, 3)
+	c.head = 1
+	c.startAll(20)
+	c.run(5 * time.Second)
+	c.cut = func(a, b *process) bool { return a.region() != b.region() }
+	c.runUntil(time.Minute, "each side sees itself only", c.everyone(func(p *process) bool {
+		return len(p.table.Members()) == map[int]int{0: 12, 1: 8}[p.region()]
+	}))
+	c.run(3 * time.Minute)
+	c.cut = func(_, _ *process) bool { return false }
+	c.head++
+	c.runUntil(6*time.Second, "the new version is everywhere", c.everyone(c.current))
+	c.runUntil(30*time.Second, "the sides have merged", c.agreed)
+	c.run(time.Minute)
+	qt.Assert(t, c.agreed(), qt.IsTrue)
+}
+
+// TestItems guards against drains and quarantines that do not reach all, and against a cancelled drain
+// that comes back from an instance that was cut off.
+func TestItems(t *testing.T) {
+	c := newCluster(t, 4)
+	c.startAll(30)
+	c.run(time.Second)
+	cutOff := c.processes[9]
+	drain := membership.Drain{Target: "w1", At: c.now(), Expires: c.now().Add(time.Hour)}
+	qt.Assert(t, c.processes[0].table.Publish(drain), qt.IsNil)
+	qt.Assert(t, c.processes[1].table.Publish(membership.Quarantine{Fingerprint: 7, Until: c.now().Add(time.Minute)}), qt.IsNil)
+	has := func(n int) func(*process) bool {
+		return func(p *process) bool { return len(p.table.Items()) == n }
+	}
+	c.runUntil(3*time.Second, "both items are everywhere", c.everyone(has(2)))
+	c.cut = func(a, b *process) bool { return a == cutOff || b == cutOff }
+	drain.At, drain.Cancelled = c.now(), true
+	qt.Assert(t, c.processes[2].table.Publish(drain), qt.IsNil)
+	c.run(time.Minute)
+	c.cut = func(_, _ *process) bool { return false }
+	c.runUntil(40*time.Second, "the cancellation is everywhere and the quarantine is over", c.everyone(func(p *process) bool {
+		items := p.table.Items()
+		return len(items) == 1 && items[0].(membership.Drain).Cancelled
+	}))
+}
+
+// TestVersions guards against a version that falls or skips a change, and against instances that do
+// not have the newest version 6 s after cuts, loss, restarts and outages of the table have ended.
+func TestVersions(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		c := newCluster(t, rapid.Uint64().Draw(r, "seed"))
+		c.head = 1
+		c.startAll(rapid.IntRange(2, 25).Draw(r, "instances"))
+		c.run(2 * time.Second)
+		for range rapid.IntRange(1, 8).Draw(r, "steps") {
+			c.disturb(r)
+			c.run(time.Duration(rapid.IntRange(100, 15000).Draw(r, "ms")) * time.Millisecond)
+		}
+		c.cut, c.loss, c.tableDown = func(_, _ *process) bool { return false }, 0, false
+		c.head++
+		c.runUntil(6*time.Second, "the newest version is everywhere", c.everyone(c.current))
+	})
+}
+
+// disturb makes one random change to the conditions.
+func (c *cluster) disturb(r *rapid.T) {
+	switch rapid.SampledFrom([]string{"change", "cut", "heal", "loss", "table", "restart", "kill"}).Draw(r, "what") {
+	case "change":
+		c.head += uint64(rapid.IntRange(1, 3).Draw(r, "changes"))
+	case "cut":
+		modulus := rapid.IntRange(2, 4).Draw(r, "parts")
+		c.cut = func(a, b *process) bool { return a.index%modulus != b.index%modulus }
+	case "heal":
+		c.cut = func(_, _ *process) bool { return false }
+	case "loss":
+		c.loss = rapid.Float64Range(0, 0.2).Draw(r, "loss")
+	case "table":
+		c.tableDown = !c.tableDown
+	case "kill":
+		c.processes[rapid.IntRange(1, len(c.processes)-1).Draw(r, "instance")].up = false
+	case "restart":
+		c.start(rapid.IntRange(0, len(c.processes)-1).Draw(r, "instance"), address(0), address(1))
+	}
+}
--- /dev/null
+++ b/pkg/peer/instance/driven_test.go
@@ -0,0 +1,320 @@
+package instance_test
+
+import (
+	"container/heap"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/spread"
+	"github.com/cuminroute/cuminroute/pkg/peer/instance"
+)
+
+func seeded(n uint64) *rand.Rand { return rand.New(rand.NewPCG(n, n)) }
+
+// process is one driven entry instance. A restart makes a new one at the same address.
+type process struct {
+	index    int
+	self     membership.Member
+	up       bool
+	table    *membership.Table
+	spreader *spread.Spreader
+	bytes    int // bytes sent, with 28 bytes of IP and UDP headers for each packet
+	packets  int
+}
+
+func (p *process) region() int { return p.index % 5 / 3 } // Data centres 0 to 2 are region 0.
+
+// event is something that happens at a driven time: a tick of a process, the arrival of a packet, or
+// a call.
+type event struct {
+	at     time.Duration
+	order  int
+	to     *process
+	from   netip.AddrPort
+	packet []byte
+	call   func()
+}
+
+type events []event
+
+func (e events) Len() int      { return len(e) }
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := len(*e) - 1
+	x := (*e)[last]
+	(*e)[last] = event{}
+	*e = (*e)[:last]
+	return x
+}
+
+// cluster runs processes in one goroutine on a driven clock.
+type cluster struct {
+	t         testing.TB
+	rand      *rand.Rand
+	at        time.Duration
+	order     int
+	queue     events
+	processes []*process
+	byAddress map[netip.AddrPort]*process
+	loss      float64
+	cut       func(a, b *process) bool
+	head      uint64
+	tableDown bool
+	onEvent   func(p *process, e membership.Event)
+	onVersion func(p *process)
+	fetched   int // fetched counts bytes of change records and head rows
+}
+
+var epoch = time.UnixMilli(1_800_000_000_000)
+
+func (c *cluster) now() time.Time { return epoch.Add(c.at) }
+
+func newCluster(t testing.TB, seed uint64) *cluster {
+	return &cluster{t: t, rand: seeded(seed), byAddress: map[netip.AddrPort]*process{}, cut: func(_, _ *process) bool { return false }}
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7946)
+}
+
+// start runs a process at the address with the index, which replaces an earlier one.
+func (c *cluster) start(i int, seeds ...netip.AddrPort) *process {
+	p := &process{index: i, up: true, self: membership.Member{
+		Name: fmt.Sprintf("entry-%05d", i), DataCentre: fmt.Sprintf("r%d-dc%d", i%5/3, i%5), Address: address(i),
+	}}
+	var err error
+	config := membership.Config{Fleet: "fleet", Self: p.self, Seeds: seeds}
+	p.table, err = membership.New(config, seeded(c.rand.Uint64()), c.now())
+	qt.Assert(c.t, err, qt.IsNil)
+	p.self = p.table.Self()
+	p.spreader = spread.New(p.self, seeded(c.rand.Uint64()))
+	if i == len(c.processes) {
+		c.processes = append(c.processes, p)
+	} else {
+		c.processes[i].up = false
+		c.processes[i] = p
+	}
+	c.byAddress[p.self.Address] = p
+	c.push(event{at: c.at + c.between(0, membership.TickInterval), to: p})
+	return p
+}
+
+// startAll starts n processes that know each other and hold the newest version.
+func (c *cluster) startAll(n int) {
+	for i := range n {
+		c.start(i)
+	}
+	var all []membership.Member
+	for _, p := range c.processes {
+		all = append(all, p.self)
+	}
+	for i, p := range c.processes {
+		k := membership.Packet{Kind: membership.SyncEntries, Fleet: "fleet", From: all[(i+1)%n], Members: all}
+		p.table.Receive(k.From.Address, k, c.now())
+		p.table.Events()
+		p.spreader.SetMembers(p.table.Members())
+	}
+}
+
+func (c *cluster) push(e event) {
+	c.order++
+	e.order = c.order
+	heap.Push(&c.queue, e)
+}
+
+func (c *cluster) after(d time.Duration, call func()) { c.push(event{at: c.at + d, call: call}) }
+
+func (c *cluster) between(a, b time.Duration) time.Duration {
+	return a + time.Duration(c.rand.Int64N(int64(b-a)))
+}
+
+// run advances the driven clock.
+func (c *cluster) run(d time.Duration) {
+	end := c.at + d
+	for len(c.queue) > 0 && c.queue[0].at <= end {
+		e := heap.Pop(&c.queue).(event)
+		c.at = e.at
+		c.handle(e)
+	}
+	c.at = end
+}
+
+// runUntil advances the clock until the condition holds, and returns how long that took. It fails
+// after the limit.
+func (c *cluster) runUntil(limit time.Duration, what string, holds func() bool) time.Duration {
+	start := c.at
+	for !holds() {
+		if c.at-start >= limit {
+			c.t.Fatalf("not within %s: %s", limit, what)
+		}
+		c.run(50 * time.Millisecond)
+	}
+	return c.at - start
+}
+
+func (c *cluster) handle(e event) {
+	switch {
+	case e.call != nil:
+		e.call()
+		return
+	case !e.to.up:
+		return
+	case e.packet == nil:
+		c.push(event{at: c.at + membership.TickInterval, to: e.to})
+		c.send(e.to, e.to.table.Tick(c.now()))
+		c.perform(e.to, e.to.spreader.Tick(c.now()))
+	default:
+		p, err := instance.Decode(e.packet)
+		qt.Assert(c.t, err, qt.IsNil)
+		c.send(e.to, e.to.table.Receive(e.from, p, c.now()))
+	}
+	c.handleEvents(e.to)
+}
+
+func (c *cluster) handleEvents(p *process) {
+	changed := false
+	for _, e := range p.table.Events() {
+		if c.onEvent != nil {
+			c.onEvent(p, e)
+		}
+		if v, ok := e.Item.(membership.Version); ok {
+			c.perform(p, p.spreader.Heard(e.From, v.Number, c.now()))
+		}
+		changed = changed || e.Item == nil
+	}
+	if changed {
+		p.spreader.SetMembers(p.table.Members())
+	}
+}
+
+const headerBytes = 28 // IP and UDP
+
+func (c *cluster) send(p *process, packets []membership.Packet) {
+	for _, k := range packets {
+		b, err := instance.Encode(k)
+		qt.Assert(c.t, err, qt.IsNil)
+		p.packets++
+		p.bytes += len(b) + headerBytes
+		to := c.byAddress[k.To]
+		if to != nil && c.reaches(p, to) && c.rand.Float64() >= c.loss {
+			c.push(event{at: c.at + c.latency(p, to), to: to, from: p.self.Address, packet: b})
+		}
+	}
+}
+
+func (c *cluster) reaches(a, b *process) bool { return a.up && b.up && !c.cut(a, b) }
+
+func (c *cluster) latency(a, b *process) time.Duration {
+	if a.region() != b.region() {
+		return c.between(30*time.Millisecond, 40*time.Millisecond)
+	}
+	return c.between(200*time.Microsecond, 2*time.Millisecond)
+}
+
+var errDown = errors.New("not reached")
+
+// changeBytes is the size of a workspace document and the overhead of a call over a new connection.
+const changeBytes, callBytes, headBytes = 2000, 600, 700
+
+// perform answers the spreader's actions after a delay. An action that fails takes its whole time.
+func (c *cluster) perform(p *process, actions []spread.Action) {
+	for _, a := range actions {
+		switch {
+		case a.Do == spread.ReadHead:
+			c.fetched += headBytes
+			c.answer(p, !c.tableDown, func(err error) []spread.Action { return p.spreader.HeadRead(c.head, err, c.now()) })
+		case a.Do == spread.Apply:
+			c.answer(p, true, func(error) []spread.Action { return c.apply(p, a) })
+		case a.Peer.IsValid():
+			peer := c.byAddress[a.Peer]
+			c.fetch(p, a, c.reaches(p, peer), func() uint64 { return peer.spreader.Version() })
+		default:
+			c.fetch(p, a, !c.tableDown, func() uint64 { return c.head })
+		}
+	}
+}
+
+func (c *cluster) fetch(p *process, a spread.Action, reached bool, version func() uint64) {
+	c.answer(p, reached && c.rand.Float64() >= 3*c.loss, func(err error) []spread.Action {
+		newest := version()
+		if a.Do == spread.FetchSnapshot {
+			return p.spreader.FetchedSnapshot(a, newest, err, c.now())
+		}
+		var versions []uint64
+		for v := a.After + 1; v <= newest && err == nil; v++ {
+			versions = append(versions, v)
+		}
+		c.fetched += callBytes + changeBytes*len(versions)
+		return p.spreader.Fetched(a, versions, false, err, c.now())
+	})
+}
+
+func (c *cluster) answer(p *process, ok bool, step func(error) []spread.Action) {
+	delay, err := c.between(2*time.Millisecond, 20*time.Millisecond), error(nil)
+	if !ok {
+		delay, err = spread.ActionTimeout, errDown
+	}
+	c.after(delay, func() {
+		if p.up {
+			c.perform(p, step(err))
+		}
+	})
+}
+
+// apply fails the test if the version in force would fall.
+func (c *cluster) apply(p *process, a spread.Action) []spread.Action {
+	before := p.spreader.Version()
+	if a.Last <= before || !a.Snapshot && a.First != before+1 {
+		c.t.Errorf("%s applies %d to %d after %d", p.self.Name, a.First, a.Last, before)
+	}
+	next := p.spreader.Applied(a, a.Last, nil, c.now())
+	if v := p.spreader.Version(); v != a.Last {
+		c.t.Errorf("%s is at %d after it applied %d", p.self.Name, v, a.Last)
+	}
+	qt.Assert(c.t, p.table.Publish(membership.Version{Number: a.Last}), qt.IsNil)
+	if c.onVersion != nil {
+		c.onVersion(p)
+	}
+	return next
+}
+
+// everyone reports whether a condition holds for every running process.
+func (c *cluster) everyone(f func(*process) bool) func() bool {
+	return func() bool {
+		for _, p := range c.processes {
+			if p.up && !f(p) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (c *cluster) running() int {
+	n := 0
+	for _, p := range c.processes {
+		if p.up {
+			n++
+		}
+	}
+	return n
+}
+
+// agreed reports whether every process knows exactly the running ones.
+func (c *cluster) agreed() bool {
+	n := c.running()
+	return c.everyone(func(p *process) bool { return len(p.table.Members()) == n })()
+}
+
+func (c *cluster) current(p *process) bool { return p.spreader.Version() == c.head }
