Tell a busy stage from a frozen one by its answers to other streams

Cause: under load a step waits in the engine's queue for longer than its deadline, so streams left stages that were only busy; each such move adds a prefill, which loads the stages more. Change: a step's deadline runs from the target's last answer to any stream of this instance, and a step alone never waits longer than the cap.

--- a/pkg/stream/deadline.go
+++ b/pkg/stream/deadline.go
@@ -77,6 +77,13 @@
 	o.latest = now
 }
 
+// lastAnswer returns when the target last answered a step of any stream.
+func (o *observed) lastAnswer() time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.latest
+}
+
 // silentSince reports whether the target has answered nobody since then. A target that answers others is slow, not frozen.
 func (o *observed) silentSince(began time.Time) bool {
 	o.mu.Lock()
--- a/pkg/stream/step.go
+++ b/pkg/stream/step.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/latency"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
@@ -38,14 +40,57 @@
 	return result, g.check(stage, step, result)
 }
 
-// call returns the cause errFrozen where the step's deadline passed.
+// call returns the cause errFrozen where the target counts as frozen: it has answered no step of any
+// stream for the step's deadline, or this step has waited for the longest deadline. A target that
+// answers others is busy, and a new generation elsewhere would only add a prefill to the load.
 func (a *attempt) call(ctx context.Context) (result *enginepb.StepResult, cause, err error) {
-	bounded, cancel := context.WithTimeoutCause(ctx, a.deadline(), errFrozen)
-	defer cancel()
+	bounded, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := a.deadline()
+	watched := &watch{}
+	watched.after(limit, func() time.Duration { return a.patience(limit) }, func() { cancel(errFrozen) })
+	defer watched.stop()
 	result, err = a.generation.stages[a.stage].Step(bounded, a.step)
 	return result, context.Cause(bounded), err
 }
 
+// watch is a timer that is set again for as long as there is patience left.
+type watch struct {
+	mu      sync.Mutex
+	timer   *time.Timer
+	stopped bool
+}
+
+// after calls expired once wait has passed and patience is zero or less.
+func (w *watch) after(wait time.Duration, patience func() time.Duration, expired func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.stopped {
+		return
+	}
+	w.timer = time.AfterFunc(wait, func() {
+		if left := patience(); left > 0 {
+			w.after(left, patience, expired)
+			return
+		}
+		expired()
+	})
+}
+
+func (w *watch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
+
+// patience returns how much longer the step may wait, zero or less where the target counts as frozen.
+func (a *attempt) patience(limit time.Duration) time.Duration {
+	now := a.generation.answer.runner.now()
+	longest := max(latency.Cap, limit)
+	return min(a.times.lastAnswer().Add(limit).Sub(now), a.began.Add(longest).Sub(now))
+}
+
 func (a *attempt) deadline() time.Duration {
 	if isPrefill(a.step) {
 		return a.times.prefillDeadline(a.size)
