--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -22,6 +22,7 @@
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
@@ -227,12 +228,16 @@
 	return route.Policy(setting)
 }
 
+// frameworkLogger sets the framework's logger once: it is global, and setting it again would race
+// with the servers of other instances in this process.
+var frameworkLogger sync.Once
+
 // start runs the control goroutine and the kratos application.
 func (d *Daemon) start(ctx context.Context) {
+	frameworkLogger.Do(func() { klog.SetLogger(newKratosLogger(d.logger)) })
 	go d.control.run(ctx)
 	d.app = kratos.New(
 		kratos.Name("cuminrouted"), kratos.ID(d.settings.Instance), kratos.Context(ctx),
-		kratos.Logger(newKratosLogger(d.logger)),
 		kratos.Server(d.callers, d.operators),
 		kratos.BeforeStop(func(ctx context.Context) error { return d.drain(ctx) }),
 	)
