--- a/pkg/command/commands.go
+++ b/pkg/command/commands.go
@@ -7,5 +7,21 @@
 
 // commands lists the commands in the order of the help text. A further command is one more line.
 var commands = []Constructor{
+	newQuestionnaire,
+	newGenerate,
 	newValidate,
+	newExplain,
+	newApply,
+	newShow,
+	newDiff,
+	newHistory,
+	newRollback,
+	newDrain,
+	stateQuery.constructor,
+	instancesQuery.constructor,
+	pipelinesQuery.constructor,
+	planQuery.constructor,
+	newSoak,
+	newBench,
+	newStandin,
 }
