Keep the clerk's ticket with the claim, and refuse large headers as JSON

Cause: the daemon's adapter forgot a claim at the first attempt to store its answer, so that a later attempt failed as lost; a replay of an answer that was too large to store looked like an empty answer; headers above the limit got a refusal of the HTTP library without an outcome. Change: a claim ticket holds the claimer's own ticket; Omitted is passed on in a header; headers above 16 KiB get a JSON refusal. Wait reports an idle counter also when its context has ended. Conclusion: storing a first answer can be tried again over a short outage of the table.

--- a/pkg/daemon/claims.go
+++ b/pkg/daemon/claims.go
@@ -2,17 +2,14 @@
 
 import (
 	"context"
-	"sync"
 
 	"github.com/cuminroute/cuminroute/pkg/claim"
 	"github.com/cuminroute/cuminroute/pkg/peer/service"
 )
 
-// claims lets the service client claim by a clerk. It keeps the clerk's tickets of claims that
-// are running, since the client's tickets hold only their IDs.
+// claims lets the service client claim by a clerk. The clerk's own ticket is the handle of the client's.
 type claims struct {
 	clerk *claim.Clerk
-	won   sync.Map // won maps a claim ID to its claim.Ticket.
 }
 
 // Claim implements service.Claimer.
@@ -21,29 +18,28 @@
 	if err != nil {
 		return service.ClaimTicket{}, err
 	}
-	if ticket.State == claim.Won {
-		c.won.Store(ticket.ID, ticket)
-	}
 	return service.ClaimTicket{
-		ID: ticket.ID, State: service.ClaimState(ticket.State),
-		Answer: service.Answer{Status: ticket.Answer.Status, ContentType: ticket.Answer.ContentType, Body: ticket.Answer.Body},
+		ID: ticket.ID, State: service.ClaimState(ticket.State), Handle: ticket,
+		Answer: service.Answer{
+			Status: ticket.Answer.Status, ContentType: ticket.Answer.ContentType, Body: ticket.Answer.Body, Omitted: ticket.Answer.Omitted,
+		},
 	}, nil
 }
 
-// Finish implements service.Claimer.
+// Finish implements service.Claimer. It may be called again after an error.
 func (c *claims) Finish(ctx context.Context, t service.ClaimTicket, answer service.Answer) error {
-	held, ok := c.won.LoadAndDelete(t.ID)
+	held, ok := t.Handle.(claim.Ticket)
 	if !ok {
 		return claim.ErrLost
 	}
-	return c.clerk.Finish(ctx, held.(claim.Ticket), claim.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body})
+	return c.clerk.Finish(ctx, held, claim.Answer{Status: answer.Status, ContentType: answer.ContentType, Body: answer.Body})
 }
 
 // Abandon implements service.Claimer.
 func (c *claims) Abandon(ctx context.Context, t service.ClaimTicket) error {
-	held, ok := c.won.LoadAndDelete(t.ID)
+	held, ok := t.Handle.(claim.Ticket)
 	if !ok {
 		return claim.ErrLost
 	}
-	return c.clerk.Abandon(ctx, held.(claim.Ticket))
+	return c.clerk.Abandon(ctx, held)
 }
--- a/pkg/drain/counter.go
+++ b/pkg/drain/counter.go
@@ -93,10 +93,16 @@
 	return c.running
 }
 
-// Wait returns once the counter is draining and nothing runs, or when ctx ends.
+// Wait returns nil once the counter is draining and nothing runs, and the error of ctx when that ends first.
 func (c *Counter) Wait(ctx context.Context) error {
+	idle := c.whenIdle()
 	select {
-	case <-c.whenIdle():
+	case <-idle:
+		return nil
+	default:
+	}
+	select {
+	case <-idle:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
--- a/pkg/peer/caller/exchange.go
+++ b/pkg/peer/caller/exchange.go
@@ -36,6 +36,20 @@
 	return &exchange{server: s, writer: w, request: r, id: uuid.NewString(), began: s.now(), configuration: s.snapshot()}
 }
 
+func (x *exchange) checkHeader() error {
+	size := 0
+	for name, values := range x.request.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size > DefaultMaxHeader {
+		return refusal.New(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large", outcome.NotRun,
+			"the headers have %d bytes; at most %d are accepted", size, DefaultMaxHeader)
+	}
+	return nil
+}
+
 func (x *exchange) authenticate() error {
 	if x.configuration == nil {
 		return refusal.New(http.StatusServiceUnavailable, "not_ready", outcome.NotRun,
--- a/pkg/peer/caller/listener.go
+++ b/pkg/peer/caller/listener.go
@@ -13,8 +13,8 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout exceeds the usual idle timeout of a load balancer, which should close first.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds a request's headers.
-	maxHeaderBytes = 32 << 10
+	// maxHeaderBytes bounds what is read of a request's headers. It lies above DefaultMaxHeader, whose refusal is JSON.
+	maxHeaderBytes = 64 << 10
 )
 
 // NewListener returns a kratos HTTP server that serves handler at address. The library's timeout is off, since
--- a/pkg/peer/caller/refusal_test.go
+++ b/pkg/peer/caller/refusal_test.go
@@ -95,6 +95,7 @@
 		{name: "priority", body: chat(""), headers: []string{"Cuminroute-Priority: High"}, status: 400, code: "invalid_priority"},
 		{name: "timeout", body: chat(""), headers: []string{"Cuminroute-Timeout: -1s"}, status: 400, code: "invalid_timeout"},
 		{name: "large", body: chat(`,"user":"` + strings.Repeat("x", 5000) + `"`), status: 413, code: "body_too_large"},
+		{name: "headers", headers: []string{"X-Large: " + strings.Repeat("x", 17000)}, status: 431, code: "headers_too_large"},
 		{name: "service", path: "/services/none/kits", status: 404, code: "request_kind_not_found"},
 		{name: "kind", path: "/services/orders/other", status: 404, code: "request_kind_not_found"},
 		{name: "path", method: "GET", path: "/services/orders/stock/..%5ckits", status: 400, code: "invalid_path"},
--- a/pkg/peer/caller/server.go
+++ b/pkg/peer/caller/server.go
@@ -62,6 +62,8 @@
 const (
 	// DefaultMaxBody bounds a request's body. A prompt of 4 MiB exceeds the context of any model in use.
 	DefaultMaxBody = 4 << 20
+	// DefaultMaxHeader bounds a request's headers.
+	DefaultMaxHeader = 16 << 10
 	// DefaultMaxTokens applies where a request does not say how long its answer may be.
 	DefaultMaxTokens = 4096
 	// bodyTimeout bounds the reading of a request's body.
@@ -165,6 +167,9 @@
 }
 
 func (s *Server) serve(x *exchange) error {
+	if err := x.checkHeader(); err != nil {
+		return err
+	}
 	if err := x.authenticate(); err != nil {
 		return err
 	}
--- a/pkg/peer/caller/services.go
+++ b/pkg/peer/caller/services.go
@@ -44,6 +44,9 @@
 	if answer.Replayed {
 		x.writer.Header().Set("Cuminroute-Replayed", "true")
 	}
+	if answer.Omitted {
+		x.writer.Header().Set("Cuminroute-Body-Omitted", "true")
+	}
 	x.send(answer.Status, answer.ContentType, answer.Body)
 	return nil
 }
--- a/pkg/peer/service/service.go
+++ b/pkg/peer/service/service.go
@@ -54,6 +54,7 @@
 	ContentType string
 	Body        []byte
 	Replayed    bool // Replayed marks the stored answer of an earlier request with the same key.
+	Omitted     bool // Omitted marks a replayed answer whose body was too large to store.
 }
 
 // Targets returns the targets of a service, from the snapshot in force.
@@ -85,6 +86,7 @@
 	ID     string
 	State  ClaimState
 	Answer Answer
+	Handle any // Handle is the claimer's own form of the ticket, which comes back to it in Finish and Abandon.
 }
 
 // Claimer decides which request with a key is dispatched. It is claim.Clerk behind an adapter.
