Make deadline and policies of the measurements flags

Cause: at the bound the stand-in fleet answers in about 4.5 s, so that a deadline of 5 s failed sound answers, and comparing one policy took an edit. Change: the flags -deadline (8 s by default) and -policies; goodput after a failure ignores the deadline.

--- a/pkg/bench/overhead.go
+++ b/pkg/bench/overhead.go
@@ -65,7 +65,7 @@
 	defer f.Close()
 	client := caller.New()
 	defer client.Close()
-	l := load{fleet: f, client: client}
+	l := load{fleet: f, client: client, deadline: o.Deadline}
 	result.Entry = o.measurePath(ctx, "Entry", func(ctx context.Context, _ int, q arrival) caller.Answer {
 		a, _ := l.ask(ctx, q)
 		return a
--- a/pkg/bench/recovery.go
+++ b/pkg/bench/recovery.go
@@ -113,7 +113,7 @@
 }
 
 func (o Options) measureFailure(ctx context.Context, f *fleet.Fleet, failure failure) FailureResult {
-	l := load{fleet: f, client: caller.New(), resend: true}
+	l := load{fleet: f, client: caller.New(), deadline: o.Deadline, resend: true}
 	defer l.client.Close()
 	failing := make(chan time.Time, 1)
 	var hit []string
@@ -222,10 +222,10 @@
 
 func tokensIn(answers []sent, from time.Time) float64 {
 	to := from.Add(goodputWindow)
-	tokens := delivered(answers, from, to)
+	tokens := delivered(answers, time.Hour, from, to)
 	for _, s := range answers {
 		if s.again != nil {
-			tokens += delivered([]sent{{answer: *s.again}}, from, to)
+			tokens += delivered([]sent{{answer: *s.again}}, time.Hour, from, to)
 		}
 	}
 	return tokens
