Admit streams by the number that the engines' batches hold

Cause: admission counted a usual answer as 256 tokens, so requests for 16 tokens were admitted sixteen times too many and ended past their deadline.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -81,6 +81,7 @@
 		case now := <-list.C:
 			c.pollList(ctx)
 			c.refreshDrains(now)
+			c.setCapacity()
 			c.publishLoad()
 		case <-reports.C:
 			c.pollNextReport(ctx)
@@ -295,9 +296,6 @@
 	}
 }
 
-// answerCost is the cost in tokens that admission counts for a usual answer, as the caller API estimates it.
-const answerCost = 256
-
 // setCapacity gives admission this instance's share of the streams that the engines can hold. A
 // stream occupies one stage at a time, so the streams in flight are the sum of the batches.
 func (c *control) setCapacity() {
@@ -308,5 +306,5 @@
 		}
 	}
 	instances := max(len(c.d.node.Members()), 1)
-	c.d.gate.admission.SetCapacity(time.Now(), float64(slots*answerCost)/float64(instances))
+	c.d.gate.admission.SetCapacity(time.Now(), float64(slots)*c.d.gate.meanCost()/float64(instances))
 }
--- a/pkg/daemon/gate.go
+++ b/pkg/daemon/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/admission"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
@@ -11,13 +12,36 @@
 	"github.com/cuminroute/cuminroute/pkg/refusal"
 )
 
-// gate turns the refusals of admission into those that callers see.
+// costSmoothing is the weight of one request in the mean cost.
+const costSmoothing = 0.02
+
+// gate turns the refusals of admission into those that callers see, and keeps the mean cost of a
+// request, by which the number of streams that the engines can hold becomes a capacity in tokens.
 type gate struct {
 	admission *admission.Gate
+	mu        sync.Mutex
+	mean      float64
+}
+
+// meanCost returns the mean cost of the requests so far, at least 1.
+func (g *gate) meanCost() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return max(g.mean, 1)
+}
+
+func (g *gate) observe(cost float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.mean == 0 {
+		g.mean = cost
+	}
+	g.mean += costSmoothing * (cost - g.mean)
 }
 
 // Enter implements caller.Gate.
 func (g *gate) Enter(ctx context.Context, t caller.Ticket) (release func(), err error) {
+	g.observe(t.Cost)
 	release, err = g.admission.Enter(ctx, admission.Ticket{
 		ID: t.ID, Workspace: t.Workspace, Weight: t.Weight, Priority: t.Priority, Cost: t.Cost, Deadline: t.Deadline,
 	})
--- a/pkg/stream/step.go
+++ b/pkg/stream/step.go
@@ -133,6 +133,8 @@
 	runner.router.Failed(name, now)
 	if cause == errFrozen {
 		a.observe(now)
+		err = fmt.Errorf("no answer for %v, and none to other streams for %v: %w",
+			now.Sub(a.began), now.Sub(a.times.lastAnswer()), errFrozen)
 		return g.faultWith(a.stage, frozen, err, a.times.silentSince(a.began))
 	}
 	g.dead[a.stage] = true
