--- a/pkg/command/queries.go
+++ b/pkg/command/queries.go
@@ -80,8 +80,12 @@
 		return c.Plan(ctx)
 	},
 	rows: func(p api.Plan) [][]string {
+		bound := "unknown"
+		if p.Bound > 0 {
+			bound = fmt.Sprintf("%.0f tokens/s", p.Bound)
+		}
 		rows := [][]string{
-			{"BOUND", fmt.Sprintf("%.0f tokens/s", p.Bound)},
+			{"BOUND", bound},
 			{"LIMITED BY", p.LimitedBy},
 			{"TARGET", "MODEL", "LAYERS"},
 		}
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -65,7 +65,9 @@
 }
 
 func (f fleet) instanceOf(ctx context.Context, m membership.Member) api.Instance {
-	i := api.Instance{Name: m.Name, DataCentre: m.DataCentre, State: string(m.State)}
+	// A member that is not known to be dead but does not answer counts as live with an unknown version, so that
+	// an operator who waits for a version does not take it for done.
+	i := api.Instance{Name: m.Name, DataCentre: m.DataCentre, State: string(m.State), Live: m.State.Live()}
 	var state api.State
 	content, err := f.stateOf(ctx, m)
 	if err == nil {
--- a/pkg/daemon/listeners.go
+++ b/pkg/daemon/listeners.go
@@ -16,6 +16,7 @@
 	"github.com/cuminroute/cuminroute/pkg/peer/caller"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
+	"github.com/cuminroute/cuminroute/pkg/peer/operator/journal"
 )
 
 const (
@@ -39,7 +40,7 @@
 	d.operators.HandleFunc("/live", serveLive)
 	d.operators.HandleFunc("/ready", d.serveReady)
 	d.operators.Handle("/metrics", metricspage.New(d.registry))
-	d.operators.HandlePrefix(api.Prefix, operator.NewServer(operatorLog{d.log}, fleet{d}, drains{d},
+	d.operators.HandlePrefix(api.Prefix, operator.NewServer(journal.New(d.log), fleet{d}, drains{d},
 		operator.AuthenticatorFunc(d.authenticateOperator)))
 	return nil
 }
--- a/pkg/peer/operator/backend.go
+++ b/pkg/peer/operator/backend.go
@@ -38,7 +38,8 @@
 // Drains are the targets that get no new work by order of an operator.
 type Drains interface {
 	Drains(ctx context.Context) ([]api.Drain, error)
-	// Drain adds a drain; draining a drained target again is no error.
+	// Drain adds a drain; draining a drained target again is no error. It may return ErrNotFound if
+	// there is no such target.
 	Drain(ctx context.Context, drain api.Drain) error
 	// Undrain removes a drain. It returns ErrNotFound if there is none.
 	Undrain(ctx context.Context, target string) error
--- a/pkg/peer/operator/handlers.go
+++ b/pkg/peer/operator/handlers.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"errors"
 	"strconv"
 
 	"github.com/cuminroute/cuminroute/pkg/configuration"
@@ -124,7 +125,8 @@
 		return nil, malformed("Target is missing: the name of the target to drain")
 	}
 	drain.By = c.operator
-	return drain, s.drains.Drain(c.request.Context(), drain)
+	err := s.drains.Drain(c.request.Context(), drain)
+	return drain, absent(err, "there is no target "+strconv.Quote(drain.Target))
 }
 
 func (s *Server) deleteDrain(c call) (any, error) {
@@ -132,5 +134,14 @@
 	if name == "" {
 		return nil, malformed("the query parameter target is missing")
 	}
-	return api.Drain{Target: name}, s.drains.Undrain(c.request.Context(), name)
+	err := s.drains.Undrain(c.request.Context(), name)
+	return api.Drain{Target: name}, absent(err, "there is no drain of "+strconv.Quote(name))
+}
+
+// absent names what was not found.
+func absent(err error, message string) error {
+	if errors.Is(err, ErrNotFound) {
+		return notFound(message)
+	}
+	return err
 }
