Apply one workspace without losing races against others

An operator who edits the whole file for a minute would lose nearly every race, although others change other workspaces.

Change: apply -workspace sends only that workspace's document, on the newest version, and counts only changes of the same document since the file was made as a lost race.

Conclusion: operators of different workspaces no longer hinder each other.

--- a/pkg/command/apply.go
+++ b/pkg/command/apply.go
@@ -19,6 +19,9 @@
 the one given with -expected. A file without Version expects that there is none yet. If another change
 came first, it is named, nothing is changed and the exit code is 1.
 
+With -workspace, only that workspace is replaced, and only a change of the same workspace since the
+file was made counts as a lost race. Use it where several operators change different workspaces.
+
 If the answer is lost, the change is sent again under the same ID and takes effect once. If its outcome
 stays unknown, run the command again with the -id that the message names.
 
@@ -58,10 +61,11 @@
 
 func newApply(e *Environment) *ffcli.Command {
 	set := e.flagSet("apply")
+	workspace := set.String("workspace", "", "replace only this workspace")
 	flags := newChangeFlags(set)
 	return &ffcli.Command{
 		Name:       "apply",
-		ShortUsage: "cuminroute apply -address <url> -key <key> [-expected <version>] [-wait] [-output json] <configuration.yaml>",
+		ShortUsage: "cuminroute apply -address <url> -key <key> [-workspace <name>] [-expected <version>] [-wait] [-output json] <configuration.yaml>",
 		ShortHelp:  "make a configuration file the newest version",
 		LongHelp:   applyHelp,
 		FlagSet:    set,
@@ -70,12 +74,12 @@
 			if len(args) != 1 {
 				return usage("apply needs one configuration file")
 			}
-			return e.apply(ctx, flags, args[0])
+			return e.apply(ctx, flags, args[0], *workspace)
 		},
 	}
 }
 
-func (e *Environment) apply(ctx context.Context, flags *changeFlags, path string) error {
+func (e *Environment) apply(ctx context.Context, flags *changeFlags, path, workspace string) error {
 	client, err := flags.remote.client()
 	if err != nil {
 		return err
@@ -88,10 +92,17 @@
 	if err != nil {
 		return err
 	}
-	change := api.Change{Expected: expected, ID: flags.changeID(), Configuration: c}
-	return e.change(ctx, flags, client, change.ID, func() (api.Head, error) {
-		return client.Apply(ctx, change)
-	})
+	id := flags.changeID()
+	if workspace == "" {
+		return e.change(ctx, flags, client, id, func() (api.Head, error) {
+			return client.Apply(ctx, api.Change{Expected: expected, ID: id, Configuration: c})
+		})
+	}
+	one, err := newRebase(client, c, workspace, expected, id)
+	if err != nil {
+		return err
+	}
+	return e.change(ctx, flags, client, id, func() (api.Head, error) { return one.apply(ctx) })
 }
 
 // change sends a change, prints the new version and waits for it if asked to.
--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -154,6 +154,27 @@
 	s.expect("apply REMOTE -expected 3 -wait -wait-limit 2s "+example, command.ExitRefused, "not in force on e2 (version 3)")
 }
 
+// TestWorkspaces guards against operators of different workspaces who hinder each other, and against
+// one who overwrites a colleague's change of the same workspace or makes a change twice.
+func TestWorkspaces(t *testing.T) {
+	s := newSession(t)
+	s.expect("apply REMOTE "+example, command.ExitOK, "version 1")
+	for _, file := range []string{"ana.yaml", "bor.yaml", "cene.yaml"} {
+		s.expect("show REMOTE -out DIR/"+file, command.ExitOK, "wrote")
+	}
+	s.replace("ana.yaml", "Weight: 3", "Weight: 4") // The first workspace in order of name is celje.
+	s.replace("cene.yaml", "Weight: 3", "Weight: 5")
+	s.replace("bor.yaml", "Weight: 1", "Weight: 2") // The first small workspace is kamnik.
+	s.expect("apply REMOTE -id ana -workspace celje DIR/ana.yaml", command.ExitOK, "version 2")
+	s.expect("apply REMOTE -id bor -workspace kamnik DIR/bor.yaml", command.ExitOK, "version 3")
+	s.expect("apply REMOTE -id cene -workspace celje DIR/cene.yaml", command.ExitRefused, "change ana by mara")
+	s.expect("apply REMOTE -id ana -workspace celje DIR/ana.yaml", command.ExitOK, "version 2")
+	s.expect("apply REMOTE -expected 9 -workspace celje DIR/ana.yaml", command.ExitRefused, "the newest is version 3")
+	s.expect("apply REMOTE -workspace none DIR/ana.yaml", command.ExitRefused, "no workspace")
+	s.expect("diff REMOTE DIR/ana.yaml", command.ExitRefused, "-    Weight: 2")
+	qt.Assert(t, strings.Count(s.expect("diff REMOTE DIR/ana.yaml", command.ExitRefused, ""), "Weight: 4"), qt.Equals, 0)
+}
+
 func (s *session) replace(file, old, with string) {
 	path := filepath.Join(s.directory, file)
 	content, err := os.ReadFile(path)
