--- /dev/null
+++ b/pkg/decision/reconcile/reconciler_test.go
@@ -0,0 +1,48 @@
+package reconcile_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+)
+
+// TestOrders guards against two orders at once to one engine, an order on the strength of a report
+// that is older than the last order, and orders against a later lease.
+func TestOrders(t *testing.T) {
+	start := time.Date(2026, 3, 1, 4, 0, 0, 0, time.UTC)
+	at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+	old := reconcile.Reported{Assignment: reconcile.Assignment{Model: "m", Version: "v1"}}
+	r := reconcile.New()
+	r.SetDesired(map[string]reconcile.Assignment{"e": {Model: "m", Version: "v2", Adapters: []string{"a", "b"}}})
+	expect := func(now time.Time, want int) []reconcile.Order {
+		t.Helper()
+		orders := r.Orders(now, 7)
+		qt.Assert(t, orders, qt.HasLen, want)
+		return orders
+	}
+	expect(at(0), 0)
+	r.Report(at(0), "e", old)
+	first := expect(at(1), 1)[0]
+	r.Report(at(1), "e", old)
+	expect(at(10), 0)
+	r.Report(at(2), "e", old)
+	expect(at(2), 0)
+	second := expect(at(3), 1)[0]
+	qt.Assert(t, second.Fence > first.Fence, qt.IsTrue)
+	r.Answered(first)
+	r.Report(at(4), "e", old)
+	expect(at(4), 0)
+	r.Answered(second)
+	expect(at(6), 0)
+	expect(at(7), 1)
+	r.Report(at(8), "e", reconcile.Reported{Assignment: old.Assignment, Fence: 8 << 24})
+	expect(at(600), 0)
+	r.Report(at(601), "e", reconcile.Reported{Assignment: reconcile.Assignment{Model: "m", Version: "v2", Adapters: []string{"b", "a"}}})
+	expect(at(602), 0)
+	qt.Assert(t, r.Differing(), qt.HasLen, 0)
+	r.Report(at(603), "e", old)
+	expect(at(603), 1)
+}
