--- /dev/null
+++ b/pkg/claim/rate_test.go
@@ -0,0 +1,65 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/claim"
+	"github.com/cuminroute/cuminroute/pkg/peer/table"
+	"github.com/cuminroute/cuminroute/pkg/standin/platform"
+)
+
+// BenchmarkArrivalRates sends claims to one clerk at a steady rate and reports the claims in a
+// write, the writes in a second, and the time of a claim. Run it with -benchtime 1x.
+func BenchmarkArrivalRates(b *testing.B) {
+	for _, latency := range []time.Duration{2 * time.Millisecond, 20 * time.Millisecond} {
+		for _, rate := range []int{10, 100, 1000, 4000, 10000} {
+			b.Run(fmt.Sprintf("latency=%s/rate=%d", latency, rate), func(b *testing.B) {
+				for range b.N {
+					measureRate(b, latency, rate)
+				}
+			})
+		}
+	}
+}
+
+func measureRate(b *testing.B, latency time.Duration, rate int) {
+	const length = 4 * time.Second
+	s, err := platform.New()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	s.SetFaults(platform.Faults{Table: platform.Fault{Latency: latency}})
+	clerk := claim.New(table.New(s.URL()), "entry-1", claim.WithSweep(0, 0))
+	defer clerk.Close()
+	total := rate * int(length/time.Second)
+	took := make([]time.Duration, total)
+	var waiting sync.WaitGroup
+	start := time.Now()
+	for n := range total {
+		time.Sleep(time.Until(start.Add(time.Duration(n) * time.Second / time.Duration(rate))))
+		waiting.Go(func() {
+			began := time.Now()
+			t, err := clerk.Claim(context.Background(), key(fmt.Sprint(n)))
+			took[n] = time.Since(began)
+			if err != nil || t.State != claim.Won {
+				b.Errorf("claim %d: %v %v", n, t.State, err)
+			}
+		})
+	}
+	waiting.Wait()
+	seconds := time.Since(start).Seconds()
+	slices.Sort(took)
+	writes := float64(s.Counts().TableWrites)
+	b.ReportMetric(float64(total)/writes, "claims/write")
+	b.ReportMetric(writes/seconds, "writes/s")
+	b.ReportMetric(float64(took[total/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(took[total*99/100].Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(total)/seconds, "claims/s")
+	b.ReportMetric(0, "ns/op")
+}
