Shorten the platform stand-in and the claim result path

Change: options set the server directly; platform.Instance is gone in favour of instancelist.Instance; an operation keeps its record. Conclusion: no change in behaviour.

--- a/pkg/claim/operation.go
+++ b/pkg/claim/operation.go
@@ -33,6 +33,7 @@
 	key   Key
 	row   string
 	id    string
+	claim record // claim is the record that value encodes.
 	value []byte
 	done  chan result
 	// withdrawable marks a claim whose ID only this clerk knows. A claim under an ID from
@@ -54,7 +55,7 @@
 }
 
 func newOperation(kind kind, k Key, r record) *operation {
-	return &operation{kind: kind, key: k, row: rowKey(k), id: r.ID, value: r.encode(), done: make(chan result, 1)}
+	return &operation{kind: kind, key: k, row: rowKey(k), id: r.ID, claim: r, value: r.encode(), done: make(chan result, 1)}
 }
 
 func abandonment(t Ticket) *operation {
@@ -86,7 +87,7 @@
 	if o.kind != kindClaim {
 		return result{}
 	}
-	return result{ticket: parse(o.value).ticket(o.key, Won, revision)}
+	return result{ticket: o.claim.ticket(o.key, Won, revision)}
 }
 
 // found judges the row that did not match the operation's condition. It returns the result, or
--- a/pkg/standin/platform/faults.go
+++ b/pkg/standin/platform/faults.go
@@ -12,10 +12,8 @@
 	"golang.org/x/time/rate"
 )
 
-type role int
-
 const (
-	roleTable role = iota
+	roleTable = iota
 	roleObjects
 	roleList
 	roleWeights
@@ -51,7 +49,7 @@
 }
 
 // check returns an error for an outage that is not known.
-func (f Faults) check() error {
+func (f *Faults) check() error {
 	for _, fault := range []Fault{f.Table, f.Objects, f.List, f.Weights} {
 		if fault.Outage != "" && fault.Outage != Refused && fault.Outage != Silent {
 			return fmt.Errorf("the outage is %q, accepted: Refused, Silent or empty", fault.Outage)
@@ -68,10 +66,6 @@
 	limiters [4]*rate.Limiter
 }
 
-func newInjector(seed uint64) *injector {
-	return &injector{random: rand.New(rand.NewPCG(seed, seed))}
-}
-
 func (i *injector) get() Faults {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -84,18 +78,18 @@
 	i.faults = f
 	for n := range i.limiters {
 		i.limiters[n] = nil
-		if limit := i.of(role(n)).PerSecond; limit > 0 {
+		if limit := i.of(n).PerSecond; limit > 0 {
 			i.limiters[n] = rate.NewLimiter(rate.Limit(limit), max(1, int(limit/10)))
 		}
 	}
 }
 
-func (i *injector) of(r role) *Fault {
+func (i *injector) of(r int) *Fault {
 	return [...]*Fault{&i.faults.Table, &i.faults.Objects, &i.faults.List, &i.faults.Weights}[r]
 }
 
 // draw decides what happens to one request of the role.
-func (i *injector) draw(r role) (fault Fault, lose bool) {
+func (i *injector) draw(r int) (fault Fault, lose bool) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	f := i.of(r)
@@ -115,7 +109,7 @@
 	return fault, lose
 }
 
-func (i *injector) wrap(r role, next http.Handler) http.Handler {
+func (i *injector) wrap(r int, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
 		fault, lose := i.draw(r)
 		time.Sleep(fault.Latency)
--- a/pkg/standin/platform/server.go
+++ b/pkg/standin/platform/server.go
@@ -17,16 +17,19 @@
 import (
 	"encoding/json"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
 	"github.com/cuminroute/cuminroute/pkg/peer/table"
 )
 
 // Server serves all roles on one address.
 type Server struct {
+	address  string
 	listener net.Listener
 	http     *http.Server
 	table    *tableStore
@@ -35,41 +38,36 @@
 	faults   *injector
 }
 
-// Option changes a Server when it is made.
-type Option func(*options)
-
-type options struct {
-	address string
-	seed    uint64
-}
+// Option changes a Server before it starts.
+type Option func(*Server)
 
 // WithAddress sets the listen address. The default is a free port of the loopback interface.
 func WithAddress(a netip.AddrPort) Option {
-	return func(o *options) { o.address = a.String() }
+	return func(s *Server) { s.address = a.String() }
 }
 
 // WithSeed seeds the choice of the requests that random faults hit.
 func WithSeed(seed uint64) Option {
-	return func(o *options) { o.seed = seed }
+	return func(s *Server) { s.faults.random = rand.New(rand.NewPCG(seed, seed)) }
 }
 
 // New starts a server.
 func New(opts ...Option) (*Server, error) {
-	o := options{address: "127.0.0.1:0", seed: 1}
+	s := &Server{
+		address: "127.0.0.1:0",
+		table:   &tableStore{rows: map[string]table.Row{}},
+		objects: &objectStore{objects: map[string][]byte{}},
+		list:    &instanceStore{},
+		faults:  &injector{random: rand.New(rand.NewPCG(1, 1))},
+	}
 	for _, opt := range opts {
-		opt(&o)
+		opt(s)
 	}
-	listener, err := net.Listen("tcp", o.address)
+	listener, err := net.Listen("tcp", s.address)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{
-		listener: listener,
-		table:    &tableStore{rows: map[string]table.Row{}},
-		objects:  &objectStore{objects: map[string][]byte{}},
-		list:     &instanceStore{},
-		faults:   newInjector(o.seed),
-	}
+	s.listener = listener
 	s.http = &http.Server{Handler: s.handler(), ReadHeaderTimeout: 10 * time.Second}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
@@ -125,12 +123,12 @@
 }
 
 // SetInstances replaces the instance list. Readers see it after the lag set in the faults.
-func (s *Server) SetInstances(list []Instance) {
+func (s *Server) SetInstances(list []instancelist.Instance) {
 	s.list.set(list)
 }
 
 func (s *Server) setList(w http.ResponseWriter, r *http.Request) {
-	var list []Instance
+	var list []instancelist.Instance
 	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/pkg/standin/platform/server_test.go
+++ b/pkg/standin/platform/server_test.go
@@ -112,7 +112,7 @@
 	_, err = objects.Get(ctx, "a b/c")
 	qt.Assert(t, err, qt.ErrorIs, objectstore.ErrNotFound)
 
-	s.SetInstances([]platform.Instance{{Name: "e1", State: instancelist.Leaving}})
+	s.SetInstances([]instancelist.Instance{{Name: "e1", State: instancelist.Leaving}})
 	got, err := list.List(ctx)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, got[0].State, qt.Equals, instancelist.Leaving)
--- a/pkg/standin/platform/stores.go
+++ b/pkg/standin/platform/stores.go
@@ -12,9 +12,6 @@
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
 )
 
-// Instance is an entry of the instance list.
-type Instance = instancelist.Instance
-
 // objectStore serves PUT, GET and DELETE below /objects/.
 type objectStore struct {
 	mu      sync.Mutex
@@ -55,23 +52,23 @@
 
 type listVersion struct {
 	at   time.Time
-	list []Instance
+	list []instancelist.Instance
 }
 
 // keptLists bounds the old lists; a lag reaches back over at most this many changes.
 const keptLists = 1000
 
-func (s *instanceStore) set(list []Instance) {
+func (s *instanceStore) set(list []instancelist.Instance) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.versions = append(s.versions, listVersion{at: time.Now(), list: list})
 	s.versions = s.versions[max(0, len(s.versions)-keptLists):]
 }
 
-func (s *instanceStore) get(lag time.Duration) []Instance {
+func (s *instanceStore) get(lag time.Duration) []instancelist.Instance {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	visible := []Instance{}
+	visible := []instancelist.Instance{}
 	for _, v := range s.versions {
 		if time.Since(v.at) >= lag {
 			visible = v.list
