Add the dispatcher of orders

Cause: the lease and the reconciler are state machines; a process has to keep the row and send the orders. Change: pkg/orders runs both against the table client and an engines interface, reads the row only where needed, and releases the lease on Close.

--- /dev/null
+++ b/pkg/orders/dispatcher.go
@@ -0,0 +1,186 @@
+// Package orders runs the lease and the reconciler of one instance: it keeps the lease row in the
+// table service and sends the orders that are due to the engines.
+//
+// Only candidates read and write the lease row. The holder writes it every 3.3 s and reads it only
+// after a write without an answer; another candidate reads it every 2 s. With every instance of a
+// large fleet as a candidate the reads would exceed what the table serves, so the caller makes a
+// few of them candidates, for example by rendezvous hashing over the live members. Safety does not
+// depend on that choice.
+//
+// Usage:
+//
+//	d := orders.New(tableClient, engines, "entry-3")
+//	defer d.Close(ctx)
+//	d.SetCandidate(true)
+//	d.SetDesired(plan)
+//	d.Report(asked, "worker-1", reported)
+package orders
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/lease"
+	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+	"github.com/cuminroute/cuminroute/pkg/peer/table"
+)
+
+const (
+	// Key is the key of the lease row.
+	Key = "leases/orders"
+	// DefaultTick is the pause between two turns. It is well below the 3.3 s between renewals.
+	DefaultTick = 500 * time.Millisecond
+	// watchInterval is how often a candidate without the lease reads the row.
+	watchInterval = 2 * time.Second
+)
+
+// ErrLateOrder means that an order was not sent because its time limit had passed.
+var ErrLateOrder = errors.New("the order's time limit passed before it was sent")
+
+// Table is what the dispatcher needs of the table service.
+type Table interface {
+	Commit(ctx context.Context, t table.Transaction) (table.Result, error)
+	Get(ctx context.Context, key string) (table.Row, error)
+}
+
+// Engines sends one order. It returns an error if the engine did not answer before ctx ended.
+type Engines interface {
+	Order(ctx context.Context, order reconcile.Order) (accepted bool, err error)
+}
+
+// Dispatcher gives orders while it holds the lease. It is safe for concurrent use.
+type Dispatcher struct {
+	table   Table
+	engines Engines
+	tick    time.Duration
+
+	mu         sync.Mutex
+	holder     *lease.Holder
+	reconciler *reconcile.Reconciler
+	candidate  bool
+	current    bool // current means that the row is known since the last write.
+	watched    time.Time
+
+	held     metrics.Gauge
+	sent     metrics.Counter
+	refused  metrics.Counter
+	failed   metrics.Counter
+	cancel   context.CancelFunc
+	loops    sync.WaitGroup
+	inFlight sync.WaitGroup
+}
+
+// Option changes a Dispatcher when it is made.
+type Option func(*Dispatcher)
+
+// WithTick sets the pause between two turns.
+func WithTick(d time.Duration) Option {
+	return func(o *Dispatcher) { o.tick = d }
+}
+
+// WithHolder replaces the lease holder, for example by one with other times.
+func WithHolder(h *lease.Holder) Option {
+	return func(o *Dispatcher) { o.holder = h }
+}
+
+// WithMetrics registers the gauge orders.held and the counters orders.sent, orders.refused and
+// orders.failed in r.
+func WithMetrics(r metrics.Registry) Option {
+	return func(o *Dispatcher) {
+		o.held = metrics.GetOrRegisterGauge("orders.held", r)
+		o.sent = metrics.GetOrRegisterCounter("orders.sent", r)
+		o.refused = metrics.GetOrRegisterCounter("orders.refused", r)
+		o.failed = metrics.GetOrRegisterCounter("orders.failed", r)
+	}
+}
+
+// New returns a dispatcher that is not a candidate yet and starts its goroutine.
+func New(t Table, e Engines, instance string, opts ...Option) *Dispatcher {
+	d := &Dispatcher{
+		table: t, engines: e, tick: DefaultTick,
+		holder:     lease.New(Key, instance, uuid.NewString()),
+		reconciler: reconcile.New(),
+	}
+	WithMetrics(metrics.NewRegistry())(d)
+	for _, opt := range opts {
+		opt(d)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	d.loops.Go(func() { d.run(ctx) })
+	return d
+}
+
+// SetCandidate sets whether this instance tries to hold the lease.
+func (d *Dispatcher) SetCandidate(candidate bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.candidate = candidate
+}
+
+// SetDesired replaces the desired states of the engines.
+func (d *Dispatcher) SetDesired(desired map[string]reconcile.Assignment) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reconciler.SetDesired(desired)
+}
+
+// Report takes in what an engine said of itself in answer to a request made at the time asked.
+func (d *Dispatcher) Report(asked time.Time, target string, r reconcile.Reported) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.reconciler.Report(asked, target, r)
+}
+
+// Holds reports whether this instance may give orders now.
+func (d *Dispatcher) Holds() bool {
+	return d.held.Value() == 1
+}
+
+// Differing returns the targets that are not known to be in their desired state.
+func (d *Dispatcher) Differing() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.reconciler.Differing()
+}
+
+// Close stops giving orders, waits for those in flight, and releases the lease unless ctx ends
+// first. A lease that is not released lapses.
+func (d *Dispatcher) Close(ctx context.Context) error {
+	d.cancel()
+	d.loops.Wait()
+	d.inFlight.Wait()
+	for d.holder.Holds() {
+		if x, ok := d.holder.Release(time.Now()); ok {
+			_, err := d.table.Commit(ctx, transaction(x))
+			return err
+		}
+		if err := pause(ctx, d.tick); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func transaction(x lease.Transaction) table.Transaction {
+	return table.Transaction{
+		Conditions: []table.Condition{{Key: x.Key, Revision: x.Revision}},
+		Writes:     []table.Write{{Key: x.Key, Value: x.Value}},
+	}
+}
--- /dev/null
+++ b/pkg/orders/dispatcher_test.go
@@ -0,0 +1,87 @@
+package orders_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/lease"
+	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+	"github.com/cuminroute/cuminroute/pkg/orders"
+	"github.com/cuminroute/cuminroute/pkg/peer/table"
+	"github.com/cuminroute/cuminroute/pkg/standin/platform"
+)
+
+// engine accepts rising fencing numbers only.
+type engine struct {
+	mu    sync.Mutex
+	fence uint64
+	state reconcile.Assignment
+}
+
+func (e *engine) Order(_ context.Context, o reconcile.Order) (bool, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if o.Fence <= e.fence {
+		return false, nil
+	}
+	e.fence, e.state = o.Fence, o.Assignment
+	return true, nil
+}
+
+func (e *engine) reported() reconcile.Reported {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return reconcile.Reported{Assignment: e.state, Fence: e.fence}
+}
+
+func start(s *platform.Server, e *engine, name string) *orders.Dispatcher {
+	holder := lease.New(orders.Key, name, name, lease.WithTimes(time.Second, 100*time.Millisecond, 100*time.Millisecond))
+	d := orders.New(table.New(s.URL()), e, name, orders.WithTick(10*time.Millisecond), orders.WithHolder(holder))
+	d.SetCandidate(true)
+	return d
+}
+
+// reach waits until the engine reports the version, while all dispatchers hear its reports.
+func reach(t *testing.T, e *engine, version string, all ...*orders.Dispatcher) {
+	t.Helper()
+	for _, d := range all {
+		d.SetDesired(map[string]reconcile.Assignment{"worker-1": {Model: "darning", Version: version}})
+	}
+	for deadline := time.Now().Add(12 * time.Second); e.reported().Version != version; {
+		if time.Now().After(deadline) {
+			t.Fatalf("the engine still reports %v", e.reported())
+		}
+		time.Sleep(10 * time.Millisecond)
+		for _, d := range all {
+			d.Report(time.Now(), "worker-1", e.reported())
+		}
+	}
+}
+
+// TestTakeover guards against an engine that is left without orders when the holder stops or loses
+// the table, and against a holder that keeps ordering without it.
+func TestTakeover(t *testing.T) {
+	s, err := platform.New()
+	qt.Assert(t, err, qt.IsNil)
+	defer s.Close()
+	e := &engine{}
+	first := start(s, e, "entry-1")
+	reach(t, e, "v1", first)
+	second := start(s, e, "entry-2")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	qt.Assert(t, first.Close(ctx), qt.IsNil)
+	reach(t, e, "v2", second)
+	qt.Assert(t, second.Holds(), qt.IsTrue)
+
+	s.SetFaults(platform.Faults{Table: platform.Fault{Outage: platform.Refused}})
+	time.Sleep(1200 * time.Millisecond)
+	qt.Assert(t, second.Holds(), qt.IsFalse)
+	s.SetFaults(platform.Faults{Table: platform.Fault{LoseAnswers: 2}})
+	reach(t, e, "v3", second)
+	qt.Assert(t, second.Close(ctx), qt.IsNil)
+}
