Follow the instance list's type in the stand-in fleet

Cause: the stand-in platform no longer repeats the type of the instance list's entries. Change: the fleet uses instancelist.Instance.

--- a/pkg/standin/fleet/fleet.go
+++ b/pkg/standin/fleet/fleet.go
@@ -150,13 +150,13 @@
 
 // publish writes the instance list to the platform.
 func (f *Fleet) publish() {
-	var list []platform.Instance
+	var list []instancelist.Instance
 	add := func(name, role, dataCentre string, at netip.AddrPort) {
 		state := instancelist.Live
 		if f.leaving[name] {
 			state = instancelist.Leaving
 		}
-		list = append(list, platform.Instance{Name: name, Role: role, Address: at, DataCentre: dataCentre, State: state})
+		list = append(list, instancelist.Instance{Name: name, Role: role, Address: at, DataCentre: dataCentre, State: state})
 	}
 	for i, w := range f.Workers {
 		add(w.Name, "Engine", w.DataCentre, f.Engines[i].Addr())
