--- a/pkg/command/commands.go
+++ b/pkg/command/commands.go
@@ -21,6 +21,7 @@
 	instancesQuery.constructor,
 	pipelinesQuery.constructor,
 	planQuery.constructor,
+	newDemo,
 	newSoak,
 	newBench,
 	newStandin,
--- a/pkg/command/proving.go
+++ b/pkg/command/proving.go
@@ -4,11 +4,16 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/cuminroute/cuminroute/pkg/bench"
+	"github.com/cuminroute/cuminroute/pkg/demo"
 	"github.com/cuminroute/cuminroute/pkg/soak"
 	"github.com/cuminroute/cuminroute/pkg/standin"
 	"github.com/cuminroute/cuminroute/pkg/standin/entry"
 )
 
+func newDemo(e *Environment) *ffcli.Command {
+	return demo.NewCommand(e.Stdout)
+}
+
 func newSoak(e *Environment) *ffcli.Command {
 	return soak.NewCommand(e.Stdout, entry.Start)
 }
