--- a/pkg/stream/step.go
+++ b/pkg/stream/step.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/latency"
@@ -40,62 +39,21 @@
 	return result, g.check(stage, step, result)
 }
 
-// call returns the cause errFrozen where the target counts as frozen: it has answered no step of any
-// stream for the step's deadline, or this step has waited for the longest deadline. A target that
-// answers others is busy, and a new generation elsewhere would only add a prefill to the load.
+// call returns the cause errFrozen where the step's deadline passed.
 func (a *attempt) call(ctx context.Context) (result *enginepb.StepResult, cause, err error) {
 	bounded, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	limit := a.deadline()
-	watched := &watch{}
-	watched.after(limit, func() time.Duration { return a.patience(limit) }, func() { cancel(errFrozen) })
-	defer watched.stop()
+	w := a.watch(func() { cancel(errFrozen) })
+	defer w.stop()
 	result, err = a.generation.stages[a.stage].Step(bounded, a.step)
 	return result, context.Cause(bounded), err
 }
 
-// watch is a timer that is set again for as long as there is patience left.
-type watch struct {
-	mu      sync.Mutex
-	timer   *time.Timer
-	stopped bool
-}
-
-// after calls expired once wait has passed and patience is zero or less.
-func (w *watch) after(wait time.Duration, patience func() time.Duration, expired func()) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.stopped {
-		return
-	}
-	w.timer = time.AfterFunc(wait, func() {
-		if left := patience(); left > 0 {
-			w.after(left, patience, expired)
-			return
-		}
-		expired()
-	})
-}
-
-func (w *watch) stop() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.stopped = true
-	w.timer.Stop()
-}
-
-// patience returns how much longer the step may wait, zero or less where the target counts as frozen.
-func (a *attempt) patience(limit time.Duration) time.Duration {
-	now := a.generation.answer.runner.now()
-	longest := max(latency.Cap, limit)
-	return min(a.times.lastAnswer().Add(limit).Sub(now), a.began.Add(longest).Sub(now))
-}
-
-func (a *attempt) deadline() time.Duration {
+func (a *attempt) watch(frozen func()) *watch {
 	if isPrefill(a.step) {
-		return a.times.prefillDeadline(a.size)
+		return newWatch(a.times, a.times.prefillDeadline(a.size), prefillCap(a.size), frozen)
 	}
-	return a.times.decodeDeadline()
+	return newWatch(a.times, a.times.decodeDeadline(), latency.Cap, frozen)
 }
 
 // observe adds the time of a step. A step that ran into its deadline counts with its deadline, so that a target that is slow but
@@ -112,7 +70,7 @@
 func (a *attempt) answered(result *enginepb.StepResult) {
 	runner, name := a.generation.answer.runner, a.generation.route[a.stage].Name
 	now := runner.now()
-	a.times.answered(now)
+	a.times.answered()
 	runner.ledger.Alive(name)
 	if result.GetStatus() != enginepb.StepStatus_STEP_STATUS_OK {
 		runner.router.Abandoned(name, a.cost, now)
@@ -134,8 +92,8 @@
 	if cause == errFrozen {
 		a.observe(now)
 		err = fmt.Errorf("no answer for %v, and none to other streams for %v: %w",
-			now.Sub(a.began), now.Sub(a.times.lastAnswer()), errFrozen)
-		return g.faultWith(a.stage, frozen, err, a.times.silentSince(a.began))
+			now.Sub(a.began), now.Sub(a.times.latestAnswer()), errFrozen)
+		return g.faultWith(a.stage, frozen, err, time.Since(a.times.latestAnswer()) >= latency.Floor)
 	}
 	g.dead[a.stage] = true
 	if g.sent[a.stage] {
