--- a/pkg/bench/command.go
+++ b/pkg/bench/command.go
@@ -39,13 +39,14 @@
 	duration := flags.Duration("duration", defaultDuration, "length of each measured window")
 	entries := flags.Int("entries", defaultEntries, "number of entry instances")
 	limit := flags.Duration("deadline", defaultDeadline, "deadline of each question")
+	atLoad := flags.Float64("load", defaultRecoveryLoad, "load of recovery, relative to the bound")
 	compared := flags.String("policies", strings.Join(policies, ","), "routing policies that throughput compares")
 	file := flags.String("plot", "", "write a plot to this file, .svg or .png")
 	return &ffcli.Command{
 		Name: name, ShortUsage: "cuminroute bench " + name + " [flags]", ShortHelp: help, FlagSet: flags,
 		Exec: func(ctx context.Context, _ []string) error {
 			r, err := measure(ctx, Options{
-				Seed: *seed, Duration: *duration, Entries: *entries, Deadline: *limit,
+				Seed: *seed, Duration: *duration, Entries: *entries, Deadline: *limit, Load: *atLoad,
 				Policies: strings.Split(*compared, ","), Start: start,
 			})
 			if err != nil {
--- a/pkg/standin/fleet/fleet.go
+++ b/pkg/standin/fleet/fleet.go
@@ -150,13 +150,13 @@
 
 // publish writes the instance list to the platform.
 func (f *Fleet) publish() {
-	var list []platform.Instance
+	var list []instancelist.Instance
 	add := func(name, role, dataCentre string, at netip.AddrPort) {
 		state := instancelist.Live
 		if f.leaving[name] {
 			state = instancelist.Leaving
 		}
-		list = append(list, platform.Instance{Name: name, Role: role, Address: at, DataCentre: dataCentre, State: state})
+		list = append(list, instancelist.Instance{Name: name, Role: role, Address: at, DataCentre: dataCentre, State: state})
 	}
 	for i, w := range f.Workers {
 		add(w.Name, "Engine", w.DataCentre, f.Engines[i].Addr())
@@ -182,18 +182,30 @@
 	return true
 }
 
-// WaitReady waits until n listed entry instances serve callers.
+// WaitReady waits until n listed entry instances serve callers and know every worker.
 func (f *Fleet) WaitReady(ctx context.Context, n int, limit time.Duration) error {
 	const interval = 50 * time.Millisecond
+	ready := 0
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(interval) {
 		if err := ctx.Err(); err != nil {
 			return err
 		}
-		if len(f.Ready()) >= n {
+		ready = 0
+		for _, m := range f.Ready() {
+			if f.knowsWorkers(ctx, m) {
+				ready++
+			}
+		}
+		if ready >= n {
 			return nil
 		}
 	}
-	return fmt.Errorf("%d of %d entry instances are ready after %v", len(f.Ready()), n, limit)
+	return fmt.Errorf("%d of %d entry instances are ready after %v", ready, n, limit)
+}
+
+func (f *Fleet) knowsWorkers(ctx context.Context, m *Member) bool {
+	pipelines, err := operator.NewClient("http://"+m.Operators().String(), OperatorKey).Pipelines(ctx)
+	return err == nil && len(pipelines) > 0 && pipelines[0].Targets == len(f.Workers)
 }
 
 // AddEntry starts one more entry instance and lists it.
