--- a/pkg/bench/throughput.go
+++ b/pkg/bench/throughput.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/outcome"
@@ -14,6 +15,8 @@
 	overload = 1.5
 	// moderate is the load at which latencies are measured.
 	moderate = 0.8
+	// fullAfter is the time in which an overloaded fleet fills up: longer than an answer at the bound.
+	fullAfter = 6 * time.Second
 )
 
 // policies are those that the settings name, ours first.
@@ -62,19 +65,28 @@
 func (o Options) measurePolicy(ctx context.Context, f *fleet.Fleet) PolicyResult {
 	l := load{fleet: f, client: caller.New(), deadline: o.Deadline}
 	defer l.client.Close()
-	length := warmUp + o.Duration
-	p := PolicyResult{}
-	answers := l.play(ctx, arrivals(o.Seed, moderate*f.Bound, length))
-	p.Moderate = outcomes(answers)
+	answers := l.play(ctx, arrivals(o.Seed, moderate*f.Bound, warmUp+o.Duration))
+	p := PolicyResult{Moderate: outcomes(answers)}
 	p.FirstToken, p.BetweenTokens = latencies(answers)
-	began := time.Now()
-	answers = l.play(ctx, arrivals(o.Seed, overload*f.Bound, length))
+	answers = l.overload(ctx, arrivals(o.Seed, overload*f.Bound, fullAfter+o.Duration), fullAfter+o.Duration)
 	p.Overload = outcomes(answers)
-	p.Throughput = delivered(answers, o.Deadline, began.Add(warmUp), began.Add(length)) / o.Duration.Seconds()
+	p.Throughput = delivered(answers, o.Deadline) / o.Duration.Seconds()
 	p.OfBound = p.Throughput / f.Bound
 	return p
 }
 
+// overload plays questions until the end of the window and returns those that ended in it. Those
+// that still run are cancelled.
+func (l load) overload(ctx context.Context, questions []arrival, length time.Duration) []sent {
+	ctx, cancel := context.WithTimeout(ctx, length)
+	defer cancel()
+	from := time.Now().Add(fullAfter)
+	to, _ := ctx.Deadline()
+	return slices.DeleteFunc(l.play(ctx, questions), func(s sent) bool {
+		return s.answer.Ended.Before(from) || !s.answer.Ended.Before(to)
+	})
+}
+
 func outcomes(answers []sent) map[outcome.Outcome]int {
 	counts := map[outcome.Outcome]int{}
 	for _, s := range answers {
@@ -83,17 +95,12 @@
 	return counts
 }
 
-// delivered counts the tokens that arrived in the window and belong to answers complete in time.
-func delivered(answers []sent, deadline time.Duration, from, to time.Time) float64 {
+// delivered counts the tokens of answers complete within their deadline.
+func delivered(answers []sent, deadline time.Duration) float64 {
 	tokens := 0
 	for _, s := range answers {
-		if s.answer.Outcome != outcome.Done || s.answer.Ended.Sub(s.answer.Started) > deadline {
-			continue
-		}
-		for _, at := range s.answer.At {
-			if at.After(from) && at.Before(to) {
-				tokens++
-			}
+		if s.answer.Outcome == outcome.Done && s.answer.Ended.Sub(s.answer.Started) <= deadline {
+			tokens += len(s.answer.At)
 		}
 	}
 	return float64(tokens)
