--- a/pkg/daemon/listeners.go
+++ b/pkg/daemon/listeners.go
@@ -30,7 +30,7 @@
 	if err != nil {
 		return err
 	}
-	callers := caller.New(d.versions.current, d.runner, d.services, caller.WithGate(d.gate), caller.WithDrain(d.running),
+	callers := caller.New(d.versions.accepted, d.runner, d.services, caller.WithGate(d.gate), caller.WithDrain(d.running),
 		caller.WithFingerprint(quarantine.Fingerprint), caller.WithLogger(d.logger), caller.WithRegistry(d.registry))
 	d.callers = newListener(d.callersAt, certificate)
 	d.callers.HandleFunc("/ready", d.serveReady)
--- a/pkg/daemon/versions.go
+++ b/pkg/daemon/versions.go
@@ -42,6 +42,14 @@
 	return v.inForce.Load()
 }
 
+// accepted returns the configuration in force, nil before the first version.
+func (v *versions) accepted() *configuration.Configuration {
+	if c := v.current(); c.Version > 0 {
+		return c
+	}
+	return nil
+}
+
 // Head implements instance.Source.
 func (v *versions) Head(ctx context.Context) (uint64, error) {
 	head, err := v.log.Head(ctx)
--- a/pkg/standin/command.go
+++ b/pkg/standin/command.go
@@ -48,6 +48,13 @@
 	return nil
 }
 
+// listenFlag adds the flag for the address at which a stand-in listens.
+func listenFlag(flags *flag.FlagSet) *netip.AddrPort {
+	address := netip.MustParseAddrPort("127.0.0.1:0")
+	flags.TextVar(&address, "listen", address, "loopback `address` to listen at; port 0 takes a free one")
+	return &address
+}
+
 func subcommand(name, help string, flags *flag.FlagSet, exec func(ctx context.Context) error) *ffcli.Command {
 	return &ffcli.Command{
 		Name: name, ShortUsage: "cuminroute standin " + name + " [flags]", ShortHelp: help, FlagSet: flags,
@@ -69,6 +76,7 @@
 	end := flags.Int("end", fleet.Layers, "end of the layers held")
 	kind := flags.String("accelerator", engine.Accelerators[0].Name, "A8, A4, A2 or A1, fastest first")
 	slower := flags.Int("slower", 1, "factor on all times")
+	listen := listenFlag(flags)
 	fence := flags.Bool("fence", true, "refuse orders with an old fencing number")
 	return subcommand("engine", "a model engine", flags, func(ctx context.Context) error {
 		held := layer.Range{First: *first, End: *end}
@@ -76,7 +84,8 @@
 			return fmt.Errorf("the layers %s are not part of %d layers", held, *layers)
 		}
 		s, err := engine.New(engine.WithName(*name), engine.WithModel(*model, *layers, held), engine.WithRecording(false),
-			engine.WithAccelerator(engine.AcceleratorByName(*kind).Slower(*slower)), engine.WithFenceCheck(*fence))
+			engine.WithAccelerator(engine.AcceleratorByName(*kind).Slower(*slower)), engine.WithFenceCheck(*fence),
+			engine.WithAddress(*listen))
 		if err != nil {
 			return err
 		}
@@ -88,8 +97,9 @@
 func newService(stdout io.Writer) *ffcli.Command {
 	flags := flag.NewFlagSet("cuminroute standin service", flag.ContinueOnError)
 	name := flags.String("name", fleet.Service, "name in answers")
+	listen := listenFlag(flags)
 	return subcommand("service", "an order and stock service", flags, func(ctx context.Context) error {
-		s, err := service.New(*name)
+		s, err := service.New(*name, service.WithAddress(*listen))
 		if err != nil {
 			return err
 		}
@@ -100,8 +110,9 @@
 
 func newPlatform(stdout io.Writer) *ffcli.Command {
 	flags := flag.NewFlagSet("cuminroute standin platform", flag.ContinueOnError)
+	listen := listenFlag(flags)
 	return subcommand("platform", "table service, object store, instance list and weight store", flags, func(ctx context.Context) error {
-		s, err := platform.New()
+		s, err := platform.New(platform.WithAddress(*listen))
 		if err != nil {
 			return err
 		}
--- a/pkg/standin/engine/options.go
+++ b/pkg/standin/engine/options.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/layer"
@@ -61,6 +62,7 @@
 
 type options struct {
 	name        string
+	address     netip.AddrPort
 	model       string
 	version     string
 	modelLayers int
@@ -80,7 +82,7 @@
 
 func defaults() options {
 	return options{
-		name: "engine", model: "darning", version: "1", modelLayers: 8,
+		address: netip.MustParseAddrPort("127.0.0.1:0"), name: "engine", model: "darning", version: "1", modelLayers: 8,
 		layers: layer.Range{First: 0, End: 8}, accelerator: Accelerators[0], maxBatch: defaultMaxBatch,
 		maxQueue: defaultQueue, generations: defaultGenerations, prefixes: defaultPrefixes,
 		reportLag: defaultReportLag, eventLag: defaultEventLag, eventGap: defaultEventGap,
@@ -94,6 +96,11 @@
 // WithName sets the name in reports and executions.
 func WithName(name string) Option { return func(o *options) { o.name = name } }
 
+// WithAddress sets the loopback address to listen at. The default is a free port.
+func WithAddress(a netip.AddrPort) Option {
+	return func(o *options) { o.address = a }
+}
+
 // WithModel sets the model, its number of layers and the range that the engine holds.
 func WithModel(model string, modelLayers int, held layer.Range) Option {
 	return func(o *options) { o.model, o.modelLayers, o.layers = model, modelLayers, held }
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -71,7 +71,7 @@
 		opt(&o)
 	}
 	s := &Server{options: o, wake: make(chan struct{}, 1), closed: make(chan struct{})}
-	s.address = netip.MustParseAddrPort("127.0.0.1:0")
+	s.address = o.address
 	s.held = holding{model: o.model, version: o.version, layers: o.layers, role: "Decode"}
 	if err := s.Restart(); err != nil {
 		return nil, err
--- a/pkg/standin/service/server.go
+++ b/pkg/standin/service/server.go
@@ -61,9 +61,20 @@
 	number   int
 }
 
-// New starts a service at a free loopback port.
-func New(name string) (*Server, error) {
+// Option changes a stand-in service.
+type Option func(*Server)
+
+// WithAddress sets the loopback address to listen at. The default is a free port.
+func WithAddress(a netip.AddrPort) Option {
+	return func(s *Server) { s.address = a }
+}
+
+// New starts a service.
+func New(name string, options ...Option) (*Server, error) {
 	s := &Server{name: name, executed: map[string]int{}, address: netip.MustParseAddrPort("127.0.0.1:0"), thawed: make(chan struct{})}
+	for _, option := range options {
+		option(s)
+	}
 	return s, s.Restart()
 }
 
