Adapt the gathering of claims to the table's rate

Cause: 18 instances that each start a transaction every 20 ms make 900 writes/s, above the several hundred that the table sustains; a rate-limited claim was refused although it would have fitted into a larger transaction. Change: table.ErrRateLimited accompanies ErrUnavailable for 429; the clerk then doubles its interval up to 250 ms, keeps the claims for up to 2 s, and shortens the interval by 5% with each commit. BenchmarkFleet and BenchmarkRates measure a fleet and the functions of an instance.

--- a/pkg/claim/batch.go
+++ b/pkg/claim/batch.go
@@ -14,6 +14,15 @@
 // timeout on a slow link.
 const maxBatchBytes = 1 << 20
 
+const (
+	// maxInterval bounds the time between two transactions while the table limits its rate. It
+	// lets 100 instances share 400 writes/s.
+	maxInterval = 250 * time.Millisecond
+	// recovery is the percentage to which the interval shrinks with each transaction that
+	// commits. It doubles with each one above the rate, so that the instances settle near it.
+	recovery = 95
+)
+
 // run writes batches until ctx ends.
 func (c *Clerk) run(ctx context.Context) {
 	var next time.Time // next is when the following transaction may start.
@@ -26,14 +35,14 @@
 		started := time.Now()
 		batch := c.take(started)
 		if conflicts := c.write(ctx, batch); !conflicts {
-			next = started.Add(c.gather)
+			next = started.Add(c.interval)
 		}
 	}
 	c.failAll()
 }
 
-// due returns when a batch may go: at next, or at once if it is full, but not before an operation
-// is ready.
+// due returns when a batch may go: at next, or at once if it is full and the table is not above its
+// rate, but not before an operation is ready.
 func (c *Clerk) due(next time.Time) (at time.Time, found bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -50,7 +59,8 @@
 			first = op.notBefore
 		}
 	}
-	if ready >= c.batch || next.Before(first) {
+	full := ready >= c.batch && c.interval == c.gather
+	if full || next.Before(first) {
 		return first, true
 	}
 	return next, true
@@ -101,9 +111,13 @@
 	c.counters.wrote(len(batch))
 	res, err := c.table.Commit(ctx, t)
 	switch {
+	case errors.Is(err, table.ErrRateLimited):
+		c.interval = min(2*c.interval, max(c.gather, maxInterval))
+		c.unanswered(batch, err)
 	case err != nil:
-		c.unanswered(batch, errors.Is(err, table.ErrUnavailable), err)
+		c.unanswered(batch, err)
 	case res.Committed:
+		c.interval = max(c.gather, c.interval*recovery/100)
 		for _, op := range batch {
 			c.settle(op, op.committed(res.Revision))
 		}
@@ -136,19 +150,25 @@
 }
 
 // unanswered handles a transaction without an answer. A claim that provably was not written fails
-// at once. Everything else is tried again until its patience ends.
-func (c *Clerk) unanswered(batch []*operation, proved bool, cause error) {
+// at once, unless the table only limits its rate. Everything else is tried again until its
+// patience ends.
+func (c *Clerk) unanswered(batch []*operation, cause error) {
 	now := time.Now()
+	proved, limited := errors.Is(cause, table.ErrUnavailable), errors.Is(cause, table.ErrRateLimited)
 	for _, op := range batch {
 		op.ambiguous = op.ambiguous || !proved
 		if op.giveUp.IsZero() {
 			op.giveUp = now.Add(op.patience())
 		}
-		impatient := op.kind == kindClaim && !op.ambiguous
+		impatient := op.kind == kindClaim && !op.ambiguous && !limited
 		if impatient || now.After(op.giveUp) {
 			c.fail(op, cause)
 			continue
 		}
+		if limited {
+			c.requeue(op, 0)
+			continue
+		}
 		op.backoff = min(max(2*op.backoff, firstBackoff), maxBackoff)
 		c.requeue(op, op.backoff)
 	}
--- a/pkg/claim/claim.go
+++ b/pkg/claim/claim.go
@@ -9,8 +9,9 @@
 //
 // Claims, answers and withdrawals of one instance are gathered into one transaction. The first
 // operation after a pause goes at once. After that a transaction starts when the one before has
-// ended and the gathering time has passed since it started. A row that conflicts is taken out
-// and the rest is tried again. When an answer of the table is lost, the same transaction is sent
+// ended and the gathering time has passed since it started. While the table refuses transactions
+// above its rate, the gathering time grows, up to 250 ms, and claims wait up to 2 s instead of
+// failing. A row that conflicts is taken out and the rest is tried again. When an answer of the table is lost, the same transaction is sent
 // again: if it had taken effect, its conditions fail and the rows found hold this claim's ID.
 //
 // Every error of Claim means that the caller must not run the request and may report NotRun. After
--- a/pkg/claim/clerk.go
+++ b/pkg/claim/clerk.go
@@ -48,6 +48,7 @@
 	now       func() time.Time
 	sweep     sweeper
 	counters  counters
+	interval  time.Duration // interval is the time between two transactions; it belongs to the writer goroutine.
 
 	mu     sync.Mutex
 	queue  []*operation
@@ -99,6 +100,7 @@
 	for _, opt := range opts {
 		opt(c)
 	}
+	c.interval = c.gather
 	ctx, stop := context.WithCancel(context.Background())
 	c.stop = stop
 	c.background.Go(func() { c.run(ctx) })
--- a/pkg/claim/clerk_test.go
+++ b/pkg/claim/clerk_test.go
@@ -171,3 +171,21 @@
 	qt.Assert(t, deleted, qt.Equals, 2)
 	expect(claim.Held)
 }
+
+// TestRateLimit guards against claims that fail because the table limits its rate, although larger
+// transactions would fit.
+func TestRateLimit(t *testing.T) {
+	f := start(t)
+	c := f.clerk(t)
+	f.server.SetFaults(platform.Faults{Table: platform.Fault{PerSecond: 10}})
+	var all sync.WaitGroup
+	for n := range 200 {
+		time.Sleep(5 * time.Millisecond)
+		all.Go(func() {
+			got, err := c.Claim(context.Background(), key(fmt.Sprint(n)))
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, got.State, qt.Equals, claim.Won)
+		})
+	}
+	all.Wait()
+}
--- a/pkg/claim/rate_test.go
+++ b/pkg/claim/rate_test.go
@@ -63,3 +63,62 @@
 	b.ReportMetric(float64(total)/seconds, "claims/s")
 	b.ReportMetric(0, "ns/op")
 }
+
+// BenchmarkFleet lets 18 clerks claim and finish requests on a table that serves 300 transactions/s.
+// Run it with -benchtime 1x.
+func BenchmarkFleet(b *testing.B) {
+	for _, rate := range []int{5, 20, 100} {
+		b.Run(fmt.Sprintf("rate=%d", rate), func(b *testing.B) {
+			for range b.N {
+				measureFleet(b, 18, rate)
+			}
+		})
+	}
+}
+
+func measureFleet(b *testing.B, instances, rate int) {
+	const length = 6 * time.Second
+	s, err := platform.New()
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer s.Close()
+	s.SetFaults(platform.Faults{Table: platform.Fault{Latency: 2 * time.Millisecond, PerSecond: 300}})
+	var mu sync.Mutex
+	var took []time.Duration
+	failed := 0
+	request := func(clerk *claim.Clerk, name string) {
+		began := time.Now()
+		t, err := clerk.Claim(context.Background(), key(name))
+		waited := time.Since(began)
+		if err == nil {
+			err = clerk.Finish(context.Background(), t, claim.Answer{Status: 200})
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		took = append(took, waited)
+		if err != nil {
+			failed++
+		}
+	}
+	var clients sync.WaitGroup
+	for i := range instances {
+		clerk := claim.New(table.New(s.URL()), fmt.Sprint(i), claim.WithSweep(0, 0))
+		defer clerk.Close()
+		start := time.Now().Add(time.Duration(i) * time.Second / time.Duration(rate*instances))
+		clients.Go(func() {
+			for n := range rate * int(length/time.Second) {
+				time.Sleep(time.Until(start.Add(time.Duration(n) * time.Second / time.Duration(rate))))
+				clients.Go(func() { request(clerk, fmt.Sprint(i, "/", n)) })
+			}
+		})
+	}
+	clients.Wait()
+	slices.Sort(took)
+	b.ReportMetric(float64(s.Counts().TableWrites)/length.Seconds(), "writes/s")
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50-ms")
+	b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+	b.ReportMetric(float64(len(took))/length.Seconds(), "claims/s")
+	b.ReportMetric(float64(failed), "failed")
+	b.ReportMetric(0, "ns/op")
+}
--- a/pkg/peer/table/client.go
+++ b/pkg/peer/table/client.go
@@ -103,7 +103,16 @@
 		return Result{}, fmt.Errorf("%w: %v", ErrUnknown, err)
 	}
 	c.failed.Inc(1)
-	return Result{}, fmt.Errorf("%w: %v", ErrUnavailable, err)
+	return Result{}, failure(err)
+}
+
+// failure returns err as ErrUnavailable, and as ErrRateLimited too if that is the reason.
+func failure(err error) error {
+	var status statusError
+	if errors.As(err, &status) && status == http.StatusTooManyRequests {
+		return fmt.Errorf("%w: %w", ErrUnavailable, ErrRateLimited)
+	}
+	return fmt.Errorf("%w: %v", ErrUnavailable, err)
 }
 
 // Get reads one row. The error is nil, ErrNotFound or ErrUnavailable.
@@ -133,7 +142,7 @@
 		return ErrNotFound
 	default:
 		c.failed.Inc(1)
-		return fmt.Errorf("%w: %v", ErrUnavailable, err)
+		return failure(err)
 	}
 }
 
--- a/pkg/peer/table/table.go
+++ b/pkg/peer/table/table.go
@@ -65,11 +65,14 @@
 	unavailable = namespace.NewType("unavailable")
 	unknown     = namespace.NewType("unknown")
 	notFound    = namespace.NewType("not_found", errorx.NotFound())
+	rateLimited = namespace.NewType("rate_limited", errorx.Temporary())
 )
 
 var (
 	// ErrUnavailable means that the service did not answer and nothing was written.
 	ErrUnavailable error = unavailable.New("the table service is not available")
+	// ErrRateLimited accompanies ErrUnavailable where the service refused a call above its rate.
+	ErrRateLimited error = rateLimited.New("the table service limits its rate")
 	// ErrUnknown means that the write may have taken effect, or may still do so.
 	ErrUnknown error = unknown.New("it is not known whether the write took effect")
 	// ErrNotFound means that the row is absent.
