Keep the documents of large changes in one object each

Cause: the first import of 3,800 workspaces is one change of 7.6 MB made of small documents, which the limit for each document left in one table row; objects of old documents were never deleted. Change: the documents of a change above 64 KiB go into one object that is named by the change ID and deleted with the change row by Compact. Conclusion: no row holds more than 64 KiB of documents; a refused large change leaves its object.

--- a/pkg/configlog/apply.go
+++ b/pkg/configlog/apply.go
@@ -16,7 +16,7 @@
 	if err := check(c); err != nil {
 		return Head{}, err
 	}
-	c.Version = c.Expected + 1
+	c.Version, c.Object = c.Expected+1, ""
 	if c.At.IsZero() {
 		c.At = l.now().UTC()
 	}
@@ -28,7 +28,8 @@
 	if head.Version != c.Expected {
 		return l.overtaken(ctx, c, want, head)
 	}
-	if c.Documents, err = l.store(ctx, c.Documents); err != nil {
+	c, err = l.store(ctx, c)
+	if err != nil {
 		return Head{}, err
 	}
 	return l.commit(ctx, c, want, transaction(c, want, revision))
--- a/pkg/configlog/change.go
+++ b/pkg/configlog/change.go
@@ -12,9 +12,9 @@
 // not answer in time. After ErrUnknown the operator sends the change again with the same ID and
 // learns its version. A change ID is remembered as long as the change's row.
 //
-// Documents of more than 64 KiB are kept in the object store under the hash of their content and
-// referred to by the change row. Compact replaces old change rows by a snapshot in the object
-// store. The rows are:
+// The documents of a change of more than 64 KiB, such as the first import, are kept in the object
+// store and referred to by the change row. If such a change is refused, its object stays behind.
+// Compact replaces old change rows by a snapshot in the object store. The rows are:
 //
 //	configuration/head              version, ID, author and time of the last change
 //	configuration/changes/<version> one change
@@ -51,7 +51,6 @@
 	Name    string `json:"Name"`              // Name is HeadOffice or Workspace/<name>.
 	Content []byte `json:"Content,omitempty"` // Content is JSON.
 	Deleted bool   `json:"Deleted,omitempty"`
-	Object  string `json:"Object,omitempty"` // Object names the object that holds a large content; it is set in change rows only.
 }
 
 // Change is one version of the configuration relative to the one before.
@@ -62,6 +61,7 @@
 	By        string     `json:"By"`
 	At        time.Time  `json:"At"`
 	Documents []Document `json:"Documents"`
+	Object    string     `json:"Object,omitempty"` // Object names the object that holds the documents of a large change; History leaves it unread.
 }
 
 func (c Change) head() Head {
--- a/pkg/configlog/compact.go
+++ b/pkg/configlog/compact.go
@@ -17,8 +17,7 @@
 )
 
 // Compact replaces the change rows before the last keep ones by a snapshot in the object store.
-// It may run on several instances at once and be repeated after any error. Objects of large
-// documents stay.
+// It may run on several instances at once and be repeated after any error.
 func (l *Log) Compact(ctx context.Context, keep uint64) error {
 	keep = max(keep, 1) // The last change row shows readers that no change is missing.
 	head, err := l.Head(ctx)
@@ -73,22 +72,34 @@
 		if err != nil {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
-		var t table.Transaction
-		for _, row := range rows {
-			var c Change
-			if err := json.Unmarshal(row.Value, &c); err != nil {
-				return fmt.Errorf("%w: row %s: %v", ErrUnavailable, row.Key, err)
-			}
-			if c.Version > version {
-				break
-			}
-			t.Writes = append(t.Writes, table.Write{Key: row.Key, Delete: true}, table.Write{Key: idKey(c.ID), Delete: true})
-		}
-		if len(t.Writes) == 0 {
-			return nil
+		t, objects, err := deletion(rows, version)
+		if err != nil || len(t.Writes) == 0 {
+			return err
 		}
 		if _, err := l.table.Commit(ctx, t); err != nil {
 			return fmt.Errorf("%w: %w", ErrUnavailable, err)
 		}
+		for _, name := range objects {
+			// An object that stays behind costs space only.
+			_ = l.objects.Delete(ctx, name)
+		}
+	}
+}
+
+// deletion returns the transaction that deletes the rows up to a version, and their objects.
+func deletion(rows []table.Row, version uint64) (t table.Transaction, objects []string, err error) {
+	for _, row := range rows {
+		var c Change
+		if err := json.Unmarshal(row.Value, &c); err != nil {
+			return t, nil, fmt.Errorf("%w: row %s: %v", ErrUnavailable, row.Key, err)
+		}
+		if c.Version > version {
+			break
+		}
+		t.Writes = append(t.Writes, table.Write{Key: row.Key, Delete: true}, table.Write{Key: idKey(c.ID), Delete: true})
+		if c.Object != "" {
+			objects = append(objects, c.Object)
+		}
 	}
+	return t, objects, nil
 }
--- a/pkg/configlog/log.go
+++ b/pkg/configlog/log.go
@@ -18,8 +18,8 @@
 	// firstBackoff and maxBackoff space the attempts of Apply.
 	firstBackoff = 20 * time.Millisecond
 	maxBackoff   = time.Second
-	// inlineLimit is the size above which a document is kept in the object store. A workspace
-	// document has about 2 KB, so the table holds nearly all of them.
+	// inlineLimit is the size above which a change's documents are kept in the object store. A
+	// workspace document has about 2 KB, so the table holds nearly all changes.
 	inlineLimit = 64 << 10
 	// page is the number of change rows in one read: 200 KB with documents of 2 KB.
 	page = 100
@@ -59,7 +59,7 @@
 // Option changes a Log when it is made.
 type Option func(*Log)
 
-// WithObjects sets the object store. Without one, large documents are refused and Compact fails.
+// WithObjects sets the object store. Without one, large changes are refused and Compact fails.
 func WithObjects(o Objects) Option { return func(l *Log) { l.objects = o } }
 
 // WithPatience sets how long Apply resolves a lost answer.
@@ -128,14 +128,14 @@
 		return nil, err
 	}
 	for n := range changes {
-		if err := l.load(ctx, changes[n].Documents); err != nil {
+		if changes[n], err = l.load(ctx, changes[n]); err != nil {
 			return nil, err
 		}
 	}
 	return changes, nil
 }
 
-// scan reads up to limit change rows, without the content of large documents.
+// scan reads up to limit change rows, without the documents of large changes.
 func (l *Log) scan(ctx context.Context, after uint64, limit int) ([]Change, error) {
 	var changes []Change
 	for len(changes) < limit {
@@ -175,8 +175,8 @@
 	return c, nil
 }
 
-// History returns up to limit changes, the last one first. The content of large documents is
-// left out.
+// History returns up to limit changes, the last one first. The documents of large changes
+// are left out.
 func (l *Log) History(ctx context.Context, limit int) ([]Change, error) {
 	head, err := l.Head(ctx)
 	if err != nil {
--- a/pkg/configlog/log_test.go
+++ b/pkg/configlog/log_test.go
@@ -230,8 +230,8 @@
 	qt.Assert(t, history[0].Documents, qt.DeepEquals, []configlog.Document{{Name: "Workspace/a", Deleted: true}})
 }
 
-// TestLargeDocuments guards against rows that outgrow the table and snapshots that lose their content.
-func TestLargeDocuments(t *testing.T) {
+// TestLargeChanges guards against rows that outgrow the table and snapshots that lose their content.
+func TestLargeChanges(t *testing.T) {
 	m := newMemory()
 	log := newLog(m)
 	c := &configuration.Configuration{Workspaces: []configuration.Workspace{
@@ -246,6 +246,7 @@
 		qt.Assert(t, len(row.Value) < 10<<10, qt.IsTrue)
 	}
 	qt.Assert(t, log.Compact(ctx, 1), qt.IsNil)
+	qt.Assert(t, m.objects, qt.HasLen, 2, qt.Commentf("the snapshot and the documents of the last change"))
 	got, err := newLog(m).Snapshot(ctx)
 	qt.Assert(t, err, qt.IsNil)
 	c.Version = 3
--- a/pkg/configlog/rows.go
+++ b/pkg/configlog/rows.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"net/url"
 	"slices"
@@ -53,36 +54,36 @@
 	return changes
 }
 
-// store moves the content of large documents to the object store and returns the documents as
-// the change row holds them. A repeated store writes the same objects again.
-func (l *Log) store(ctx context.Context, documents []Document) ([]Document, error) {
-	stored := slices.Clone(documents)
-	for n, d := range stored {
-		if len(d.Content) <= inlineLimit {
-			continue
-		}
-		name := documentsPrefix + digest(d.Content)
-		if err := l.objects.Put(ctx, name, d.Content); err != nil {
-			return nil, fmt.Errorf("%w: document %s: %w", ErrUnavailable, d.Name, err)
-		}
-		stored[n] = Document{Name: d.Name, Object: name}
+// store moves the documents of a large change to the object store and returns the change as its row
+// holds it. The object's name has the change ID, so that no other change refers to it and a
+// repeated store writes the same object again.
+func (l *Log) store(ctx context.Context, c Change) (Change, error) {
+	content := encode(c.Documents)
+	if len(content) <= inlineLimit {
+		return c, nil
 	}
-	return stored, nil
+	c.Object = documentsPrefix + digest([]byte(c.ID)) + "/" + digest(content)
+	if err := l.objects.Put(ctx, c.Object, content); err != nil {
+		return c, fmt.Errorf("%w: documents of change %s: %w", ErrUnavailable, c.ID, err)
+	}
+	c.Documents = nil
+	return c, nil
 }
 
-// load fills in the content of documents that are kept in the object store.
-func (l *Log) load(ctx context.Context, documents []Document) error {
-	for n, d := range documents {
-		if d.Object == "" {
-			continue
-		}
-		content, err := l.objects.Get(ctx, d.Object)
-		if err != nil {
-			return fmt.Errorf("%w: document %s: %w", ErrUnavailable, d.Name, err)
-		}
-		documents[n].Content, documents[n].Object = content, ""
+// load returns the change with its documents.
+func (l *Log) load(ctx context.Context, c Change) (Change, error) {
+	if c.Object == "" {
+		return c, nil
+	}
+	content, err := l.objects.Get(ctx, c.Object)
+	if err == nil {
+		err = json.Unmarshal(content, &c.Documents)
+	}
+	if err != nil {
+		return c, fmt.Errorf("%w: documents of version %d: %w", ErrUnavailable, c.Version, err)
 	}
-	return nil
+	c.Object = ""
+	return c, nil
 }
 
 // noObjects stands for the object store where none is set.
