Check claimed deaths in parallel and stop idle gossip

Cause: parting of two regions took 65 s at 200 instances, since deaths learned from a digest were checked one a second; gossip packets without news went on at the budget's rate after a mass event; sorting the member list on each change dominated CPU time during a cut. Change: claims are told to the member itself, one check started per tick; pushes are counted; suspects and dead members are kept in lists; the node updates its member list once a tick.

--- a/pkg/decision/membership/items.go
+++ b/pkg/decision/membership/items.go
@@ -13,7 +13,7 @@
 	case Version:
 		if i.Wins(t.version) {
 			t.version = i
-			t.urgent = true
+			t.pushes = fanout
 		}
 	case LoadShare:
 		t.load = i
--- a/pkg/decision/membership/merge.go
+++ b/pkg/decision/membership/merge.go
@@ -1,6 +1,9 @@
 package membership
 
-import "net/netip"
+import (
+	"net/netip"
+	"slices"
+)
 
 // source is how a member record arrived.
 type source string
@@ -27,7 +30,7 @@
 		return
 	}
 	if how == synced && m.State == Dead && r.State.Live() {
-		t.verify(r, m)
+		t.verify(m)
 		return
 	}
 	t.change(r, m, from)
@@ -37,7 +40,7 @@
 // insert adds an unknown member. A death or departure of a member that was never known is kept, so
 // that an older record of it is not believed, but it is not relayed.
 func (t *Table) insert(m Member, how source, from netip.AddrPort) {
-	r := &record{Member: m, hash: hashAddress(m.Address), since: t.now, index: -1}
+	r := &record{Member: m, hash: hashAddress(m.Address), since: t.now}
 	t.members[m.Address] = r
 	t.enter(r)
 	t.events = append(t.events, Event{Member: m, From: from})
@@ -59,31 +62,41 @@
 func (t *Table) enter(r *record) {
 	t.sorted = nil
 	if !r.State.Live() {
-		t.gone[r] = struct{}{}
+		r.index = len(t.gone)
+		t.gone = append(t.gone, r)
 		return
 	}
 	r.index = len(t.live)
 	t.live = append(t.live, r)
 	t.toggle(r.hash, r.sum(r.hash))
 	if r.State == Suspect {
-		t.suspects[r] = &suspicion{deadline: t.now.Add(hearsayFactor * t.patience())}
+		r.suspicion = &suspicion{deadline: t.now.Add(hearsayFactor * t.patience()), index: len(t.suspects)}
+		t.suspects = append(t.suspects, r)
 	}
 }
 
-// exit removes the record from the lists of its state.
+// exit removes the record from the lists of its state, which it must still hold.
 func (t *Table) exit(r *record) {
 	t.sorted = nil
-	delete(t.gone, r)
-	delete(t.suspects, r)
-	if r.index < 0 {
+	if !r.State.Live() {
+		t.gone = remove(t.gone, r.index, func(o *record, i int) { o.index = i })
 		return
 	}
+	t.live = remove(t.live, r.index, func(o *record, i int) { o.index = i })
 	t.toggle(r.hash, r.sum(r.hash))
-	last := t.live[len(t.live)-1]
-	t.live[r.index] = last
-	last.index = r.index
-	t.live = t.live[:len(t.live)-1]
-	r.index = -1
+	if r.suspicion != nil {
+		t.suspects = remove(t.suspects, r.suspicion.index, func(o *record, i int) { o.suspicion.index = i })
+		r.suspicion = nil
+	}
+}
+
+// remove takes out the element at an index, moves the last one there and tells it its index.
+func remove(list []*record, index int, move func(*record, int)) []*record {
+	last := len(list) - 1
+	list[index] = list[last]
+	move(list[index], index)
+	list[last] = nil
+	return list[:last]
 }
 
 // refute answers a record about this member itself that is wrong, by a higher incarnation.
@@ -98,7 +111,7 @@
 	t.self.Incarnation = m.Incarnation + 1
 	t.toggle(t.hash, t.self.sum(t.hash))
 	t.sorted = nil
-	t.urgent = true
+	t.pushes = fanout
 }
 
 // tickForget drops what has expired.
@@ -107,7 +120,7 @@
 		return
 	}
 	t.nextForget = t.now.Add(forgetInterval)
-	for r := range t.gone {
+	for _, r := range slices.Clone(t.gone) {
 		life := deadLife
 		if r.State == Left {
 			life = leftLife
--- a/pkg/decision/membership/news.go
+++ b/pkg/decision/membership/news.go
@@ -79,7 +79,7 @@
 // announce queues an update and asks for it to be sent with the next tick.
 func (t *Table) announce(k newsKey) {
 	t.news.add(k, t.now)
-	t.urgent = true
+	t.pushes = fanout
 }
 
 // fillNews adds queued updates to a packet until it is full.
@@ -133,20 +133,24 @@
 	return r.Size()
 }
 
-// tickNews sends news to a few members without waiting for the next probe.
+// tickNews sends news to a few members without waiting for the next probe, within the budget.
 func (t *Table) tickNews() {
-	if !t.urgent {
+	if t.pushes == 0 {
 		return
 	}
-	for _, r := range t.pick(fanout, nil) {
+	for _, r := range t.pick(t.pushes, nil) {
 		if !t.newsBudget.allow(t.now, MaxPacketBytes) {
 			return
 		}
 		p := t.compose(Gossip, r.Address)
 		t.newsBudget.spend(p.Size())
 		t.send(p)
+		t.pushes--
+	}
+	t.pushes = 0
+	if t.news.fresh() {
+		t.pushes = fanout
 	}
-	t.urgent = t.news.fresh()
 }
 
 // budget is a token bucket of bytes.
--- a/pkg/decision/membership/probe.go
+++ b/pkg/decision/membership/probe.go
@@ -9,7 +9,6 @@
 // prober makes one probe at a time.
 type prober struct {
 	order  []*record // order is the rest of this round; each round probes every member once
-	verify []Member  // verify lists deaths that others hold against members live here
 	next   time.Time
 	health int
 
@@ -23,23 +22,12 @@
 // relay is a probe made for another member.
 type relay struct {
 	origin   netip.AddrPort
-	sequence uint64
+	asked    uint64 // asked is the sequence number of the origin's probe
 	target   netip.AddrPort
+	sequence uint64 // sequence is the number of the ping to the target
 	deadline time.Time
 }
 
-// verify arranges that a member is probed next. What a digest answer says of a death may be what
-// the other side of a healed cut still believes, so it is checked and not taken over.
-func (t *Table) verify(r *record, claim Member) {
-	p := &t.probes
-	same := func(m Member) bool { return m.Address == r.Address }
-	if i := slices.IndexFunc(p.verify, same); i >= 0 {
-		p.verify[i] = claim
-		return
-	}
-	p.verify = append(p.verify, claim)
-}
-
 func (t *Table) tickProbe() {
 	p := &t.probes
 	if p.target != nil && p.asked == 0 && !t.now.Before(p.askAt) {
@@ -52,10 +40,8 @@
 		t.failProbe()
 	}
 	p.next = t.now.Add(t.scaled(probeInterval))
-	if claim, ok := t.nextClaim(); ok {
-		t.startProbe(t.members[claim.Address], []Member{claim})
-	} else if r := t.nextTarget(); r != nil {
-		t.startProbe(r, nil)
+	if r := t.nextTarget(); r != nil {
+		t.startProbe(r)
 	}
 }
 
@@ -64,20 +50,6 @@
 	return d * time.Duration(1+t.probes.health)
 }
 
-// nextClaim returns the next claimed death that still concerns a live record.
-func (t *Table) nextClaim() (Member, bool) {
-	p := &t.probes
-	for len(p.verify) > 0 {
-		claim := p.verify[0]
-		p.verify = p.verify[1:]
-		r := t.members[claim.Address]
-		if r != nil && r.State.Live() && claim.Wins(r.Member) {
-			return claim, true
-		}
-	}
-	return Member{}, false
-}
-
 // nextTarget returns the next live member of the round, and starts a new round after the last one.
 func (t *Table) nextTarget() *record {
 	p := &t.probes
@@ -95,15 +67,15 @@
 	return nil
 }
 
-func (t *Table) startProbe(r *record, tell []Member) {
+func (t *Table) startProbe(r *record) {
 	p := &t.probes
 	p.target, p.sequence, p.asked, p.nacks = r, t.sequence(), 0, 0
 	p.askAt = t.now.Add(t.scaled(ackTimeout))
-	t.send(t.ping(r.Address, p.sequence, tell))
+	t.send(t.ping(r.Address, p.sequence))
 }
 
-func (t *Table) ping(to netip.AddrPort, sequence uint64, tell []Member) Packet {
-	k := t.compose(Ping, to, tell...)
+func (t *Table) ping(to netip.AddrPort, sequence uint64) Packet {
+	k := t.compose(Ping, to)
 	k.Sequence = sequence
 	return k
 }
@@ -112,7 +84,7 @@
 func (t *Table) askHelpers() {
 	p := &t.probes
 	p.asked = -1
-	t.send(t.ping(p.target.Address, p.sequence, nil))
+	t.send(t.ping(p.target.Address, p.sequence))
 	for _, h := range t.pick(helpers, p.target) {
 		k := t.compose(PingRequest, h.Address)
 		k.Sequence, k.Target = p.sequence, p.target.Address
@@ -148,34 +120,35 @@
 	if len(t.relays) >= maxRelays {
 		return
 	}
-	s := t.sequence()
-	t.relays[s] = relay{
-		origin: p.From.Address, sequence: p.Sequence, target: p.Target, deadline: t.now.Add(ackTimeout),
+	r := relay{
+		origin: p.From.Address, asked: p.Sequence, target: p.Target,
+		sequence: t.sequence(), deadline: t.now.Add(ackTimeout),
 	}
-	t.send(t.ping(p.Target, s, nil))
+	t.relays = append(t.relays, r)
+	t.send(t.ping(r.target, r.sequence))
 }
 
 // relayAck passes an answer on to the origin of the request.
 func (t *Table) relayAck(p Packet) {
-	r, ok := t.relays[p.Sequence]
-	if !ok || p.From.Address != r.target {
+	i := slices.IndexFunc(t.relays, func(r relay) bool {
+		return r.sequence == p.Sequence && r.target == p.From.Address
+	})
+	if i < 0 {
 		return
 	}
-	delete(t.relays, p.Sequence)
+	r := t.relays[i]
+	t.relays = slices.Delete(t.relays, i, i+1)
 	k := t.compose(Ack, r.origin, p.From)
-	k.Sequence = r.sequence
+	k.Sequence = r.asked
 	t.send(k)
 }
 
 func (t *Table) expireRelays() {
-	for _, s := range t.sortedRelays() {
-		r := t.relays[s]
-		if t.now.Before(r.deadline) {
-			continue
-		}
-		delete(t.relays, s)
+	for len(t.relays) > 0 && !t.now.Before(t.relays[0].deadline) {
+		r := t.relays[0]
+		t.relays = t.relays[1:]
 		k := t.compose(Nack, r.origin)
-		k.Sequence = r.sequence
+		k.Sequence = r.asked
 		t.send(k)
 	}
 }
--- a/pkg/decision/membership/rejoin.go
+++ b/pkg/decision/membership/rejoin.go
@@ -33,7 +33,7 @@
 	}
 	t.nextDead = t.now.Add(deadProbeInterval)
 	var dead []*record
-	for _, r := range t.sortedGone() {
+	for _, r := range t.gone {
 		if r.State == Dead {
 			dead = append(dead, r)
 		}
--- a/pkg/decision/membership/suspicion.go
+++ b/pkg/decision/membership/suspicion.go
@@ -4,6 +4,7 @@
 
 // suspicion is a member's chance to refute.
 type suspicion struct {
+	index    int // index is the position in Table.suspects
 	deadline time.Time
 	own      bool      // own is set if this table's probe failed
 	nextPing time.Time // nextPing is when an own suspicion is told to the suspect again
@@ -24,8 +25,8 @@
 		m.State = Suspect
 		t.merge(m, local, t.self.Address)
 	}
-	s := t.suspects[r]
-	if s.own {
+	s := r.suspicion
+	if s == nil || s.own {
 		return
 	}
 	s.own = true
@@ -38,8 +39,9 @@
 // expireSuspicions declares members dead that did not refute, and tells suspects of this table's
 // own suspicions directly, since news may reach them too late to refute.
 func (t *Table) expireSuspicions() {
-	for _, r := range t.sortedSuspects() {
-		s := t.suspects[r]
+	for i := len(t.suspects) - 1; i >= 0; i-- {
+		r := t.suspects[i]
+		s := r.suspicion
 		if !t.now.Before(s.deadline) {
 			m := r.Member
 			m.State = Dead
--- a/pkg/decision/membership/sync.go
+++ b/pkg/decision/membership/sync.go
@@ -112,7 +112,7 @@
 			keys = append(keys, newsKey{address: r.Address})
 		}
 	}
-	for _, r := range t.sortedGone() {
+	for _, r := range t.gone {
 		if wanted[bucket(r.hash)] {
 			keys = append(keys, newsKey{address: r.Address})
 		}
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -12,8 +12,10 @@
 	Member
 	hash  uint64    // hash of the address
 	since time.Time // since is when the state was entered
-	index int       // index is the position in Table.live, or -1
+	index int       // index is the position in Table.live or Table.gone
 	load  LoadShare
+
+	suspicion *suspicion // suspicion is set while the state is Suspect
 }
 
 // Event tells the driver of a change. Item is nil if the change concerns Member.
@@ -35,20 +37,21 @@
 	load    LoadShare
 
 	members  map[netip.AddrPort]*record
-	live     []*record            // live lists the live members for random choices
-	gone     map[*record]struct{} // gone holds dead and left members until they are forgotten
-	suspects map[*record]*suspicion
+	live     []*record // live lists the live members
+	gone     []*record // gone lists dead and departed members until they are forgotten
+	suspects []*record
 	items    map[newsKey]Item
 	digest   [Buckets]uint32
 	sorted   []Member // sorted caches Members and is nil after a change
 
 	news   queue
-	urgent bool // urgent is set while there is news to send without waiting for a probe
+	pushes int // pushes counts the packets to send with news before the next probe
 	newsBudget,
 	syncBudget budget
 
-	probes prober
-	relays map[uint64]relay
+	probes   prober
+	verifier verifier
+	relays   []relay // relays lists the probes made for others, oldest first
 	nextSequence,
 	refused uint64
 	nextSync, nextSeed, nextDead, nextForget time.Time
@@ -72,8 +75,8 @@
 	}
 	t := &Table{
 		fleet: c.Fleet, self: c.Self, hash: hashAddress(c.Self.Address), rand: r, now: now,
-		members: map[netip.AddrPort]*record{}, gone: map[*record]struct{}{},
-		suspects: map[*record]*suspicion{}, items: map[newsKey]Item{}, relays: map[uint64]relay{},
+		members: map[netip.AddrPort]*record{}, items: map[newsKey]Item{},
+		verifier:   verifier{claims: map[netip.AddrPort]*claim{}},
 		news:       newQueue(),
 		newsBudget: budget{rate: newsRate, burst: newsBurst, left: newsBurst, at: now},
 		syncBudget: budget{rate: syncRate, burst: syncBurst, left: syncBurst, at: now},
@@ -111,10 +114,18 @@
 	return t.sorted
 }
 
+// Count returns the number of live members, itself included, without making a list.
+func (t *Table) Count() int {
+	if t.self.State.Live() {
+		return len(t.live) + 1
+	}
+	return len(t.live)
+}
+
 // Gone returns the dead and departed members that are not forgotten yet.
 func (t *Table) Gone() []Member {
 	all := make([]Member, 0, len(t.gone))
-	for r := range t.gone {
+	for _, r := range t.gone {
 		all = append(all, r.Member)
 	}
 	slices.SortFunc(all, compareAddress)
@@ -174,6 +185,7 @@
 	t.expireSuspicions()
 	t.expireRelays()
 	t.tickProbe()
+	t.tickVerify()
 	t.tickSeeds()
 	t.tickDead()
 	t.tickSync()
--- a/pkg/peer/instance/capacity_test.go
+++ b/pkg/peer/instance/capacity_test.go
@@ -260,5 +260,5 @@
 	for _, p := range c.processes {
 		count[p.region()]++
 	}
-	return c.everyone(func(p *process) bool { return len(p.table.Members()) == count[p.region()] })()
+	return c.everyone(func(p *process) bool { return p.table.Count() == count[p.region()] })()
 }
--- a/pkg/peer/instance/control.go
+++ b/pkg/peer/instance/control.go
@@ -32,6 +32,7 @@
 
 func (n *Node) tick(now time.Time) {
 	n.sendAll(n.table.Tick(now))
+	n.updateMembers()
 	n.perform(n.spreader.Tick(now))
 	if n.ticks++; n.ticks%refreshTicks == 0 {
 		n.refresh()
@@ -40,24 +41,30 @@
 
 // handleEvents passes on what the member table has learned.
 func (n *Node) handleEvents(now time.Time) {
-	changed := false
 	for _, e := range n.table.Events() {
 		switch i := e.Item.(type) {
 		case nil:
-			changed = true
+			n.changed = true
 			n.logMember(e)
 		case membership.Version:
 			n.perform(n.spreader.Heard(e.From, i.Number, now))
 		case membership.Drain, membership.Quarantine:
-			changed = true
+			n.changed = true
 			n.notices.item(i)
 		}
 	}
-	if changed {
-		n.spreader.SetMembers(n.table.Members())
-		n.refresh()
-		n.notices.members(n.Members())
+}
+
+// updateMembers tells the spreader and readers of changes. It runs once a tick: thousands of members
+// change in one second when a region is cut off, and the list is sorted each time.
+func (n *Node) updateMembers() {
+	if !n.changed {
+		return
 	}
+	n.changed = false
+	n.spreader.SetMembers(n.table.Members())
+	n.refresh()
+	n.notices.members(n.Members())
 }
 
 func (n *Node) logMember(e membership.Event) {
--- a/pkg/peer/instance/driven_test.go
+++ b/pkg/peer/instance/driven_test.go
@@ -23,6 +23,7 @@
 	index    int
 	self     membership.Member
 	up       bool
+	changed  bool // changed is set if the members changed since the last tick
 	table    *membership.Table
 	spreader *spread.Spreader
 	bytes    int // bytes sent, with 28 bytes of IP and UDP headers for each packet
@@ -173,6 +174,10 @@
 	case e.packet == nil:
 		c.push(event{at: c.at + membership.TickInterval, to: e.to})
 		c.send(e.to, e.to.table.Tick(c.now()))
+		if e.to.changed {
+			e.to.spreader.SetMembers(e.to.table.Members())
+			e.to.changed = false
+		}
 		c.perform(e.to, e.to.spreader.Tick(c.now()))
 	default:
 		p, err := instance.Decode(e.packet)
@@ -183,7 +188,6 @@
 }
 
 func (c *cluster) handleEvents(p *process) {
-	changed := false
 	for _, e := range p.table.Events() {
 		if c.onEvent != nil {
 			c.onEvent(p, e)
@@ -191,10 +195,7 @@
 		if v, ok := e.Item.(membership.Version); ok {
 			c.perform(p, p.spreader.Heard(e.From, v.Number, c.now()))
 		}
-		changed = changed || e.Item == nil
-	}
-	if changed {
-		p.spreader.SetMembers(p.table.Members())
+		p.changed = p.changed || e.Item == nil
 	}
 }
 
@@ -314,7 +315,7 @@
 // agreed reports whether every process knows exactly the running ones.
 func (c *cluster) agreed() bool {
 	n := c.running()
-	return c.everyone(func(p *process) bool { return len(p.table.Members()) == n })()
+	return c.everyone(func(p *process) bool { return p.table.Count() == n })()
 }
 
 func (c *cluster) current(p *process) bool { return p.spreader.Version() == c.head }
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -59,6 +59,7 @@
 	table    *membership.Table
 	spreader *spread.Spreader
 	ticks    uint64
+	changed  bool // changed is set if members or items changed since the last tick
 }
 
 // received is a decoded packet on its way to the control goroutine.
