Confirm a frozen stage by a probe and by ticks that come on time

Cause: with 40 workers and 6 entry instances on one busy machine, 58 to 101 stages counted as frozen for each 144 to 185 answers of an instance although none was; each false alarm costs a prefill. All of them came in bursts across targets, when the process was starved of processor time, and from targets whose next answer to this instance was more than 150 ms away. The limit of 2 s for a step is unchanged.

--- a/pkg/stream/deadline.go
+++ b/pkg/stream/deadline.go
@@ -24,7 +24,8 @@
 	mu      sync.Mutex
 	decode  latency.Estimator
 	prefill latency.Estimator
-	latest  time.Time // latest is when the target last answered a step of any stream, by the machine's clock.
+	latest  time.Time // latest is when the target last answered a step or a probe of any stream, by the machine's clock.
+	probing bool
 }
 
 func newDeadlines() *deadlines {
@@ -77,7 +78,22 @@
 	o.latest = time.Now()
 }
 
-func (o *observed) latestAnswer() time.Time {
+// beginProbe reports whether no other probe is under way.
+func (o *observed) beginProbe() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	free := !o.probing
+	o.probing = true
+	return free
+}
+
+func (o *observed) endProbe() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.probing = false
+}
+
+func (o *observed) latestSign() time.Time {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.latest
--- a/pkg/stream/faults_test.go
+++ b/pkg/stream/faults_test.go
@@ -59,6 +59,8 @@
 
 func (memoryStage) Cancel(context.Context, string, uint32) error { return nil }
 
+func (memoryStage) Report(context.Context) (*enginepb.Report, error) { return &enginepb.Report{}, nil }
+
 type notRunError struct{}
 
 func (notRunError) Error() string        { return "connection refused" }
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -115,6 +115,7 @@
 	mismatched  metrics.Counter
 	violated    metrics.Counter
 	failed      metrics.Counter
+	probes      metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -123,5 +124,6 @@
 		answers: counter("answers"), generations: counter("generations"), tokens: counter("tokens"),
 		crashed: counter("stages_crashed"), frozen: counter("stages_frozen"), refused: counter("stages_refused"),
 		mismatched: counter("results_mismatched"), violated: counter("invariants_violated"), failed: counter("answers_failed"),
+		probes: counter("probes"),
 	}
 }
--- a/pkg/stream/step.go
+++ b/pkg/stream/step.go
@@ -50,10 +50,11 @@
 }
 
 func (a *attempt) watch(frozen func()) *watch {
+	probe := func() { a.generation.answer.runner.probe(a.generation.stages[a.stage], a.times) }
 	if isPrefill(a.step) {
-		return newWatch(a.times, a.times.prefillDeadline(a.size), prefillCap(a.size), frozen)
+		return newWatch(a.times, a.times.prefillDeadline(a.size), prefillCap(a.size), probe, frozen)
 	}
-	return newWatch(a.times, a.times.decodeDeadline(), latency.Cap, frozen)
+	return newWatch(a.times, a.times.decodeDeadline(), latency.Cap, probe, frozen)
 }
 
 // observe adds the time of a step. A step that ran into its deadline counts with its deadline, so that a target that is slow but
@@ -92,8 +93,8 @@
 	if cause == errFrozen {
 		a.observe(now)
 		err = fmt.Errorf("no answer for %v, and none to other streams for %v: %w",
-			now.Sub(a.began), now.Sub(a.times.latestAnswer()), errFrozen)
-		return g.faultWith(a.stage, frozen, err, time.Since(a.times.latestAnswer()) >= latency.Floor)
+			now.Sub(a.began), now.Sub(a.times.latestSign()), errFrozen)
+		return g.faultWith(a.stage, frozen, err, time.Since(a.times.latestSign()) >= latency.Floor)
 	}
 	g.dead[a.stage] = true
 	if g.sent[a.stage] {
--- a/pkg/stream/stream.go
+++ b/pkg/stream/stream.go
@@ -30,6 +30,8 @@
 	// Step returns the engine's result for the step. An error with a method Ran tells whether the step may have reached the
 	// engine; any other error counts as unknown.
 	Step(ctx context.Context, step *enginepb.Step) (*enginepb.StepResult, error)
+	// Report returns the target's load. It does not wait for steps, so that a busy target answers it and a frozen one does not.
+	Report(ctx context.Context) (*enginepb.Report, error)
 	// Cancel frees the KV cache of one generation.
 	Cancel(ctx context.Context, request string, generation uint32) error
 }
