Refuse claims at once while the table does not answer

Cause: in a trial with a table that accepts connections and never answers, every claim waited up to 4.0 s before it was refused. Change: after 1.5 s without an answer, claims are refused at once as long as another operation is under way that finds out when the table answers again. Result: TestSilentTable: the second claim is refused in under 200 ms and claims succeed again within 3 s of the end of the outage; go test -race ./pkg/claim passes. Conclusion: only the claims that are under way when the silence starts wait for up to 4 s.

--- a/pkg/claim/batch.go
+++ b/pkg/claim/batch.go
@@ -108,8 +108,7 @@
 	for _, op := range batch {
 		op.addTo(&t)
 	}
-	c.counters.wrote(len(batch))
-	res, err := c.table.Commit(ctx, t)
+	res, err := c.commit(ctx, t, len(batch))
 	switch {
 	case errors.Is(err, table.ErrRateLimited):
 		c.interval = min(2*c.interval, max(c.gather, maxInterval))
@@ -128,6 +127,26 @@
 	return false
 }
 
+// commit sends the transaction and notes whether the table answers.
+func (c *Clerk) commit(ctx context.Context, t table.Transaction, operations int) (table.Result, error) {
+	c.counters.wrote(operations)
+	c.mu.Lock()
+	c.writing = true
+	c.mu.Unlock()
+	started := time.Now()
+	res, err := c.table.Commit(ctx, t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+	switch {
+	case !errors.Is(err, table.ErrUnknown):
+		c.silent = time.Time{}
+	case c.silent.IsZero():
+		c.silent = started
+	}
+	return res, err
+}
+
 // conflicting settles the operations whose rows did not match and requeues the rest.
 func (c *Clerk) conflicting(batch []*operation, failed []table.Row) {
 	found := make(map[string]table.Row, len(failed))
--- a/pkg/claim/clerk.go
+++ b/pkg/claim/clerk.go
@@ -26,6 +26,9 @@
 	DefaultBodyLimit = 32 << 10
 	// skew is added to the retention, since the time in a row is from its holder's clock.
 	skew = 5 * time.Minute
+	// silence is how long the table may leave transactions unanswered before claims are refused at
+	// once. It is the table client's timeout for one call and half of another.
+	silence = 1500 * time.Millisecond
 	// maxQueued and maxQueuedBytes bound the memory of operations that wait for the table.
 	maxQueued      = 20_000
 	maxQueuedBytes = 16 << 20
@@ -54,6 +57,10 @@
 	queue  []*operation
 	bytes  int
 	closed bool
+	// silent is when the first of the latest transactions without an answer was sent, and writing
+	// means that a transaction is in flight.
+	silent  time.Time
+	writing bool
 
 	signal     chan struct{}
 	stop       context.CancelFunc
@@ -186,10 +193,20 @@
 	if c.closed || len(c.queue) >= maxQueued || c.bytes+len(op.value) > maxQueuedBytes {
 		return fmt.Errorf("%w: closed, or too many operations wait for the table", ErrUnavailable)
 	}
+	if op.kind == kindClaim && c.unresponsive() {
+		return fmt.Errorf("%w: the table has not answered for %s", ErrUnavailable, time.Since(c.silent).Round(time.Millisecond))
+	}
 	c.push(op)
 	return nil
 }
 
+// unresponsive reports whether a claim would only wait for a table that does not answer. Another
+// operation must be under way, which finds out when the table answers again.
+func (c *Clerk) unresponsive() bool {
+	probing := c.writing || len(c.queue) > 0
+	return probing && !c.silent.IsZero() && time.Since(c.silent) > silence
+}
+
 func (c *Clerk) push(op *operation) {
 	c.queue = append(c.queue, op)
 	c.bytes += len(op.value)
--- a/pkg/claim/clerk_test.go
+++ b/pkg/claim/clerk_test.go
@@ -175,6 +175,7 @@
 // TestRateLimit guards against claims that fail because the table limits its rate, although larger
 // transactions would fit.
 func TestRateLimit(t *testing.T) {
+	t.Parallel()
 	f := start(t)
 	c := f.clerk(t)
 	f.server.SetFaults(platform.Faults{Table: platform.Fault{PerSecond: 10}})
@@ -189,3 +190,25 @@
 	}
 	all.Wait()
 }
+
+// TestSilentTable guards against callers that wait for a table that is known not to answer, and
+// against refusals that go on after it answers again.
+func TestSilentTable(t *testing.T) {
+	t.Parallel()
+	ctx := context.Background()
+	f := start(t)
+	c := f.clerk(t)
+	f.server.SetFaults(platform.Faults{Table: platform.Fault{Outage: platform.Silent}})
+	_, err := c.Claim(ctx, key("first"))
+	qt.Assert(t, err, qt.ErrorIs, claim.ErrUnavailable)
+	began := time.Now()
+	_, err = c.Claim(ctx, key("second"))
+	qt.Assert(t, err, qt.ErrorIs, claim.ErrUnavailable)
+	qt.Assert(t, time.Since(began) < 200*time.Millisecond, qt.IsTrue)
+	f.server.SetFaults(platform.Faults{})
+	for deadline := time.Now().Add(3 * time.Second); err != nil && time.Now().Before(deadline); {
+		_, err = c.Claim(ctx, key("third"))
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, err, qt.IsNil)
+}
--- a/pkg/orders/rates_test.go
+++ b/pkg/orders/rates_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/claim"
 	"github.com/cuminroute/cuminroute/pkg/configlog"
+	"github.com/cuminroute/cuminroute/pkg/configuration"
 	"github.com/cuminroute/cuminroute/pkg/orders"
 	"github.com/cuminroute/cuminroute/pkg/peer/table"
 	"github.com/cuminroute/cuminroute/pkg/standin/platform"
@@ -21,13 +22,15 @@
 	const length = 20 * time.Second
 	functions := []struct {
 		name string
-		run  func(c *table.Client, until time.Time)
+		run  func(s *platform.Server, c *table.Client, until time.Time)
 	}{
 		{"lease holder", holdLease},
+		{"lease candidate", watchLease},
 		{"configuration poller", pollHead},
-		{"claims sweep", func(c *table.Client, until time.Time) { makeClaims(c, until, 0) }},
-		{"claims at 1 per second", func(c *table.Client, until time.Time) { makeClaims(c, until, 1) }},
-		{"claims at 20 per second", func(c *table.Client, until time.Time) { makeClaims(c, until, 20) }},
+		{"configuration changes at 1 per second", changeConfiguration},
+		{"claims sweep", func(_ *platform.Server, c *table.Client, until time.Time) { makeClaims(c, until, 0) }},
+		{"claims at 1 per second", func(_ *platform.Server, c *table.Client, until time.Time) { makeClaims(c, until, 1) }},
+		{"claims at 20 per second", func(_ *platform.Server, c *table.Client, until time.Time) { makeClaims(c, until, 20) }},
 	}
 	for _, f := range functions {
 		b.Run(f.name, func(b *testing.B) {
@@ -37,7 +40,7 @@
 			}
 			defer s.Close()
 			r := metrics.NewRegistry()
-			f.run(table.New(s.URL(), table.WithMetrics(r)), time.Now().Add(length))
+			f.run(s, table.New(s.URL(), table.WithMetrics(r)), time.Now().Add(length))
 			rate := func(name string) float64 {
 				return float64(metrics.GetOrRegisterCounter(name, r).Count()) / length.Seconds()
 			}
@@ -48,13 +51,29 @@
 	}
 }
 
-func holdLease(c *table.Client, until time.Time) {
+func holdLease(_ *platform.Server, c *table.Client, until time.Time) {
 	d := orders.New(c, &engine{}, "entry-1")
 	d.SetCandidate(true)
 	time.Sleep(time.Until(until))
 }
 
-func pollHead(c *table.Client, until time.Time) {
+func watchLease(s *platform.Server, c *table.Client, until time.Time) {
+	holder := orders.New(table.New(s.URL()), &engine{}, "entry-2")
+	holder.SetCandidate(true)
+	time.Sleep(time.Second)
+	holdLease(s, c, until)
+}
+
+func changeConfiguration(_ *platform.Server, c *table.Client, until time.Time) {
+	log := configlog.New(c)
+	documents := configlog.Split(&configuration.Configuration{})
+	for n := 0; time.Now().Before(until); n++ {
+		_, _ = log.Apply(context.Background(), configlog.Change{Expected: uint64(n), ID: fmt.Sprint(n), By: "ana", Documents: documents})
+		time.Sleep(time.Second)
+	}
+}
+
+func pollHead(_ *platform.Server, c *table.Client, until time.Time) {
 	log := configlog.New(c)
 	for time.Now().Before(until) {
 		_, _ = log.Head(context.Background())
