--- a/pkg/claim/batch.go
+++ b/pkg/claim/batch.go
@@ -37,10 +37,18 @@
 		if conflicts := c.write(ctx, batch); !conflicts {
 			next = started.Add(c.interval)
 		}
+		c.wrote()
 	}
 	c.failAll()
 }
 
+// wrote notes that every operation of the last transaction is settled or back in the queue.
+func (c *Clerk) wrote() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+}
+
 // due returns when a batch may go: at next, or at once if it is full and the table is not above its
 // rate, but not before an operation is ready.
 func (c *Clerk) due(next time.Time) (at time.Time, found bool) {
@@ -98,6 +106,7 @@
 	}
 	clear(c.queue[len(rest):])
 	c.queue, c.bytes = rest, c.bytes-bytes
+	c.writing = len(batch) > 0
 	return batch
 }
 
@@ -130,14 +139,10 @@
 // commit sends the transaction and notes whether the table answers.
 func (c *Clerk) commit(ctx context.Context, t table.Transaction, operations int) (table.Result, error) {
 	c.counters.wrote(operations)
-	c.mu.Lock()
-	c.writing = true
-	c.mu.Unlock()
 	started := time.Now()
 	res, err := c.table.Commit(ctx, t)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.writing = false
 	switch {
 	case !errors.Is(err, table.ErrUnknown):
 		c.silent = time.Time{}
--- a/pkg/claim/clerk.go
+++ b/pkg/claim/clerk.go
@@ -29,6 +29,9 @@
 	// silence is how long the table may leave transactions unanswered before claims are refused at
 	// once. It is the table client's timeout for one call and half of another.
 	silence = 1500 * time.Millisecond
+	// closeLimit bounds how long Close waits, looking each closePoll.
+	closeLimit = 2 * time.Second
+	closePoll  = 5 * time.Millisecond
 	// maxQueued and maxQueuedBytes bound the memory of operations that wait for the table.
 	maxQueued      = 20_000
 	maxQueuedBytes = 16 << 20
@@ -58,7 +61,7 @@
 	bytes  int
 	closed bool
 	// silent is when the first of the latest transactions without an answer was sent, and writing
-	// means that a transaction is in flight.
+	// means that operations are in a transaction and not in the queue.
 	silent  time.Time
 	writing bool
 
@@ -120,8 +123,12 @@
 	return Prefix + fmt.Sprintf("%016x", rand.Uint64())
 }
 
-// Close stops the clerk. Operations that still wait fail with ErrUnavailable.
+// Close waits for up to 2 s until all answers and withdrawals are stored, and stops the clerk.
+// Operations that still wait fail with ErrUnavailable.
 func (c *Clerk) Close() {
+	for deadline := time.Now().Add(closeLimit); !c.idle() && time.Now().Before(deadline); {
+		time.Sleep(closePoll)
+	}
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
@@ -129,6 +136,12 @@
 	c.background.Wait()
 }
 
+func (c *Clerk) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.queue) == 0 && !c.writing
+}
+
 // Claim claims the request for this instance under a new claim ID.
 func (c *Clerk) Claim(ctx context.Context, k Key) (Ticket, error) {
 	op := newOperation(kindClaim, k, newRecord(k, uuid.NewString(), c.instance, c.now()))
--- a/pkg/claim/history_test.go
+++ b/pkg/claim/history_test.go
@@ -156,7 +156,7 @@
 			t.Parallel()
 			s, err := platform.New(platform.WithSeed(seed))
 			qt.Assert(t, err, qt.IsNil)
-			defer s.Close()
+			t.Cleanup(s.Close)
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			go fail(ctx, s, rand.New(rand.NewPCG(seed, 0)))
