Close the clerks of the history check at the same time

Cause: each clerk waits for its pending withdrawals when it closes, one after the other. Change: the check closes its clerks concurrently.

--- a/pkg/claim/history_test.go
+++ b/pkg/claim/history_test.go
@@ -176,11 +176,12 @@
 
 // runAll runs three clerks with four clients each.
 func (r *recorder) runAll(t *testing.T, s *platform.Server, seed uint64) {
-	var clients sync.WaitGroup
+	var clients, closing sync.WaitGroup
+	t.Cleanup(closing.Wait)
 	for n := range 3 {
 		c := table.New(s.URL(), table.WithTimeout(200*time.Millisecond))
 		clerk := claim.New(c, fmt.Sprint(n), claim.WithGather(2*time.Millisecond))
-		t.Cleanup(clerk.Close)
+		t.Cleanup(func() { closing.Go(clerk.Close) })
 		for m := range 4 {
 			client := 4*n + m
 			random := rand.New(rand.NewPCG(seed, uint64(client)))
