Weigh other explanations before a request is quarantined

Cause: a driven world with rack losses quarantined neighbours that were hit by two unrelated crashes, and concurrent copies of a crashing request took a third target. Change: a second crash counts only on a target that answered since the first and before the request made progress; simultaneous deaths, other suspects and running copies leave a request held instead of quarantined; instances exchange quarantined and held contents and the targets of suspects; Ledger locks itself. The price is that a crash at the time of a rack loss leaves the request held, and in rare cases a neighbour too.

--- a/pkg/decision/quarantine/crash.go
+++ b/pkg/decision/quarantine/crash.go
@@ -9,16 +9,19 @@
 // Crash notes that a target died, and returns the requests that ran on it, each with the verdict
 // so far. Held requests must not be run again.
 func (l *Ledger) Crash(target string, now time.Time) []Suspect {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	batch := l.running[target]
 	delete(l.running, target)
 	l.sequence++
-	in := &incident{target: target, at: now, alone: true, shared: l.remote[target].After(now)}
+	in := &incident{target: target, at: now, shared: l.remote[target].After(now)}
 	for _, r := range batch {
 		l.leave(r.request, target)
 		if !slices.Contains(in.members, r.fingerprint) {
 			in.members = append(in.members, r.fingerprint)
 		}
 	}
+	slices.Sort(in.members)
 	l.implicate(in, batch)
 	delete(l.alive, target)
 	l.remember(in)
@@ -48,7 +51,6 @@
 
 // countAgain counts a further crash against a suspect.
 func (l *Ledger) countAgain(s *suspect, r *run, in *incident) {
-	in.alone = false
 	s.crashes++
 	s.cleared = false
 	if r.progressed || s.second != nil {
@@ -56,6 +58,7 @@
 	}
 	copied := r.started <= s.last
 	s.second = in
+	s.doubtful = s.first.explained
 	s.proven = copied || l.alive[in.target] > s.last
 }
 
@@ -99,38 +102,43 @@
 		suspects = append(suspects, Suspect{
 			Request:     r.request,
 			Fingerprint: r.fingerprint,
-			Verdict:     l.Check(r.fingerprint, now),
+			Verdict:     l.check(r.fingerprint, now),
 		})
 	}
 	slices.SortFunc(suspects, func(a, b Suspect) int { return cmp.Compare(a.Request, b.Request) })
 	return suspects
 }
 
-// prune drops what has expired, and the oldest beyond the bounds.
+// prune drops the oldest suspects beyond the bound and, once a second, what has expired.
 func (l *Ledger) prune(now time.Time) {
+	dropOldest(l.suspects, maxSuspects, func(s *suspect) time.Time { return s.at })
+	if now.Sub(l.pruned).Abs() < pruneEvery {
+		return
+	}
+	l.pruned = now
 	for fingerprint, s := range l.suspects {
 		if now.Sub(s.at) > suspectLife {
 			delete(l.suspects, fingerprint)
 		}
 	}
-	for fingerprint, until := range l.quarantined {
-		if !until.After(now) {
-			delete(l.quarantined, fingerprint)
-		}
+	dropExpired(l.quarantined, now)
+	dropExpired(l.holds, now)
+	dropExpired(l.remote, now)
+	if len(l.suspects) == 0 {
+		clear(l.alive)
 	}
-	for target, until := range l.remote {
+}
+
+func dropExpired[K comparable](m map[K]time.Time, now time.Time) {
+	for key, until := range m {
 		if !until.After(now) {
-			delete(l.remote, target)
+			delete(m, key)
 		}
 	}
-	dropOldest(l.suspects, maxSuspects, func(s *suspect) time.Time { return s.at })
-	dropOldest(l.quarantined, maxEntries, func(until time.Time) time.Time { return until })
-	if len(l.suspects) == 0 {
-		clear(l.alive)
-	}
 }
 
-// dropOldest reduces m to the limit.
+// dropOldest reduces m to seven eighths of the limit once it exceeds the limit, so that the cost of
+// sorting is spread over many entries.
 func dropOldest[V any](m map[uint64]V, limit int, at func(V) time.Time) {
 	if len(m) <= limit {
 		return
@@ -142,7 +150,7 @@
 	slices.SortFunc(keys, func(a, b uint64) int {
 		return cmp.Or(at(m[a]).Compare(at(m[b])), cmp.Compare(a, b))
 	})
-	for _, key := range keys[:len(m)-limit] {
+	for _, key := range keys[:len(m)-limit*7/8] {
 		delete(m, key)
 	}
 }
--- a/pkg/decision/quarantine/doc.go
+++ b/pkg/decision/quarantine/doc.go
@@ -10,16 +10,23 @@
 // Such a request is Held. It is not run again and not quarantined, and it is freed when another
 // request is found guilty of the first crash.
 //
-// A request therefore costs at most two targets. A neighbour is cleared as soon as it makes
-// progress elsewhere.
+// A request therefore costs at most two targets, unless its caller sends more copies before the
+// first crash. A neighbour is cleared as soon as it makes progress elsewhere. A request in flight
+// that is Held should wait for a verdict, which usually comes within a second; a new one is
+// refused.
 //
-// A Ledger is a state machine and is not safe for concurrent use. Its memory is bounded.
+// Suspects of other instances may run on the same targets. Instances tell each other theirs (Busy
+// and RemoteSuspect); a crash of such a target proves nothing, and leads to Held. They also exchange
+// quarantined contents (List and Add) and held ones (Holding and Hold).
+//
+// A Ledger reads no clock and is safe for concurrent use. Its memory is bounded by the running
+// requests and by fixed numbers of suspects and entries.
 //
 // Usage:
 //
 //	print := quarantine.Fingerprint(workspace, content)
 //	if ledger.Check(print, now) ... // Held and Quarantined requests are refused.
-//	ledger.Start(id, print, target) // for each target of the route, where MayRun(id, target)
+//	ledger.Start(id, print, target) // for each target of the route, where MayRun(id, print, target, now)
 //	ledger.Progress(id)             // at the first token of each route
 //	ledger.Alive(target)            // at each answer or report of a target
 //	ledger.Crash(target, now)       // before Finish of the requests that ran there
--- a/pkg/decision/quarantine/ledger.go
+++ b/pkg/decision/quarantine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -13,16 +14,26 @@
 	// settle is the time within which crashes count as simultaneous, and for which a verdict waits
 	// for reports of further crashes. Broken connections show within milliseconds.
 	settle = 250 * time.Millisecond
-	// severalDeaths is the number of other deaths that make a crash part of a larger loss.
+	// severalDeaths is the number of other deaths at the same time that make a crash part of a
+	// larger loss, such as that of a rack.
 	severalDeaths = 2
+	// unrest and severalEvents state when targets keep dying for other reasons: two other
+	// unexplained events within half a minute. A second crash may then be a coincidence.
+	unrest        = 30 * time.Second
+	severalEvents = 2
 	// companionWait bounds the wait for the other suspects of a crash to make progress elsewhere.
-	companionWait = 5 * time.Second
+	companionWait = 30 * time.Second
 	// maxCrashes bounds the targets that a request may lose even if it answered steps on each of them.
 	maxCrashes = 4
 
+	// holdLife is how long another instance holds what this one holds, unless it is told again.
+	holdLife = 10 * time.Second
+
 	// maxSuspects and maxEntries bound the memory (about 200 bytes each); the oldest are dropped.
 	maxSuspects = 4096
 	maxEntries  = 4096
+	// pruneEvery spreads the cost of looking for expired entries.
+	pruneEvery = time.Second
 	// maxRecent bounds the crashes kept to recognise simultaneous ones.
 	maxRecent = 64
 )
@@ -62,13 +73,19 @@
 	progressed  bool
 }
 
+// route is where one request runs.
+type route struct {
+	fingerprint uint64
+	targets     []string
+}
+
 // incident is the crash of one target.
 type incident struct {
-	target  string
-	at      time.Time
-	members []uint64 // members are the fingerprints that ran on the target.
-	alone   bool     // alone reports that no suspect ran there before.
-	shared  bool     // shared reports that another instance ran a suspect there.
+	target    string
+	at        time.Time
+	members   []uint64 // members are the fingerprints that ran on the target.
+	shared    bool     // shared reports that another instance ran a suspect there.
+	explained bool     // explained reports that quarantined content caused it.
 }
 
 // suspect is content that was on a crashed target.
@@ -81,28 +98,35 @@
 	cleared     bool // cleared reports progress on a whole route since the last crash.
 	first       *incident
 	second      *incident // second is a crash that the content may have caused again; nil if none.
+	doubtful    bool      // doubtful reports that other content explains one of the crashes.
 	proven      bool      // proven reports that the second target answered something after the first crash.
 }
 
-// Ledger keeps what is known of crashes.
+// Ledger keeps what is known of crashes. It is safe for concurrent use.
 type Ledger struct {
+	mu          sync.Mutex
 	sequence    uint64
 	running     map[string]map[string]*run // running maps targets to the requests on them.
-	routes      map[string][]string        // routes maps requests to their targets.
+	routes      map[string]*route          // routes maps requests to where they run.
+	copies      map[uint64]int             // copies counts the running requests with the same content.
 	suspects    map[uint64]*suspect
 	quarantined map[uint64]time.Time
+	holds       map[uint64]time.Time // holds are contents that other instances hold.
 	alive       map[string]uint64    // alive is the sequence number of the last answer of a target.
 	remote      map[string]time.Time // remote are targets on which other instances run suspects.
 	recent      []*incident
+	pruned      time.Time
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
 	return &Ledger{
 		running:     map[string]map[string]*run{},
-		routes:      map[string][]string{},
+		routes:      map[string]*route{},
+		copies:      map[uint64]int{},
 		suspects:    map[uint64]*suspect{},
 		quarantined: map[uint64]time.Time{},
+		holds:       map[uint64]time.Time{},
 		alive:       map[string]uint64{},
 		remote:      map[string]time.Time{},
 	}
@@ -110,6 +134,8 @@
 
 // Start notes that a request is sent to a target.
 func (l *Ledger) Start(request string, fingerprint uint64, target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.sequence++
 	batch, ok := l.running[target]
 	if !ok {
@@ -117,7 +143,7 @@
 		l.running[target] = batch
 	}
 	if _, known := batch[request]; !known {
-		l.routes[request] = append(l.routes[request], target)
+		l.enter(request, fingerprint, target)
 	}
 	batch[request] = &run{request: request, fingerprint: fingerprint, started: l.sequence}
 }
@@ -125,6 +151,8 @@
 // Finish notes that a request no longer runs on a target. After a crash it has no effect, so it
 // must follow Crash.
 func (l *Ledger) Finish(request, target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	batch := l.running[target]
 	if _, ok := batch[request]; !ok {
 		return
@@ -136,43 +164,66 @@
 	l.leave(request, target)
 }
 
+func (l *Ledger) enter(request string, fingerprint uint64, target string) {
+	r, ok := l.routes[request]
+	if !ok {
+		r = &route{fingerprint: fingerprint}
+		l.routes[request] = r
+		l.copies[fingerprint]++
+	}
+	r.targets = append(r.targets, target)
+}
+
 func (l *Ledger) leave(request, target string) {
-	left := slices.DeleteFunc(l.routes[request], func(name string) bool { return name == target })
-	if len(left) == 0 {
-		delete(l.routes, request)
+	r := l.routes[request]
+	r.targets = slices.DeleteFunc(r.targets, func(name string) bool { return name == target })
+	if len(r.targets) > 0 {
 		return
 	}
-	l.routes[request] = left
+	delete(l.routes, request)
+	l.copies[r.fingerprint]--
+	if l.copies[r.fingerprint] == 0 {
+		delete(l.copies, r.fingerprint)
+	}
 }
 
 // Progress notes that a step of the request has come through its whole route. This clears the
 // request: a request that crashes its targets would have crashed one of these.
 func (l *Ledger) Progress(request string) {
-	route := l.routes[request]
-	if len(route) == 0 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	route, ok := l.routes[request]
+	if !ok {
 		return
 	}
-	var fingerprint uint64
 	started := l.sequence
-	for _, target := range route {
+	for _, target := range route.targets {
 		r := l.running[target][request]
 		r.progressed = true
-		fingerprint = r.fingerprint
 		started = min(started, r.started)
-		l.Alive(target)
+		l.sign(target)
 	}
-	if s, ok := l.suspects[fingerprint]; ok && started > s.last {
+	if s, ok := l.suspects[route.fingerprint]; ok && started > s.last {
 		s.cleared = true
+		l.acquit(s)
 	}
 }
 
 // Completed notes that a request with this content was answered in full, which exonerates it.
 func (l *Ledger) Completed(fingerprint uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	delete(l.suspects, fingerprint)
 }
 
 // Alive notes that a target answered something. It is cheap while there are no suspects.
 func (l *Ledger) Alive(target string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sign(target)
+}
+
+func (l *Ledger) sign(target string) {
 	if len(l.suspects) == 0 {
 		return
 	}
@@ -182,11 +233,15 @@
 
 // RemoteSuspect notes that another instance runs a suspect on the target until then.
 func (l *Ledger) RemoteSuspect(target string, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.remote[target] = until
 }
 
 // Busy returns the targets on which suspects of this instance run, for the other instances.
 func (l *Ledger) Busy() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	var names []string
 	for target, batch := range l.running {
 		for _, r := range batch {
@@ -200,12 +255,17 @@
 	return names
 }
 
-// MayRun reports whether content may be started on a target. A suspect may not join another
-// suspect, and needs a target that answered something since the suspect's last crash.
-func (l *Ledger) MayRun(fingerprint uint64, target string, now time.Time) bool {
+// MayRun reports whether a request may be started on a target. A suspect may not run beside
+// another suspect, nor in two copies, and needs a target that answered something since its last crash.
+func (l *Ledger) MayRun(request string, fingerprint uint64, target string, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if !l.uncleared(fingerprint) {
 		return true
 	}
+	if _, runs := l.routes[request]; !runs && l.copies[fingerprint] > 0 {
+		return false
+	}
 	if l.alive[target] <= l.suspects[fingerprint].last || l.remote[target].After(now) {
 		return false
 	}
@@ -217,6 +277,13 @@
 	return true
 }
 
+// Suspects returns the number of contents under suspicion.
+func (l *Ledger) Suspects() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.suspects)
+}
+
 // uncleared reports whether the content is under suspicion.
 func (l *Ledger) uncleared(fingerprint uint64) bool {
 	s, ok := l.suspects[fingerprint]
--- a/pkg/decision/quarantine/verdict.go
+++ b/pkg/decision/quarantine/verdict.go
@@ -8,9 +8,18 @@
 
 // Check returns what is known of the content.
 func (l *Ledger) Check(fingerprint uint64, now time.Time) Verdict {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.check(fingerprint, now)
+}
+
+func (l *Ledger) check(fingerprint uint64, now time.Time) Verdict {
 	if l.quarantined[fingerprint].After(now) {
 		return Quarantined
 	}
+	if l.holds[fingerprint].After(now) {
+		return Held
+	}
 	s, ok := l.suspects[fingerprint]
 	if !ok || now.Sub(s.at) > suspectLife {
 		return Free
@@ -34,15 +43,30 @@
 
 // Add quarantines content that another instance found to crash targets.
 func (l *Ledger) Add(fingerprint uint64, until time.Time) {
-	if until.After(l.quarantined[fingerprint]) {
-		l.quarantined[fingerprint] = until
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	extend(l.quarantined, fingerprint, until)
+}
+
+// Hold holds content that another instance holds.
+func (l *Ledger) Hold(fingerprint uint64, until time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	extend(l.holds, fingerprint, until)
+}
+
+func extend(entries map[uint64]time.Time, fingerprint uint64, until time.Time) {
+	if until.After(entries[fingerprint]) {
+		entries[fingerprint] = until
 	}
-	dropOldest(l.quarantined, maxEntries, func(until time.Time) time.Time { return until })
+	dropOldest(entries, maxEntries, func(until time.Time) time.Time { return until })
 }
 
-// List returns the entries in force, ordered by fingerprint. Verdicts that have become final
-// since the last call are included.
+// List returns the quarantined entries in force, ordered by fingerprint. Verdicts that have
+// become final since the last call are included.
 func (l *Ledger) List(now time.Time) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.resolveAll(now)
 	var entries []Entry
 	for fingerprint, until := range l.quarantined {
@@ -50,6 +74,25 @@
 			entries = append(entries, Entry{Fingerprint: fingerprint, Until: until})
 		}
 	}
+	return sorted(entries)
+}
+
+// Holding returns the contents that this instance itself holds, ordered by fingerprint. They are
+// exchanged for a short time each, since a verdict may free them: holdLife from now.
+func (l *Ledger) Holding(now time.Time) []Entry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.resolveAll(now)
+	var entries []Entry
+	for fingerprint, s := range l.suspects {
+		if (s.second != nil || s.crashes >= maxCrashes) && now.Sub(s.at) <= suspectLife {
+			entries = append(entries, Entry{Fingerprint: fingerprint, Until: now.Add(holdLife)})
+		}
+	}
+	return sorted(entries)
+}
+
+func sorted(entries []Entry) []Entry {
 	slices.SortFunc(entries, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return entries
 }
@@ -71,67 +114,76 @@
 
 // resolve decides on content that was hit by two crashes.
 func (l *Ledger) resolve(s *suspect, now time.Time) Verdict {
-	if now.Sub(s.second.at) < settle || !l.credible(s) || !l.companionsCleared(s, now) {
+	if s.doubtful || now.Sub(s.second.at) < settle || !l.credible(s) || !l.othersCleared(s, now) {
 		return Held
 	}
-	l.Add(s.fingerprint, s.second.at.Add(Duration))
+	extend(l.quarantined, s.fingerprint, s.second.at.Add(Duration))
 	delete(l.suspects, s.fingerprint)
 	l.explain(s.first, s.fingerprint)
 	l.explain(s.second, s.fingerprint)
 	return Quarantined
 }
 
-// credible reports whether the second crash speaks against the content: its target was alive
-// after the first crash, no other suspect was there, and it did not die together with others.
-func (l *Ledger) credible(s *suspect) bool {
-	return s.proven && !s.second.shared && l.othersNear(s.second) < severalDeaths
-}
-
-// othersNear counts the crashes at the time of in that no suspect explains.
-func (l *Ledger) othersNear(in *incident) int {
-	count := 0
-	for _, other := range l.recent {
-		if other != in && other.alone && other.at.Sub(in.at).Abs() <= settle {
-			count++
-		}
-	}
-	return count
+// othersCleared reports whether no other request could have caused the two crashes. One that may
+// still make progress elsewhere is waited for.
+func (l *Ledger) othersCleared(s *suspect, now time.Time) bool {
+	waiting := now.Sub(s.second.at) < companionWait
+	return l.cleared(s, s.first, waiting) && l.cleared(s, s.second, waiting)
 }
 
-// companionsCleared reports whether no other suspect of the first crash could have caused it.
-func (l *Ledger) companionsCleared(s *suspect, now time.Time) bool {
-	for _, fingerprint := range slices.Concat(s.first.members, s.second.members) {
+// cleared reports whether none of the other members of an incident could have caused it. One that
+// was hit by another crash too is ruled out if that crash has a different explanation.
+func (l *Ledger) cleared(s *suspect, in *incident, waiting bool) bool {
+	for _, fingerprint := range in.members {
 		other, ok := l.suspects[fingerprint]
-		if !ok || other == s {
-			continue
-		}
-		if other.second != nil && l.credible(other) {
-			return false
-		}
-		sameFirst := other.first == s.first
-		if sameFirst && !other.cleared && other.second == nil && now.Sub(s.second.at) < companionWait {
+		switch {
+		case !ok || other == s:
+		case other.second == nil:
+			if !other.cleared && waiting {
+				return false
+			}
+		case !l.accounted(other.otherThan(in)):
 			return false
 		}
 	}
 	return true
 }
 
-// explain takes an incident out of the record of the others that it implicated.
+// otherThan returns the other one of the two crashes of a suspect.
+func (s *suspect) otherThan(in *incident) *incident {
+	if s.first == in {
+		return s.second
+	}
+	return s.first
+}
+
+// explain closes an incident, and frees the others that were hit by it and by another crash, if
+// that one has an explanation too. Where it has none, two crashing requests may have met on one
+// target, so the content stays held.
 func (l *Ledger) explain(in *incident, guilty uint64) {
+	in.explained = true
 	for _, fingerprint := range in.members {
 		s, ok := l.suspects[fingerprint]
 		if !ok || fingerprint == guilty {
 			continue
 		}
-		switch {
-		case s.second == in:
-			s.second = nil
-			s.crashes--
-		case s.first == in && s.second != nil:
-			s.first, s.second = s.second, nil
-			s.crashes--
-		case s.first == in:
-			delete(l.suspects, fingerprint)
+		if s.second == nil {
+			l.acquit(s)
+			continue
 		}
+		rest := s.otherThan(in)
+		if !l.accounted(rest) {
+			s.doubtful = true
+			continue
+		}
+		s.first, s.second, s.doubtful = rest, nil, false
+		s.crashes--
+	}
+}
+
+// acquit forgets a suspect that has made progress since a crash that is explained.
+func (l *Ledger) acquit(s *suspect) {
+	if s.cleared && s.second == nil && s.first.explained {
+		delete(l.suspects, s.fingerprint)
 	}
 }
