--- a/pkg/decision/placement/reload.go
+++ b/pkg/decision/placement/reload.go
@@ -15,22 +15,24 @@
 }
 
 // Reload orders the loading of the plan's assignments that are not loaded, so that the layers that
-// unblock most throughput for the bytes come first. Loads follow each other, since the weight store
-// limits the sum of their rates to storeRate bytes/s.
+// unblock most throughput for their loading time come first. Loads run side by side while the sum
+// of their rates stays within storeRate bytes/s, each at its worker's link speed at most. The loads
+// are returned in the order in which they end.
 func (p *Planner) Reload(plan Plan, loaded []Assignment, workers []Worker, models []Model, storeRate float64) []Load {
-	r := newReloading(plan, loaded, workers, models)
+	r := newReloading(plan, loaded, workers, models, storeRate)
 	var loads []Load
-	clock := time.Duration(0)
 	for len(r.missing) > 0 {
 		for _, a := range r.next() {
-			load := Load{Assignment: a, Bytes: r.bytes(a), Start: clock}
-			clock += r.duration(a, storeRate)
-			load.End = clock
+			loads = append(loads, Load{Assignment: a, Bytes: r.bytes(a)})
 			r.add(a)
-			load.Throughput = r.value()
-			loads = append(loads, load)
 		}
 	}
+	r.schedule(loads)
+	r.restart(loads)
+	for i := range loads {
+		r.add(loads[i].Assignment)
+		loads[i].Throughput = r.value()
+	}
 	return loads
 }
 
@@ -39,30 +41,30 @@
 	workers map[string]Worker
 	models  map[string]Model
 	order   []Model
-	shares  []float64
 	rates   map[string]flows
+	present []Assignment
 	missing []Assignment
+	store   float64
 }
 
-func newReloading(plan Plan, loaded []Assignment, workers []Worker, models []Model) *reloading {
+func newReloading(plan Plan, loaded []Assignment, workers []Worker, models []Model, storeRate float64) *reloading {
 	r := &reloading{
 		workers: workersByName(workers),
 		models:  map[string]Model{},
 		order:   models,
-		shares:  shares(models),
+		store:   storeRate,
 	}
 	for _, m := range models {
 		r.models[m.Name] = m
 	}
-	var present []Assignment
 	for _, a := range plan.Assignments {
 		if slices.Contains(loaded, a) {
-			present = append(present, a)
+			r.present = append(r.present, a)
 			continue
 		}
 		r.missing = append(r.missing, a)
 	}
-	r.rates = ratesOf(present, workers, models)
+	r.rates = ratesOf(r.present, workers, models)
 	return r
 }
 
@@ -70,11 +72,12 @@
 	return int64(a.Layers.Len()) * r.models[a.Model].LayerBytes
 }
 
-func (r *reloading) duration(a Assignment, storeRate float64) time.Duration {
+// loadRate returns the highest rate in bytes/s at which the assignment can be loaded.
+func (r *reloading) loadRate(a Assignment) float64 {
 	if link := r.workers[a.Worker].Link; link > 0 {
-		storeRate = min(storeRate, link)
+		return min(r.store, link)
 	}
-	return time.Duration(float64(r.bytes(a)) / storeRate * float64(time.Second))
+	return r.store
 }
 
 func (r *reloading) rate(a Assignment) float64 {
@@ -96,7 +99,7 @@
 	return sum
 }
 
-// next returns what to load next: the assignment with the highest gain for its bytes or, where no
+// next returns what to load next: the assignment with the highest gain or, where no
 // single one helps, the set that opens a way through a model.
 func (r *reloading) next() []Assignment {
 	var best []Assignment
@@ -173,16 +176,16 @@
 	return rates.through(m.Layers)
 }
 
-// gain returns the added flow per byte.
+// gain returns the added flow for each second of loading.
 func (r *reloading) gain(set []Assignment) float64 {
 	m := r.models[set[0].Model]
-	total := int64(0)
+	total := 0.0
 	for _, a := range set {
-		total += r.bytes(a)
+		total += float64(r.bytes(a)) / r.loadRate(a)
 	}
 	added := r.flowWith(m, set) - r.rates[m.Name].through(m.Layers)
 	if added < 1e-9 {
 		return 0
 	}
-	return added / float64(max(1, total))
+	return added / max(total, 1e-9)
 }
