--- a/pkg/decision/placement/repair.go
+++ b/pkg/decision/placement/repair.go
@@ -87,8 +87,8 @@
 // and a part of the mean where there is none.
 func (r *repair) targetOf(rates flows, m Model) float64 {
 	sum := 0.0
-	for _, rate := range rates {
-		sum += rate
+	for _, held := range r.ranges[m.Name] {
+		sum += rates[held]
 	}
 	return max(1.1*rates.through(m.Layers), 0.1*sum/float64(max(1, len(r.ranges[m.Name]))))
 }
