Fetch changes sooner under packet loss, and test the state machines

Cause: at 5% loss a version took up to 17 s to reach 200 instances, since fetch timeouts doubled from the first failure; a peer that refuses connections sent its instances to the table at once; a request to probe the receiver itself made it ping itself. Change: the first fetches time out after 500 ms and try another peer; the table is asked after 2 s unless no peer has the version; tests of items, merging, refutation, lists, pollers and fetches.

--- /dev/null
+++ b/pkg/decision/membership/main_test.go
@@ -0,0 +1,14 @@
+package membership
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// TestMain fixes the seed of the property tests; the flag -rapid.seed wins.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- a/pkg/decision/membership/probe.go
+++ b/pkg/decision/membership/probe.go
@@ -117,7 +117,7 @@
 
 // relayPing probes the target of a request for its origin.
 func (t *Table) relayPing(p Packet) {
-	if len(t.relays) >= maxRelays {
+	if len(t.relays) >= maxRelays || p.Target == t.self.Address {
 		return
 	}
 	r := relay{
--- /dev/null
+++ b/pkg/decision/membership/table_test.go
@@ -0,0 +1,190 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.UnixMilli(1_800_000_000_000)
+
+func member(i int, incarnation uint64, s State) Member {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7946)
+	return Member{Name: "e", DataCentre: "a", Address: a, Incarnation: incarnation, State: s}
+}
+
+func table(t rapid.TB) *Table {
+	table, err := New(Config{Fleet: "f", Self: member(1, 1, Alive)}, rand.New(rand.NewPCG(1, 1)), start)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+// TestItems guards against two members that keep different winners of the same two items.
+func TestItems(t *testing.T) {
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	tests := []struct {
+		name        string
+		win, lose   Item
+		equal, kept bool
+	}{
+		{"higher version", Version{Number: 3}, Version{Number: 2}, false, false},
+		{"later load", LoadShare{At: at(2)}, LoadShare{At: at(1), Running: 9}, false, false},
+		{"drain set later", Drain{Target: "w", At: at(2), Expires: at(5)}, Drain{Target: "w", At: at(1), Expires: at(9)}, false, true},
+		{"drain that lasts longer", Drain{Target: "w", At: at(1), Expires: at(9)}, Drain{Target: "w", At: at(1), Expires: at(5), Cancelled: true}, false, true},
+		{"cancelled drain", Drain{Target: "w", At: at(1), Expires: at(5), Cancelled: true}, Drain{Target: "w", At: at(1), Expires: at(5)}, false, true},
+		{"longer quarantine", Quarantine{Fingerprint: 1, Until: at(9)}, Quarantine{Fingerprint: 1, Until: at(5)}, false, true},
+		{"same drain", Drain{Target: "w", At: at(1), Expires: at(5)}, Drain{Target: "w", At: at(1), Expires: at(5)}, true, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, test.win.Wins(test.lose), qt.Equals, !test.equal)
+			qt.Assert(t, test.lose.Wins(test.win), qt.IsFalse)
+			if !test.kept {
+				return
+			}
+			for _, order := range [][]Item{{test.win, test.lose}, {test.lose, test.win}} {
+				k := table(t)
+				qt.Assert(t, k.Publish(order[0]), qt.IsNil)
+				qt.Assert(t, k.Publish(order[1]), qt.IsNil)
+				qt.Assert(t, k.Items(), qt.DeepEquals, []Item{test.win})
+			}
+		})
+	}
+}
+
+// TestPublishRefuses guards against items that never expire or never fit a packet.
+func TestPublishRefuses(t *testing.T) {
+	k := table(t)
+	for _, i := range []Item{
+		Drain{Target: string(make([]byte, MaxTargetBytes+1)), At: start, Expires: start.Add(time.Hour)},
+		Drain{Target: "", At: start, Expires: start.Add(time.Hour)},
+		Drain{Target: "w", At: start, Expires: start.Add(8 * 24 * time.Hour)},
+		Drain{Target: "w", At: start, Expires: start},
+		Quarantine{Fingerprint: 1, Until: start.Add(100 * 24 * time.Hour)},
+	} {
+		qt.Assert(t, k.Publish(i), qt.IsNotNil, qt.Commentf("%+v", i))
+	}
+}
+
+// TestMerge guards against wrong winners among records, and above all against a death learned from a
+// digest that is believed without a check.
+func TestMerge(t *testing.T) {
+	tests := []struct {
+		name       string
+		have, news Member
+		how        Kind
+		want       State
+	}{
+		{"death by news", member(2, 5, Alive), member(2, 5, Dead), Gossip, Dead},
+		{"death by digest", member(2, 5, Alive), member(2, 5, Dead), SyncEntries, Alive},
+		{"departure by digest", member(2, 5, Alive), member(2, 5, Left), SyncEntries, Left},
+		{"old death", member(2, 5, Alive), member(2, 4, Dead), Gossip, Alive},
+		{"alive without refutation", member(2, 5, Dead), member(2, 5, Alive), Gossip, Dead},
+		{"refutation", member(2, 5, Dead), member(2, 6, Alive), SyncEntries, Alive},
+		{"suspicion", member(2, 5, Alive), member(2, 5, Suspect), Gossip, Suspect},
+		{"suspicion after departure", member(2, 5, Left), member(2, 5, Suspect), Gossip, Left},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			k := table(t)
+			sender := member(3, 1, Alive)
+			for _, p := range []Packet{
+				{Kind: Gossip, Fleet: "f", From: sender, Members: []Member{test.have}},
+				{Kind: test.how, Fleet: "f", From: sender, Members: []Member{test.news}},
+			} {
+				k.Receive(sender.Address, p, start)
+			}
+			qt.Assert(t, k.members[test.have.Address].State, qt.Equals, test.want)
+		})
+	}
+}
+
+// TestRefute guards against a live member that lets others hold it dead, and one that comes back
+// after it has left.
+func TestRefute(t *testing.T) {
+	k := table(t)
+	self, sender := k.Self(), member(3, 1, Alive)
+	claim := self
+	claim.State = Dead
+	k.Receive(sender.Address, Packet{Kind: Ping, Fleet: "f", From: sender, Members: []Member{claim}}, start)
+	qt.Assert(t, k.Self().Incarnation, qt.Equals, self.Incarnation+1)
+	k.Receive(sender.Address, Packet{Kind: Ping, Fleet: "f", From: sender, Members: []Member{claim}}, start)
+	qt.Assert(t, k.Self().Incarnation, qt.Equals, self.Incarnation+1)
+	left := k.Leave(start)
+	qt.Assert(t, left, qt.HasLen, 1)
+	qt.Assert(t, left[0].From.State, qt.Equals, Left)
+	claim.Incarnation += 5
+	k.Receive(sender.Address, Packet{Kind: Ping, Fleet: "f", From: sender, Members: []Member{claim}}, start)
+	qt.Assert(t, k.Self().State, qt.Equals, Left)
+}
+
+// TestTable guards against packets over the limit and against lists and a digest that disagree with
+// the records, under arbitrary traffic.
+func TestTable(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		k, now := table(r), start
+		for range rapid.IntRange(1, 40).Draw(r, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(r, "ms")) * time.Millisecond)
+			out := append(k.Receive(member(2, 1, Alive).Address, drawPacket(r), now), k.Tick(now)...)
+			for _, p := range out {
+				if p.Size() > MaxPacketBytes || p.Check() != nil || p.To == k.self.Address {
+					r.Fatalf("%d bytes, %v: %+v", p.Size(), p.Check(), p)
+				}
+			}
+			checkLists(r, k)
+		}
+	})
+}
+
+func drawPacket(r *rapid.T) Packet {
+	draw := func() Member {
+		s := rapid.SampledFrom([]State{Alive, Suspect, Dead, Left}).Draw(r, "state")
+		return member(rapid.IntRange(1, 60).Draw(r, "member"), rapid.Uint64Range(1, 4).Draw(r, "incarnation"), s)
+	}
+	p := Packet{Kind: rapid.SampledFrom([]Kind{Ping, Ack, PingRequest, Nack, Gossip, Sync, SyncBack, SyncEntries}).Draw(r, "kind"), Fleet: "f"}
+	p.From = draw()
+	p.From.State = Alive
+	p.Target = draw().Address
+	p.Sequence = rapid.Uint64Range(0, 20).Draw(r, "sequence")
+	if p.Kind == Sync || p.Kind == SyncBack {
+		p.Digest = make([]uint32, Buckets)
+	}
+	for range rapid.IntRange(0, 20).Draw(r, "members") {
+		p.Members = append(p.Members, draw())
+	}
+	until := start.Add(time.Duration(rapid.IntRange(1, 60).Draw(r, "until")) * time.Second)
+	p.Items = []Item{Quarantine{Fingerprint: rapid.Uint64Range(1, 5).Draw(r, "fingerprint"), Until: until}}
+	return p
+}
+
+func checkLists(r *rapid.T, k *Table) {
+	var digest [Buckets]uint32
+	add := func(hash, sum uint64) { digest[bucket(hash)] ^= uint32(sum) }
+	add(k.hash, k.self.sum(k.hash))
+	suspects := 0
+	for _, m := range k.members {
+		list := k.gone
+		if m.State.Live() {
+			list = k.live
+			add(m.hash, m.sum(m.hash))
+		}
+		if list[m.index] != m {
+			r.Fatalf("%+v is not at its index", m)
+		}
+		if m.State == Suspect {
+			suspects++
+		}
+	}
+	for key, i := range k.items {
+		add(hashKey(key), mix(hashKey(key)^i.sum()))
+	}
+	if suspects != len(k.suspects) || len(k.live)+len(k.gone) != len(k.members) || digest != k.digest {
+		r.Fatalf("lists or digest do not match the records")
+	}
+}
--- a/pkg/decision/spread/fetch.go
+++ b/pkg/decision/spread/fetch.go
@@ -10,26 +10,43 @@
 	if s.busy || s.known <= s.version || now.Before(s.nextTry) {
 		return nil
 	}
+	peer, ok := s.choose(now)
+	if !ok {
+		return nil
+	}
 	s.busy = true
-	a := Action{Do: Fetch, Peer: s.choose(now), After: s.version}
+	a := Action{Do: Fetch, Peer: peer, After: s.version}
+	a.Timeout = min(fetchTimeout<<s.excess(), maxFetchTimeout)
 	s.table = !a.Peer.IsValid()
 	if s.version == 0 || s.snapshot {
-		a.Do = FetchSnapshot
+		a.Do, a.Timeout = FetchSnapshot, snapshotTimeout
 	}
 	return []Action{a}
 }
 
-// choose returns the peer to fetch from; not set means the table. Peers come first. Once the
-// instance has been behind for some time, the table and peers take turns, since either may be out
-// of reach.
-func (s *Spreader) choose(now time.Time) netip.AddrPort {
+// excess is the number of doublings of timeouts and waits.
+func (s *Spreader) excess() int {
+	return min(max(s.failures-patientFailures, 0), 4)
+}
+
+// choose returns the peer to fetch from; not set means the table. Peers come first, unless none has
+// said that it holds what is missing. Once the instance has been behind for some time, the table and
+// peers take turns, since either may be out of reach.
+func (s *Spreader) choose(now time.Time) (peer netip.AddrPort, ok bool) {
+	late := now.Sub(s.behind) >= tableAfter
 	if len(s.sources) == 0 {
-		return netip.AddrPort{}
+		return netip.AddrPort{}, late || !s.told
 	}
-	if now.Sub(s.behind) >= tableAfter && !s.table {
-		return netip.AddrPort{}
+	if late && !s.table {
+		return netip.AddrPort{}, true
 	}
-	return s.sources[s.rand.IntN(len(s.sources))].peer
+	least := s.sources[0]
+	for _, i := range s.rand.Perm(len(s.sources)) {
+		if o := s.sources[i]; o.failures <= least.failures {
+			least = o
+		}
+	}
+	return least.peer, true
 }
 
 // Fetched takes the versions of the fetched changes in the order received. Trimmed states that the
@@ -38,19 +55,21 @@
 func (s *Spreader) Fetched(a Action, versions []uint64, trimmed bool, err error, now time.Time) []Action {
 	s.busy = false
 	if err != nil {
-		return s.failed(a, now)
+		s.failed(a, now)
+		return nil
 	}
 	first, last := s.run(versions)
 	if last >= first {
 		s.busy = true
-		return []Action{{Do: Apply, Peer: a.Peer, First: first, Last: last}}
+		return []Action{{Do: Apply, Peer: a.Peer, First: first, Last: last, Timeout: applyTimeout}}
 	}
 	if trimmed || len(versions) > 0 && versions[len(versions)-1] > s.version {
 		s.snapshot = true
 		return s.next(now)
 	}
 	s.empty(a)
-	return s.failed(a, now)
+	s.failed(a, now)
+	return nil
 }
 
 // run returns the longest run of versions that starts right after the one in force.
@@ -69,7 +88,7 @@
 func (s *Spreader) empty(a Action) {
 	if !a.Peer.IsValid() {
 		s.known = s.version
-		s.sources = nil
+		s.sources, s.told = nil, false
 	}
 }
 
@@ -78,14 +97,16 @@
 func (s *Spreader) FetchedSnapshot(a Action, version uint64, err error, now time.Time) []Action {
 	s.busy = false
 	if err != nil {
-		return s.failed(a, now)
+		s.failed(a, now)
+		return nil
 	}
 	if version <= s.version {
 		s.empty(a)
-		return s.failed(a, now)
+		s.failed(a, now)
+		return nil
 	}
 	s.busy = true
-	return []Action{{Do: Apply, Peer: a.Peer, First: version, Last: version, Snapshot: true}}
+	return []Action{{Do: Apply, Peer: a.Peer, First: version, Last: version, Snapshot: true, Timeout: applyTimeout}}
 }
 
 // Applied takes the highest version of the action that is now in force; the error states why the
@@ -100,7 +121,8 @@
 	}
 	if err != nil {
 		s.snapshot = !a.Snapshot
-		return s.failed(a, now)
+		s.failed(a, now)
+		return nil
 	}
 	s.snapshot = false
 	return s.next(now)
@@ -115,16 +137,20 @@
 		}
 	}
 	s.sources = kept
+	s.told = len(kept) > 0
 }
 
-// failed drops the peer and waits, longer after each failure and by a random part, so that many
-// instances do not ask the table at the same moment.
-func (s *Spreader) failed(a Action, now time.Time) []Action {
+// failed blames the peer and waits, longer after each failure and by a random part, so that many
+// instances do not ask the table at the same moment. The first failures with peers are followed
+// by another attempt soon.
+func (s *Spreader) failed(a Action, now time.Time) {
 	if a.Peer.IsValid() {
-		s.dropSource(a.Peer)
+		s.blame(a.Peer)
 	}
-	wait := min(retryAfter<<min(s.failures, 4), maxRetry)
 	s.failures++
+	wait := min(retryAfter<<s.excess(), maxRetry)
+	if s.excess() == 0 && a.Peer.IsValid() {
+		wait = peerRetryAfter
+	}
 	s.nextTry = now.Add(wait/2 + time.Duration(s.rand.Int64N(int64(wait/2))))
-	return nil
 }
--- a/pkg/decision/spread/spreader.go
+++ b/pkg/decision/spread/spreader.go
@@ -25,7 +25,7 @@
 )
 
 // Action is a request to the driver. The driver must answer each one exactly
-// once, with an error if it takes longer than ActionTimeout.
+// once.
 type Action struct {
 	Do       Do
 	Peer     netip.AddrPort // Peer is whom to fetch from; not set means the table.
@@ -33,12 +33,23 @@
 	First    uint64         // First is the lowest version to apply.
 	Last     uint64         // Last is the highest version to apply.
 	Snapshot bool
+	Timeout  time.Duration // Timeout is when the driver gives up and answers with an error.
 }
 
 const (
-	// ActionTimeout bounds an action, so that two of them and a hop fit the six seconds in which a
-	// change must be in force everywhere.
-	ActionTimeout = time.Second
+	// headTimeout bounds a read of the head row.
+	headTimeout = time.Second
+	// fetchTimeout bounds the first fetch of changes. After patientFailures, it doubles
+	// with each failure up to maxFetchTimeout, for large changes over slow links. A lost packet at the start of a TCP connection costs a second, and at 5% loss
+	// one of 900 instances meets that several times in a row: another peer is asked sooner than that.
+	fetchTimeout    = 500 * time.Millisecond
+	maxFetchTimeout = 2 * time.Second
+	patientFailures = 4
+	// snapshotTimeout bounds a fetch of the whole configuration, 7.6 MB at 3,800 workspaces, over a
+	// link of 1 MB/s.
+	snapshotTimeout = 10 * time.Second
+	// applyTimeout bounds an apply.
+	applyTimeout = 10 * time.Second
 	// pollInterval is the time between reads of the head row by a poller.
 	pollInterval = time.Second
 	// pollers is the number of instances of a data centre that read the head row. Two, so that one
@@ -47,8 +58,10 @@
 	// tableAfter is how long an instance that is behind tries peers only. 2,700 instances would
 	// overload the table if they read each change from it.
 	tableAfter = 2 * time.Second
-	// retryAfter is the time to the next attempt after a failed one. It doubles with each failure up to
-	// maxRetry, which leaves room for a fetch within the six seconds after an outage ends.
+	// peerRetryAfter is the time to the next attempt after one of patientFailures with a peer.
+	peerRetryAfter = 100 * time.Millisecond
+	// retryAfter is the time to the next attempt after more, and after any failure of the table. It doubles with each failure up to maxRetry, which leaves room for a fetch within the
+	// six seconds after an outage ends.
 	retryAfter = 250 * time.Millisecond
 	maxRetry   = 2 * time.Second
 	// maxSources bounds the peers remembered to hold a version that is missing here.
@@ -65,6 +78,7 @@
 	known   uint64 // known is the highest version heard of
 	behind  time.Time
 	sources []source
+	told    bool // told is set if a peer said that it holds more than what is in force
 
 	busy     bool // busy is set while a fetch or an apply is under way
 	snapshot bool // snapshot is set if the missing changes cannot be had any more
@@ -77,8 +91,9 @@
 
 // source is a peer that said it holds a version.
 type source struct {
-	peer    netip.AddrPort
-	version uint64
+	peer     netip.AddrPort
+	version  uint64
+	failures int
 }
 
 // New returns a spreader for an instance that holds no version yet. It polls until SetMembers tells
@@ -105,7 +120,7 @@
 	if s.polls && !s.reading && !now.Before(s.nextPoll) {
 		s.reading = true
 		s.nextPoll = now.Add(pollInterval)
-		actions = append(actions, Action{Do: ReadHead})
+		actions = append(actions, Action{Do: ReadHead, Timeout: headTimeout})
 	}
 	return append(actions, s.next(now)...)
 }
@@ -127,6 +142,7 @@
 		return nil
 	}
 	s.learn(version, now)
+	s.told = true
 	s.addSource(source{peer: peer, version: version})
 	return s.next(now)
 }
@@ -156,6 +172,12 @@
 	s.sources[s.rand.IntN(maxSources)] = n
 }
 
-func (s *Spreader) dropSource(peer netip.AddrPort) {
-	s.sources = slices.DeleteFunc(s.sources, func(o source) bool { return o.peer == peer })
+// blame counts a failure of the peer and drops it after the third.
+func (s *Spreader) blame(peer netip.AddrPort) {
+	for i := range s.sources {
+		if s.sources[i].peer == peer {
+			s.sources[i].failures++
+		}
+	}
+	s.sources = slices.DeleteFunc(s.sources, func(o source) bool { return o.failures > 2 })
 }
--- /dev/null
+++ b/pkg/decision/spread/spreader_test.go
@@ -0,0 +1,146 @@
+package spread_test
+
+import (
+	"errors"
+	"flag"
+	"math/rand/v2"
+	"net/netip"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/spread"
+)
+
+// TestMain fixes the seed of the property tests; the flag -rapid.seed wins.
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var start = time.UnixMilli(1_800_000_000_000)
+
+func member(i int) membership.Member {
+	a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 7946)
+	return membership.Member{DataCentre: string(rune('a' + i%3)), Address: a, State: membership.Alive}
+}
+
+func spreader(i int) *spread.Spreader {
+	return spread.New(member(i), rand.New(rand.NewPCG(1, 1)))
+}
+
+// TestPollers guards against data centres where none or more than two instances read the head row.
+func TestPollers(t *testing.T) {
+	for _, n := range []int{1, 3, 4, 18, 200} {
+		var all []membership.Member
+		for i := range n {
+			all = append(all, member(i))
+		}
+		count := map[string]int{}
+		for i := range n {
+			s := spreader(i)
+			s.SetMembers(all)
+			if s.Polls() {
+				count[member(i).DataCentre]++
+			}
+		}
+		for i := range min(n, 3) {
+			size := (n + 2 - i) / 3
+			qt.Assert(t, count[member(i).DataCentre], qt.Equals, min(2, size), qt.Commentf("n=%d", n))
+		}
+	}
+}
+
+// TestPeerFirst guards against thousands of instances that read each change from the table.
+func TestPeerFirst(t *testing.T) {
+	s := spreader(1)
+	s.SetMembers([]membership.Member{member(1), member(4), member(7), member(10), member(13)})
+	first := s.Heard(member(4).Address, 5, start)
+	qt.Assert(t, first, qt.HasLen, 1)
+	qt.Assert(t, first[0].Do, qt.Equals, spread.FetchSnapshot)
+	tableAt := time.Duration(0)
+	for a, at := first[0], time.Duration(0); at < 6*time.Second && tableAt == 0; at += 100 * time.Millisecond {
+		now := start.Add(at)
+		next := s.Heard(member(4).Address, 5, now)
+		if a.Do != "" {
+			next = s.FetchedSnapshot(a, 0, errors.New("down"), now)
+		}
+		a = spread.Action{}
+		for _, n := range append(next, s.Tick(now)...) {
+			if n.Do == spread.FetchSnapshot {
+				a = n
+			}
+			if n.Do == spread.FetchSnapshot && !n.Peer.IsValid() {
+				tableAt = at
+			}
+		}
+	}
+	qt.Assert(t, tableAt >= 2*time.Second && tableAt < 5*time.Second, qt.IsTrue, qt.Commentf("%s", tableAt))
+}
+
+// TestSpreader guards against versions that fall or skip a change, and against two fetches or
+// applies at the same time, whatever the answers are.
+func TestSpreader(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		s, now := spreader(1), start
+		var open []spread.Action
+		for range rapid.IntRange(1, 60).Draw(r, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(r, "ms")) * time.Millisecond)
+			before := s.Version()
+			next := s.Tick(now)
+			if len(open) > 0 && rapid.Bool().Draw(r, "answer") {
+				a := open[0]
+				open = open[1:]
+				next = append(next, answer(r, s, a, now)...)
+			}
+			if rapid.Bool().Draw(r, "heard") {
+				next = append(next, s.Heard(member(rapid.IntRange(2, 5).Draw(r, "peer")).Address, rapid.Uint64Range(0, 30).Draw(r, "version"), now)...)
+			}
+			open = append(open, next...)
+			check(r, s, open, before)
+		}
+	})
+}
+
+func answer(r *rapid.T, s *spread.Spreader, a spread.Action, now time.Time) []spread.Action {
+	var err error
+	if rapid.Bool().Draw(r, "fails") {
+		err = errors.New("down")
+	}
+	switch a.Do {
+	case spread.ReadHead:
+		return s.HeadRead(rapid.Uint64Range(0, 30).Draw(r, "head"), err, now)
+	case spread.FetchSnapshot:
+		return s.FetchedSnapshot(a, rapid.Uint64Range(0, 30).Draw(r, "snapshot"), err, now)
+	case spread.Fetch:
+		versions := rapid.SliceOfN(rapid.Uint64Range(0, 30), 0, 4).Draw(r, "versions")
+		if rapid.Bool().Draw(r, "in order") {
+			versions = []uint64{a.After + 1, a.After + 2}
+		}
+		return s.Fetched(a, versions, rapid.Bool().Draw(r, "trimmed"), err, now)
+	}
+	return s.Applied(a, rapid.Uint64Range(0, 31).Draw(r, "applied"), err, now)
+}
+
+func check(r *rapid.T, s *spread.Spreader, open []spread.Action, before uint64) {
+	if s.Version() < before {
+		r.Fatalf("version fell from %d to %d", before, s.Version())
+	}
+	busy := 0
+	for _, a := range open {
+		if a.Do != spread.ReadHead {
+			busy++
+		}
+		if a.Do == spread.Apply && (a.First <= s.Version() || !a.Snapshot && a.First != s.Version()+1) {
+			r.Fatalf("applies %+v to version %d", a, s.Version())
+		}
+	}
+	if busy > 1 || len(open) > 2 {
+		r.Fatalf("%d fetches at the same time, %d actions", busy, len(open))
+	}
+}
--- a/pkg/peer/instance/act.go
+++ b/pkg/peer/instance/act.go
@@ -9,14 +9,6 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/spread"
 )
 
-const (
-	// snapshotTimeout bounds a fetch of the whole configuration, 7.6 MB at 3,800 workspaces, over a
-	// link of 1 MB/s.
-	snapshotTimeout = 10 * time.Second
-	// applyTimeout bounds the work of the Applier.
-	applyTimeout = 10 * time.Second
-)
-
 // errNoSource is what a node without a Source or Applier answers its own spreader.
 var errNoSource = Unavailable.New("no source of configuration is set")
 
@@ -24,7 +16,7 @@
 func (n *Node) act(a spread.Action) {
 	switch a.Do {
 	case spread.ReadHead:
-		n.readHead()
+		n.readHead(a)
 	case spread.Fetch:
 		n.fetch(a)
 	case spread.FetchSnapshot:
@@ -40,8 +32,8 @@
 	})
 }
 
-func (n *Node) readHead() {
-	ctx, cancel := context.WithTimeout(n.ctx, spread.ActionTimeout)
+func (n *Node) readHead(a spread.Action) {
+	ctx, cancel := context.WithTimeout(n.ctx, a.Timeout)
 	defer cancel()
 	version, err := uint64(0), error(errNoSource)
 	if n.source != nil {
@@ -52,7 +44,7 @@
 }
 
 func (n *Node) fetch(a spread.Action) {
-	ctx, cancel := context.WithTimeout(n.ctx, spread.ActionTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, a.Timeout)
 	defer cancel()
 	changes, err := n.changes(ctx, a)
 	trimmed := errors.Is(err, ErrTrimmed)
@@ -83,7 +75,7 @@
 }
 
 func (n *Node) fetchSnapshot(a spread.Action) {
-	ctx, cancel := context.WithTimeout(n.ctx, snapshotTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, a.Timeout)
 	defer cancel()
 	s, err := n.snapshot(ctx, a)
 	n.logFailure(err, "configuration could not be fetched")
@@ -121,7 +113,7 @@
 
 // apply puts the changes from a.First to a.Last in force, up to the first that fails.
 func (n *Node) apply(a spread.Action, changes []Change) {
-	ctx, cancel := context.WithTimeout(n.ctx, applyTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, a.Timeout)
 	defer cancel()
 	var err error
 	last := a.First - 1
@@ -139,7 +131,7 @@
 }
 
 func (n *Node) applySnapshot(a spread.Action, s Snapshot) {
-	ctx, cancel := context.WithTimeout(n.ctx, applyTimeout)
+	ctx, cancel := context.WithTimeout(n.ctx, a.Timeout)
 	defer cancel()
 	last := a.Last
 	err := n.applier.ApplySnapshot(ctx, s)
--- a/pkg/peer/instance/capacity_test.go
+++ b/pkg/peer/instance/capacity_test.go
@@ -68,23 +68,47 @@
 	})
 }
 
+// spreading is a configuration version on its way.
+type spreading struct {
+	start   time.Duration
+	wanted  int
+	holders map[int]bool // holders has the indices of the processes that have it or a higher one
+	reached *samples
+}
+
 // change makes a new configuration version at the given rate and records the time to reach all.
 func (c *cluster) change(every time.Duration, reached *samples) {
 	c.after(every, func() {
 		c.head++
-		version, start, missing := c.head, c.at, c.running()
-		c.onVersion = func(p *process) {
-			if p.spreader.Version() != version {
-				return
-			}
-			if missing--; missing == 0 {
-				*reached = append(*reached, c.at-start)
-			}
-		}
+		c.pending[c.head] = &spreading{start: c.at, wanted: c.running(), holders: map[int]bool{}, reached: reached}
 		c.change(every, reached)
 	})
 }
 
+// recordVersion records that a process has put a version in force.
+func (c *cluster) recordVersion(p *process) {
+	for v, s := range c.pending {
+		if p.spreader.Version() < v {
+			continue
+		}
+		if s.holders[p.index] = true; len(s.holders) == s.wanted {
+			*s.reached = append(*s.reached, c.at-s.start)
+			delete(c.pending, v)
+		}
+	}
+}
+
+// late returns the versions that have been on their way for more than 6 s.
+func (c *cluster) late() float64 {
+	n := 0.0
+	for _, s := range c.pending {
+		if c.at-s.start > 6*time.Second {
+			n++
+		}
+	}
+	return n
+}
+
 // day divides 24 h into a number of occurrences at the target's size and scales it to n instances.
 func day(perDay float64, n int) time.Duration {
 	return time.Duration(float64(24*time.Hour) / perDay * 2700 / float64(n))
@@ -105,6 +129,7 @@
 		c.change(5400*time.Millisecond, &reached)
 		c.measure(b, 3*time.Minute)
 		reached.report(b, "version")
+		b.ReportMetric(c.late(), "late-versions")
 	})
 }
 
@@ -192,6 +217,8 @@
 				b.ReportMetric(float64(count), "suspicions")
 				b.ReportMetric(float64(len(dead)), "false-deaths")
 				reached.report(b, "version")
+				b.ReportMetric(c.late(), "late-versions")
+				b.ReportMetric(c.late(), "late-versions")
 			})
 		})
 	}
--- a/pkg/peer/instance/client.go
+++ b/pkg/peer/instance/client.go
@@ -17,6 +17,9 @@
 const (
 	// callTimeout bounds a call whose context has no earlier deadline.
 	callTimeout = 10 * time.Second
+	// dialTimeout bounds the opening of a connection, so that a peer that is gone does not use up the time
+	// for a snapshot.
+	dialTimeout = time.Second
 	// maxAnswerBytes bounds one message of an answer: a single change may exceed answerBytes.
 	maxAnswerBytes = 16 << 20
 	// maxSnapshotBytes bounds a snapshot. The target of two years is 7.6 MB.
@@ -28,7 +31,7 @@
 func (n *Node) call(ctx context.Context, peer netip.AddrPort, f func(context.Context, instancepb.DRPCInstancesClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var dialer net.Dialer
+	dialer := net.Dialer{Timeout: dialTimeout}
 	tcp, err := dialer.DialContext(ctx, "tcp", peer.String())
 	if err != nil {
 		return Unavailable.Wrap(err, "instance %s cannot be reached", peer)
@@ -69,8 +72,6 @@
 
 // FetchSnapshot returns the whole configuration in force at a peer.
 func (n *Node) FetchSnapshot(ctx context.Context, peer netip.AddrPort) (Snapshot, error) {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
 	var whole Snapshot
 	err := n.call(ctx, peer, func(ctx context.Context, c instancepb.DRPCInstancesClient) error {
 		stream, err := c.FetchSnapshot(ctx, &instancepb.FetchSnapshotRequest{Fleet: n.fleet})
--- /dev/null
+++ b/pkg/peer/instance/driven_calls_test.go
@@ -0,0 +1,77 @@
+package instance_test
+
+import (
+	"errors"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/spread"
+)
+
+var errDown = errors.New("not reached")
+
+// changeBytes is the size of a workspace document and the overhead of a call over a new connection.
+const changeBytes, callBytes, headBytes = 2000, 600, 700
+
+// perform answers the spreader's actions after a delay. An action that fails takes
+// its whole time, but no more than a dial may take.
+func (c *cluster) perform(p *process, actions []spread.Action) {
+	for _, a := range actions {
+		switch {
+		case a.Do == spread.ReadHead:
+			c.fetched += headBytes
+			c.answer(p, a, !c.tableDown, func(err error) []spread.Action { return p.spreader.HeadRead(c.head, err, c.now()) })
+		case a.Do == spread.Apply:
+			c.answer(p, a, true, func(error) []spread.Action { return c.apply(p, a) })
+		case a.Peer.IsValid():
+			peer := c.byAddress[a.Peer]
+			c.fetch(p, a, c.reaches(p, peer), func() uint64 { return peer.spreader.Version() })
+		default:
+			c.fetch(p, a, !c.tableDown, func() uint64 { return c.head })
+		}
+	}
+}
+
+func (c *cluster) fetch(p *process, a spread.Action, reached bool, version func() uint64) {
+	c.answer(p, a, reached && c.rand.Float64() >= 3*c.loss, func(err error) []spread.Action {
+		newest := version()
+		if a.Do == spread.FetchSnapshot {
+			return p.spreader.FetchedSnapshot(a, newest, err, c.now())
+		}
+		var versions []uint64
+		for v := a.After + 1; v <= newest && err == nil; v++ {
+			versions = append(versions, v)
+		}
+		c.fetched += callBytes + changeBytes*len(versions)
+		return p.spreader.Fetched(a, versions, false, err, c.now())
+	})
+}
+
+func (c *cluster) answer(p *process, a spread.Action, ok bool, step func(error) []spread.Action) {
+	delay, err := c.between(2*time.Millisecond, 20*time.Millisecond), error(nil)
+	if !ok {
+		delay, err = min(a.Timeout, time.Second), errDown
+	}
+	c.after(delay, func() {
+		if p.up {
+			c.perform(p, step(err))
+		}
+	})
+}
+
+// apply fails the test if the version in force would fall.
+func (c *cluster) apply(p *process, a spread.Action) []spread.Action {
+	before := p.spreader.Version()
+	if a.Last <= before || !a.Snapshot && a.First != before+1 {
+		c.t.Errorf("%s applies %d to %d after %d", p.self.Name, a.First, a.Last, before)
+	}
+	next := p.spreader.Applied(a, a.Last, nil, c.now())
+	if v := p.spreader.Version(); v != a.Last {
+		c.t.Errorf("%s is at %d after it applied %d", p.self.Name, v, a.Last)
+	}
+	qt.Assert(c.t, p.table.Publish(membership.Version{Number: a.Last}), qt.IsNil)
+	c.recordVersion(p)
+	return next
+}
--- a/pkg/peer/instance/driven_test.go
+++ b/pkg/peer/instance/driven_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/heap"
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -23,7 +22,8 @@
 	index    int
 	self     membership.Member
 	up       bool
-	changed  bool // changed is set if the members changed since the last tick
+	changed  bool          // changed is set if the members changed since the last update
+	update   time.Duration // update is when the next update may be made
 	table    *membership.Table
 	spreader *spread.Spreader
 	bytes    int // bytes sent, with 28 bytes of IP and UDP headers for each packet
@@ -73,7 +73,7 @@
 	head      uint64
 	tableDown bool
 	onEvent   func(p *process, e membership.Event)
-	onVersion func(p *process)
+	pending   map[uint64]*spreading
 	fetched   int // fetched counts bytes of change records and head rows
 }
 
@@ -82,7 +82,7 @@
 func (c *cluster) now() time.Time { return epoch.Add(c.at) }
 
 func newCluster(t testing.TB, seed uint64) *cluster {
-	return &cluster{t: t, rand: seeded(seed), byAddress: map[netip.AddrPort]*process{}, cut: func(_, _ *process) bool { return false }}
+	return &cluster{t: t, rand: seeded(seed), byAddress: map[netip.AddrPort]*process{}, pending: map[uint64]*spreading{}, cut: func(_, _ *process) bool { return false }}
 }
 
 func address(i int) netip.AddrPort {
@@ -174,10 +174,7 @@
 	case e.packet == nil:
 		c.push(event{at: c.at + membership.TickInterval, to: e.to})
 		c.send(e.to, e.to.table.Tick(c.now()))
-		if e.to.changed {
-			e.to.spreader.SetMembers(e.to.table.Members())
-			e.to.changed = false
-		}
+		c.updateMembers(e.to)
 		c.perform(e.to, e.to.spreader.Tick(c.now()))
 	default:
 		p, err := instance.Decode(e.packet)
@@ -187,6 +184,15 @@
 	c.handleEvents(e.to)
 }
 
+// updateMembers tells the spreader of changed members once a second, which keeps the simulation of
+// mass events affordable.
+func (c *cluster) updateMembers(p *process) {
+	if p.changed && c.at >= p.update {
+		p.spreader.SetMembers(p.table.Members())
+		p.changed, p.update = false, c.at+time.Second
+	}
+}
+
 func (c *cluster) handleEvents(p *process) {
 	for _, e := range p.table.Events() {
 		if c.onEvent != nil {
@@ -223,73 +229,6 @@
 	return c.between(200*time.Microsecond, 2*time.Millisecond)
 }
 
-var errDown = errors.New("not reached")
-
-// changeBytes is the size of a workspace document and the overhead of a call over a new connection.
-const changeBytes, callBytes, headBytes = 2000, 600, 700
-
-// perform answers the spreader's actions after a delay. An action that fails takes its whole time.
-func (c *cluster) perform(p *process, actions []spread.Action) {
-	for _, a := range actions {
-		switch {
-		case a.Do == spread.ReadHead:
-			c.fetched += headBytes
-			c.answer(p, !c.tableDown, func(err error) []spread.Action { return p.spreader.HeadRead(c.head, err, c.now()) })
-		case a.Do == spread.Apply:
-			c.answer(p, true, func(error) []spread.Action { return c.apply(p, a) })
-		case a.Peer.IsValid():
-			peer := c.byAddress[a.Peer]
-			c.fetch(p, a, c.reaches(p, peer), func() uint64 { return peer.spreader.Version() })
-		default:
-			c.fetch(p, a, !c.tableDown, func() uint64 { return c.head })
-		}
-	}
-}
-
-func (c *cluster) fetch(p *process, a spread.Action, reached bool, version func() uint64) {
-	c.answer(p, reached && c.rand.Float64() >= 3*c.loss, func(err error) []spread.Action {
-		newest := version()
-		if a.Do == spread.FetchSnapshot {
-			return p.spreader.FetchedSnapshot(a, newest, err, c.now())
-		}
-		var versions []uint64
-		for v := a.After + 1; v <= newest && err == nil; v++ {
-			versions = append(versions, v)
-		}
-		c.fetched += callBytes + changeBytes*len(versions)
-		return p.spreader.Fetched(a, versions, false, err, c.now())
-	})
-}
-
-func (c *cluster) answer(p *process, ok bool, step func(error) []spread.Action) {
-	delay, err := c.between(2*time.Millisecond, 20*time.Millisecond), error(nil)
-	if !ok {
-		delay, err = spread.ActionTimeout, errDown
-	}
-	c.after(delay, func() {
-		if p.up {
-			c.perform(p, step(err))
-		}
-	})
-}
-
-// apply fails the test if the version in force would fall.
-func (c *cluster) apply(p *process, a spread.Action) []spread.Action {
-	before := p.spreader.Version()
-	if a.Last <= before || !a.Snapshot && a.First != before+1 {
-		c.t.Errorf("%s applies %d to %d after %d", p.self.Name, a.First, a.Last, before)
-	}
-	next := p.spreader.Applied(a, a.Last, nil, c.now())
-	if v := p.spreader.Version(); v != a.Last {
-		c.t.Errorf("%s is at %d after it applied %d", p.self.Name, v, a.Last)
-	}
-	qt.Assert(c.t, p.table.Publish(membership.Version{Number: a.Last}), qt.IsNil)
-	if c.onVersion != nil {
-		c.onVersion(p)
-	}
-	return next
-}
-
 // everyone reports whether a condition holds for every running process.
 func (c *cluster) everyone(f func(*process) bool) func() bool {
 	return func() bool {
