--- a/pkg/bench/load.go
+++ b/pkg/bench/load.go
@@ -31,7 +31,8 @@
 	warmUp = 2 * time.Second
 	// readyLimit is the time that a new fleet has to become ready.
 	readyLimit = 30 * time.Second
-	// defaultDeadline is that of a question. The slowest kind needs 10 s for 24 tokens in full batches.
+	// defaultDeadline is the timeout of the fleet's configuration. The stand-ins are slowed 16 times, so
+	// that 78 ms between tokens become 1.25 s, and the slowest kind needs 10 s for 24 tokens in a full batch.
 	defaultDeadline = 20 * time.Second
 	// connectAttempts is the number of instances that a question is tried at.
 	connectAttempts = 4
