Follow the ledger's MayRun, which names the request

Cause: the ledger now keeps what it permits by request. Change: the daemon's adapter passes the request's ID. Conclusion: none.

--- a/pkg/daemon/ledger.go
+++ b/pkg/daemon/ledger.go
@@ -63,12 +63,12 @@
 }
 
 // forbidden returns the targets on which the content may not be started now.
-func (l *ledger) forbidden(fingerprint uint64, targets []target.Target, now time.Time) []string {
+func (l *ledger) forbidden(request string, fingerprint uint64, targets []target.Target, now time.Time) []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var names []string
 	for _, t := range targets {
-		if t.Kind == target.Engine && !l.state.MayRun(fingerprint, t.Name, now) {
+		if t.Kind == target.Engine && !l.state.MayRun(request, fingerprint, t.Name, now) {
 			names = append(names, t.Name)
 		}
 	}
