--- a/pkg/claim/batch.go
+++ b/pkg/claim/batch.go
@@ -37,10 +37,18 @@
 		if conflicts := c.write(ctx, batch); !conflicts {
 			next = started.Add(c.interval)
 		}
+		c.wrote()
 	}
 	c.failAll()
 }
 
+// wrote notes that every operation of the last transaction is settled or back in the queue.
+func (c *Clerk) wrote() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+}
+
 // due returns when a batch may go: at next, or at once if it is full and the table is not above its
 // rate, but not before an operation is ready.
 func (c *Clerk) due(next time.Time) (at time.Time, found bool) {
@@ -98,6 +106,7 @@
 	}
 	clear(c.queue[len(rest):])
 	c.queue, c.bytes = rest, c.bytes-bytes
+	c.writing = len(batch) > 0
 	return batch
 }
 
@@ -108,8 +117,7 @@
 	for _, op := range batch {
 		op.addTo(&t)
 	}
-	c.counters.wrote(len(batch))
-	res, err := c.table.Commit(ctx, t)
+	res, err := c.commit(ctx, t, len(batch))
 	switch {
 	case errors.Is(err, table.ErrRateLimited):
 		c.interval = min(2*c.interval, max(c.gather, maxInterval))
@@ -128,6 +136,22 @@
 	return false
 }
 
+// commit sends the transaction and notes whether the table answers.
+func (c *Clerk) commit(ctx context.Context, t table.Transaction, operations int) (table.Result, error) {
+	c.counters.wrote(operations)
+	started := time.Now()
+	res, err := c.table.Commit(ctx, t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !errors.Is(err, table.ErrUnknown):
+		c.silent = time.Time{}
+	case c.silent.IsZero():
+		c.silent = started
+	}
+	return res, err
+}
+
 // conflicting settles the operations whose rows did not match and requeues the rest.
 func (c *Clerk) conflicting(batch []*operation, failed []table.Row) {
 	found := make(map[string]table.Row, len(failed))
