Keep a stand-in engine's rate on a busy machine

Cause: late wake-ups on a shared machine added to every iteration, so that the fleet could not reach its own bound. Change: a busy engine's iterations are due one after the other by the accelerator's rate, and make up for delays of up to 50 ms.

--- a/pkg/standin/engine/batch.go
+++ b/pkg/standin/engine/batch.go
@@ -48,6 +48,7 @@
 			return
 		case <-s.wake:
 		}
+		s.due = time.Now()
 		for s.iteration() {
 		}
 	}
@@ -60,7 +61,7 @@
 	if len(batch) == 0 {
 		return false
 	}
-	time.Sleep(took)
+	s.sleepUntilDue(took)
 	s.waitThawed()
 	if s.crashes(batch, life) {
 		s.Kill()
@@ -70,6 +71,19 @@
 	return true
 }
 
+// maxLag bounds the delays of the machine that busy iterations make up for.
+const maxLag = 50 * time.Millisecond
+
+// sleepUntilDue ends an iteration at the time it is due by the accelerator's rate, counted from
+// when the last one was due: a late wake-up on a busy machine doesn't lower the rate.
+func (s *Server) sleepUntilDue(took time.Duration) {
+	if earliest := time.Now().Add(-maxLag); s.due.Before(earliest) {
+		s.due = earliest
+	}
+	s.due = s.due.Add(took)
+	time.Sleep(time.Until(s.due))
+}
+
 // nextBatch takes the steps of the next iteration off the queue. Life numbers the engine's
 // restarts: a restarted engine doesn't run steps taken before.
 func (s *Server) nextBatch() ([]*work, time.Duration, int) {
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -44,6 +44,7 @@
 	wake    chan struct{}
 	closed  chan struct{}
 	once    sync.Once
+	due     time.Time // due belongs to the goroutine that runs the batches.
 
 	mu         sync.Mutex
 	http       *http.Server
