Take back a leave announcement after a restart

Cause: a target that announced in an answer that it was leaving and was restarted under the same name stayed out of every choice while it was listed. Change: Leaving takes the time, and a report that was measured later takes the announcement back; race test of the picker. Conclusion: a report measured before the announcement does not take it back.

--- a/pkg/decision/route/picker.go
+++ b/pkg/decision/route/picker.go
@@ -15,12 +15,12 @@
 
 	mu      sync.Mutex // mu serialises the changes of the target list.
 	targets []target.Target
-	leaving map[string]bool // leaving names the targets that announced it themselves.
+	leaving map[string]time.Time // leaving holds when targets announced it themselves.
 }
 
 // NewPicker returns a picker without targets.
 func NewPicker(options ...Option) *Picker {
-	p := &Picker{policy: EstimatedFinish, leaving: map[string]bool{}}
+	p := &Picker{policy: EstimatedFinish, leaving: map[string]time.Time{}}
 	for _, option := range options {
 		option(p)
 	}
@@ -53,7 +53,7 @@
 func (p *Picker) rebuild() {
 	view := make([]target.Target, 0, len(p.targets))
 	for _, t := range p.targets {
-		if p.leaving[t.Name] {
+		if _, leaves := p.leaving[t.Name]; leaves {
 			t.State = target.Leaving
 		}
 		view = append(view, t)
@@ -62,15 +62,27 @@
 }
 
 // Leaving takes a target out of every later choice. It is for a target that announces in an
-// answer that it is leaving, and holds until the target is no longer listed.
-func (p *Picker) Leaving(name string) {
+// answer that it is leaving. It holds until the target is no longer listed, or until a report that
+// was measured later says otherwise because the target was restarted.
+func (p *Picker) Leaving(name string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.leaving[name] {
-		return
+	_, known := p.leaving[name]
+	p.leaving[name] = now
+	if !known {
+		p.rebuild()
+	}
+}
+
+// returned takes back an announcement that is older than a report.
+func (p *Picker) returned(name string, measured time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	announced, known := p.leaving[name]
+	if known && measured.After(announced) {
+		delete(p.leaving, name)
+		p.rebuild()
 	}
-	p.leaving[name] = true
-	p.rebuild()
 }
 
 // ObserveReport takes in a target's load report. Reports of unknown targets are ignored.
@@ -80,8 +92,11 @@
 		return
 	}
 	e.load.observeReport(r, now)
-	if r.Leaving {
-		p.Leaving(name)
+	switch {
+	case r.Leaving:
+		p.Leaving(name, now)
+	case !e.target.Accepting():
+		p.returned(name, r.Measured)
 	}
 }
 
--- a/pkg/decision/route/route_test.go
+++ b/pkg/decision/route/route_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"time"
 
@@ -116,14 +117,23 @@
 func TestLeaving(t *testing.T) {
 	picker := route.NewPicker()
 	picker.SetTargets(targets(1, 3))
-	picker.Leaving("g0-0")
+	picker.Leaving("g0-0", epoch)
 	picker.ObserveReport("g0-1", route.Report{Leaving: true, Measured: epoch}, epoch)
 	picker.SetTargets(targets(1, 3))
-	for range 100 {
-		chosen, err := picker.Pick(random(), request(epoch))
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, chosen.Names(), qt.DeepEquals, []string{"g0-2"})
+	picker.ObserveReport("g0-0", route.Report{Measured: epoch.Add(-time.Second)}, epoch.Add(time.Second)) // Measured before.
+	r, used := random(), map[string]bool{}
+	pick := func() {
+		for range 100 {
+			chosen, err := picker.Pick(r, request(epoch))
+			qt.Assert(t, err, qt.IsNil)
+			used[chosen.Stages[0].Name] = true
+		}
 	}
+	pick()
+	qt.Assert(t, used, qt.DeepEquals, map[string]bool{"g0-2": true})
+	picker.ObserveReport("g0-0", route.Report{Measured: epoch.Add(time.Second)}, epoch.Add(2*time.Second)) // Restarted.
+	pick()
+	qt.Assert(t, used, qt.DeepEquals, map[string]bool{"g0-0": true, "g0-2": true})
 }
 
 // TestFailedTarget guards against sending on to a failed target, against more than one probe at a
@@ -209,3 +219,39 @@
 	picker.Finished("g0-3", 2, time.Second, epoch)
 	qt.Check(t, holds() < 30, qt.IsTrue)
 }
+
+// TestConcurrent guards against data races between the control goroutine and traffic, and against
+// a choice from a half-built list. It is of use under the race detector.
+func TestConcurrent(t *testing.T) {
+	picker := route.NewPicker()
+	picker.SetTargets(targets(2, 10))
+	var group sync.WaitGroup
+	for worker := range uint64(4) {
+		group.Go(func() {
+			r := rand.New(rand.NewPCG(worker, 1))
+			for i := range 500 {
+				req := request(epoch.Add(time.Duration(i) * time.Millisecond))
+				req.Apart = i%50 == 0
+				chosen, err := picker.Pick(r, req)
+				if !qt.Check(t, err, qt.IsNil) {
+					return
+				}
+				for _, name := range chosen.Names() {
+					picker.Sent(name, 1, req.Now)
+					picker.Finished(name, 1, time.Millisecond, req.Now)
+				}
+				if req.Apart {
+					picker.Release(chosen)
+				}
+			}
+		})
+	}
+	for i := range 100 {
+		now := epoch.Add(time.Duration(i) * time.Millisecond)
+		picker.SetTargets(targets(2, 8+i%3))
+		picker.ObserveReport("g0-1", route.Report{Running: 1, Measured: now}, now)
+		picker.ObservePrefix("g1-1", 7, i%2 == 0)
+		picker.Failed("g0-2", now)
+	}
+	group.Wait()
+}
