Keep the workers of a range in several data centres

Cause: a range with two workers could have both in one data centre, so that the loss of the data centre left the range without a worker. Change: like workers are exchanged between ranges after planning; the rates of the ranges stay the same; the plan test checks every range. Conclusion: a range with one worker still depends on its data centre.

--- a/pkg/decision/placement/placement_test.go
+++ b/pkg/decision/placement/placement_test.go
@@ -68,10 +68,31 @@
 			qt.Check(t, plan.LimitedBy, qt.Equals, test.limit)
 			qt.Check(t, plan.Throughput <= plan.Bound*1.000001, qt.IsTrue)
 			qt.Check(t, plan.Throughput >= plan.Bound*test.atLeast, qt.IsTrue)
+			checkCentres(t, test.workers, plan)
 		})
 	}
 }
 
+// checkCentres checks that each range with several workers has them in several data centres.
+func checkCentres(t *testing.T, workers []placement.Worker, plan placement.Plan) {
+	centres := map[string]string{}
+	for _, w := range workers {
+		centres[w.Name] = w.DataCentre
+	}
+	count, spread := map[string]int{}, map[string]map[string]bool{}
+	for _, a := range plan.Assignments {
+		key := a.Model + a.Layers.String()
+		count[key]++
+		if spread[key] == nil {
+			spread[key] = map[string]bool{}
+		}
+		spread[key][centres[a.Worker]] = true
+	}
+	for key, n := range count {
+		qt.Check(t, n == 1 || len(spread[key]) > 1, qt.IsTrue, qt.Commentf("all %d workers of %s are in one data centre", n, key))
+	}
+}
+
 func slowed(workers []placement.Worker, link float64) []placement.Worker {
 	for i := range workers {
 		workers[i].Link = link
@@ -102,9 +123,8 @@
 	})
 }
 
-// bestOf returns the throughput of the best assignment of the workers left. With at most three
-// workers, tokens flow along single routes or in parallel over disjoint parts, so the flow is
-// counted by greedy search over all orders of routes.
+// bestOf returns the throughput of the best assignment of the workers left, where each may hold any
+// range that fits, or none.
 func bestOf(left []placement.Worker, m placement.Model, held []placed) float64 {
 	if len(left) == 0 {
 		return bestFlow(held, m.Layers)
--- a/pkg/decision/placement/tiers.go
+++ b/pkg/decision/placement/tiers.go
@@ -32,6 +32,7 @@
 			best, bestFlow = assignments, flow
 		}
 	}
+	separate(best, workersByName(workers))
 	return best
 }
 
