Excuse members for the time a process was paused

Cause: a process that was paused while it suspected others declared them dead with its first tick afterwards, without having read their answers. Conclusion: a pause no longer causes false deaths in the paused instance.

--- a/pkg/decision/membership/suspicion.go
+++ b/pkg/decision/membership/suspicion.go
@@ -36,6 +36,27 @@
 	}
 }
 
+// stallLimit is the time between ticks from which on this process counts as paused.
+const stallLimit = 10 * TickInterval
+
+// excuseStall gives the others the time that this process was paused or starved, in which their
+// answers could not be read.
+func (t *Table) excuseStall() {
+	gap := t.now.Sub(t.lastTick)
+	stalled := !t.lastTick.IsZero() && gap > stallLimit
+	t.lastTick = t.now
+	if !stalled {
+		return
+	}
+	t.probes.target = nil
+	for _, r := range t.suspects {
+		r.suspicion.deadline = r.suspicion.deadline.Add(gap)
+	}
+	for _, c := range t.verifier.told {
+		c.deadline = c.deadline.Add(gap)
+	}
+}
+
 // expireSuspicions declares members dead that did not refute, and tells suspects of this table's
 // own suspicions directly, since news may reach them too late to refute.
 func (t *Table) expireSuspicions() {
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -56,6 +56,7 @@
 	refused uint64
 	nextSync, nextSeed, nextDead, nextForget time.Time
 
+	lastTick time.Time
 	syncWait time.Duration // syncWait is the present time between comparisons
 
 	out    []Packet
@@ -182,6 +183,7 @@
 	if t.self.State == Left {
 		return nil
 	}
+	t.excuseStall()
 	t.expireSuspicions()
 	t.expireRelays()
 	t.tickProbe()
--- a/pkg/peer/instance/control.go
+++ b/pkg/peer/instance/control.go
@@ -67,8 +67,13 @@
 	n.notices.members(n.Members())
 }
 
+// logMember logs deaths at a higher level than the rest, of which a starting instance sees thousands.
 func (n *Node) logMember(e membership.Event) {
-	n.logger.Info().Str("Instance", e.Member.Name).Str("Address", e.Member.Address.String()).
+	entry := n.logger.Debug()
+	if e.Member.State == membership.Dead {
+		entry = n.logger.Info()
+	}
+	entry.Str("Instance", e.Member.Name).Str("Address", e.Member.Address.String()).
 		Str("State", string(e.Member.State)).Uint64("Incarnation", e.Member.Incarnation).
 		Msg("instance changed state")
 }
@@ -78,7 +83,7 @@
 	n.view.Store(&View{
 		Self: n.table.Self(), Members: n.table.Members(), Gone: n.table.Gone(), Items: n.table.Items(),
 		Loads: n.table.Loads(), Version: n.spreader.Version(), Known: n.spreader.Known(),
-		Polls: n.spreader.Polls(), Health: n.table.Health(),
+		Polls: n.spreader.Polls(), Health: n.table.Health(), Refused: n.table.Refused(),
 	})
 }
 
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -27,6 +27,7 @@
 	Known   uint64                 `json:"Known"`   // Known is the newest configuration heard of.
 	Polls   bool                   `json:"Polls"`   // Polls reports whether this instance reads the head row.
 	Health  int                    `json:"Health"`  // Health is 0 if probes are answered.
+	Refused uint64                 `json:"Refused"` // Refused counts packets of other fleets.
 }
 
 // Ready reports whether a configuration is in force.
