Prove planned stops and wait for routes before an instance is ready

The first proof found that a new instance was ready before it had asked the engines for their layers and refused every answer until then.

An instance is ready once each offered model has a route or each listed engine was asked once; until then it reads 64 reports/s instead of 8.

Conclusion: a replaced instance no longer refuses the requests that the load balancer sends it.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -9,9 +9,6 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
 	"github.com/cuminroute/cuminroute/pkg/decision/roster"
-	"github.com/cuminroute/cuminroute/pkg/decision/route"
-	"github.com/cuminroute/cuminroute/pkg/layer"
-	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -22,10 +19,6 @@
 	listInterval = time.Second
 	// tickInterval is how often queued requests are checked against their deadlines.
 	tickInterval = 50 * time.Millisecond
-	// reportsPerSecond bounds report polls to 8 a second, about 2 KB/s, however many targets there are.
-	reportsPerSecond = 8
-	// reportTimeout ends a poll of a target that does not answer.
-	reportTimeout = 500 * time.Millisecond
 	// entryRole is the role of entry instances in the platform's list.
 	entryRole = "Entry"
 	// engineRole is the role of model engines; every other role is the name of a plain service.
@@ -45,6 +38,7 @@
 	polling []string
 	drains  map[string]membership.Drain
 	listed  atomic.Bool
+	routed  atomic.Bool // routed is set once the instance knows enough of the engines to serve.
 }
 
 // engineView is what is known of one engine besides its place in the roster.
@@ -52,6 +46,7 @@
 	maxBatch    int
 	accelerator string
 	inPoll      bool
+	asked       bool // asked is set after the first poll, whether it was answered or not.
 }
 
 func newControl(d *Daemon) *control {
@@ -84,7 +79,7 @@
 			c.setCapacity()
 			c.publishLoad()
 		case <-reports.C:
-			c.pollNextReport(ctx)
+			c.pollReports(ctx)
 		case now := <-tick.C:
 			c.d.gate.admission.Tick(now)
 			c.publishQuarantine(now)
@@ -176,71 +171,6 @@
 	}
 }
 
-// pollNextReport asks the next engine in turn for its report.
-func (c *control) pollNextReport(ctx context.Context) {
-	for len(c.polling) > 0 {
-		name := c.polling[0]
-		c.polling = c.polling[1:]
-		view := c.engines[name]
-		if view == nil {
-			continue
-		}
-		c.polling = append(c.polling, name)
-		if !view.inPoll {
-			view.inPoll = true
-			c.pollReport(ctx, name)
-		}
-		return
-	}
-}
-
-func (c *control) pollReport(ctx context.Context, name string) {
-	address, ok := c.address(name)
-	if !ok {
-		return
-	}
-	client := c.d.engines.Client(address)
-	go func() {
-		bounded, cancel := context.WithTimeout(ctx, reportTimeout)
-		defer cancel()
-		report, err := client.Report(bounded)
-		c.post(ctx, func(now time.Time) { c.observeReport(name, report, err, now) })
-	}()
-}
-
-func (c *control) address(name string) (netip.AddrPort, bool) {
-	for _, t := range *c.targets.Load() {
-		if t.Name == name {
-			return t.Address, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
-func (c *control) observeReport(name string, report *enginepb.Report, err error, now time.Time) {
-	view := c.engines[name]
-	if view == nil {
-		return
-	}
-	view.inPoll = false
-	if err != nil {
-		c.d.counters.reportFailures.Inc(1)
-		return
-	}
-	view.maxBatch, view.accelerator = int(report.GetMaxBatch()), report.GetAccelerator()
-	c.d.ledger.Alive(name)
-	c.roster.ObserveReport(name, roster.Report{
-		Leaving: report.GetLeaving(), Model: report.GetModel(), ModelLayers: int(report.GetModelLayers()),
-		Layers: layer.Range{First: int(report.GetFirstLayer()), End: int(report.GetEndLayer())}, Accelerator: report.GetAccelerator(),
-	})
-	c.publish()
-	c.d.picker.ObserveReport(name, route.Report{
-		Queued: int(report.GetQueuedSteps()), Running: int(report.GetRunningSteps()), MaxBatch: int(report.GetMaxBatch()),
-		StepTime: time.Duration(report.GetStepMicros()) * time.Microsecond,
-		Measured: time.UnixMilli(report.GetMeasuredUnixMilli()), Leaving: report.GetLeaving(),
-	}, now)
-}
-
 // observeLeaving takes a target's announcement in the answer to a step.
 func (c *control) observeLeaving(ctx context.Context, name string) {
 	c.post(ctx, func(time.Time) {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -105,7 +105,7 @@
 }
 
 // New starts an instance. It listens at once, and is ready when a configuration and the
-// platform's list have been read. The instance ends with Stop, with Kill, or with ctx.
+// platform's list have been read and the engines on it have been asked for their layers. The instance ends with Stop, with Kill, or with ctx.
 func New(ctx context.Context, s settings.Settings, options ...Option) (*Daemon, error) {
 	d := &Daemon{settings: s, registry: metrics.NewRegistry(), done: make(chan struct{}), stopping: make(chan struct{})}
 	for _, option := range options {
@@ -256,7 +256,7 @@
 	case <-d.stopping:
 		return false
 	default:
-		return d.node.View().Ready() && d.control.listed.Load()
+		return d.node.View().Ready() && d.control.listed.Load() && d.control.routed.Load()
 	}
 }
 
--- /dev/null
+++ b/pkg/daemon/readiness.go
@@ -0,0 +1,51 @@
+package daemon
+
+import (
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// startReports is how many reports are read at each poll until the instance knows the engines, 64
+// a second. At the usual 8 a second, a new instance of a fleet of 40 engines would refuse answers for 5 s.
+const startReports = 8
+
+// learnRoutes notes when the instance knows enough of the engines to serve: every model that is
+// offered has a route, or every listed engine was asked once. It stays noted afterwards, since
+// the loss of engines is not a reason for the load balancer to leave all instances.
+func (c *control) learnRoutes() {
+	if c.routed.Load() || !c.listed.Load() || !c.d.node.View().Ready() {
+		return
+	}
+	if c.allAsked() || c.allReached(c.d.versions.current()) {
+		c.routed.Store(true)
+	}
+}
+
+func (c *control) allAsked() bool {
+	for _, view := range c.engines {
+		if !view.asked {
+			return false
+		}
+	}
+	return true
+}
+
+// allReached reports whether the engines known hold every layer of each model that a pipeline offers.
+func (c *control) allReached(inForce *configuration.Configuration) bool {
+	held := make(map[string][]layer.Range)
+	for _, t := range *c.targets.Load() {
+		if t.Kind == target.Engine && t.Accepting() && t.Layers.Valid() {
+			held[t.Model] = append(held[t.Model], t.Layers)
+		}
+	}
+	for _, w := range inForce.Workspaces {
+		for _, p := range w.Pipelines {
+			model, known := inForce.Model(p.Model)
+			if known && !reaches(held[p.Model], model.Layers) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/proof/stop_test.go
@@ -0,0 +1,95 @@
+package proof_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/proof"
+	"github.com/cuminroute/cuminroute/pkg/standin/caller"
+	"github.com/cuminroute/cuminroute/pkg/standin/fleet"
+)
+
+// newWorld starts a world that ends with the test.
+func newWorld(c *qt.C, o proof.Options) *proof.World {
+	ctx, cancel := context.WithCancel(context.Background())
+	w, err := proof.New(ctx, o)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		w.Close()
+		cancel()
+	})
+	return w
+}
+
+// Guards against a planned stop that cuts off a stream or leaves a request without an answer (P6).
+func TestP6PlannedStopUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newWorld(c, proof.Options{Seed: 61, Entries: 4})
+	load := w.StartLoad(context.Background(), "stop", 61, 8, 20)
+	for _, m := range w.Entries() {
+		_, err := w.AddEntry()
+		c.Assert(err, qt.IsNil)
+		c.Assert(m.Stop(context.Background()), qt.IsNil)
+		w.Remove(m)
+	}
+	outcomes, findings := load.Stop()
+	c.Assert(findings, qt.HasLen, 0)
+	c.Assert(outcomes[outcome.Done] > 8, qt.IsTrue, qt.Commentf("%v", outcomes))
+	for reason := range load.Reasons() {
+		c.Assert(strings.HasPrefix(reason, "no_route"), qt.IsFalse, qt.Commentf("a new instance was ready before it knew the engines: %s", reason))
+	}
+	t.Logf("outcomes over 4 stops: %v %v", outcomes, load.Reasons())
+}
+
+// Guards against a stopping instance that takes new work, holds a refusal back, or exits before a
+// long stream has ended (P6, P3).
+func TestP6RequestAfterDrain(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	w := newWorld(c, proof.Options{Seed: 62, Entries: 1})
+	m := w.Entries()[0]
+	long := make(chan caller.Answer, 1)
+	go func() { long <- w.Ask(context.Background(), m, "long", 150) }()
+	c.Assert(eventually(5*time.Second, func() bool { return w.Ran("long") }), qt.IsTrue)
+	stopped := make(chan error, 1)
+	go func() { stopped <- m.Stop(context.Background()) }()
+	c.Assert(eventually(5*time.Second, func() bool { return w.Ask(context.Background(), m, "early", 1).Outcome == outcome.NotRun }), qt.IsTrue)
+	refused := 0
+	for ; len(long) == 0 && refused < 20; refused++ {
+		word := fmt.Sprintf("late%d", refused)
+		assertRefusedAtOnce(c, w, m, word)
+	}
+	c.Assert(refused > 0, qt.IsTrue)
+	a := <-long
+	c.Assert(a.Outcome, qt.Equals, outcome.Done, qt.Commentf("%v", a.Err))
+	c.Assert(a.Text, qt.Equals, proof.Want("long", 150))
+	c.Assert(<-stopped, qt.IsNil)
+}
+
+func assertRefusedAtOnce(c *qt.C, w *proof.World, m *fleet.Member, word string) {
+	a := w.Ask(context.Background(), m, word, 4)
+	c.Assert(a.Outcome, qt.Equals, outcome.NotRun, qt.Commentf("%v", a.Err))
+	if a.Status == 0 {
+		return // The instance has ended, so no connection was made.
+	}
+	c.Assert(a.RetryAfter >= time.Second, qt.IsTrue)
+	c.Assert(a.Ended.Sub(a.Started) < time.Second, qt.IsTrue, qt.Commentf("%v", a.Ended.Sub(a.Started)))
+	c.Assert(w.Ran(word), qt.IsFalse)
+}
+
+// eventually polls a condition until it holds or the time has passed.
+func eventually(limit time.Duration, holds func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if holds() {
+			return true
+		}
+	}
+	return false
+}
