--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -62,7 +62,7 @@
 	versions *versions
 	// bootstrap holds the operators of the settings.
 	bootstrap *configuration.Configuration
-	log       *configlog.Log
+	log       *accepted
 	clerk     *claim.Clerk
 	picker    *route.Picker
 	ledger    *ledger
@@ -176,7 +176,7 @@
 	d.table = table.New(d.settings.Platform.Table, table.WithMetrics(d.registry))
 	d.objects = objectstore.New(d.settings.Platform.ObjectStore)
 	d.list = instancelist.New(d.settings.Platform.InstanceList)
-	d.log = configlog.New(d.table, configlog.WithObjects(d.objects))
+	d.log = newAccepted(configlog.New(d.table, configlog.WithObjects(d.objects)))
 	d.versions = newVersions(d.log)
 	// A restarted process under the same name must not pass for the holder of its predecessor's claims.
 	holder := fmt.Sprintf("%s/%08x", d.settings.Instance, rand.Uint32())
@@ -194,6 +194,7 @@
 		return errListen.Wrap(err, "the peers' address cannot be used")
 	}
 	d.node = node
+	d.log.learned = node.Learned
 	node.OnItem(func(i membership.Item) { d.control.observeItem(ctx, i) })
 	return nil
 }
--- a/pkg/daemon/versions.go
+++ b/pkg/daemon/versions.go
@@ -18,7 +18,7 @@
 // versions holds the configuration in force and puts newer versions into force. It reads the
 // configuration log for the node and keeps the documents, so that peers can be given a snapshot.
 type versions struct {
-	log     *configlog.Log
+	log     *accepted
 	inForce atomic.Pointer[configuration.Configuration]
 
 	mu        sync.Mutex
@@ -31,7 +31,7 @@
 	Documents []configlog.Document `json:"Documents"`
 }
 
-func newVersions(l *configlog.Log) *versions {
+func newVersions(l *accepted) *versions {
 	v := &versions{log: l, documents: make(map[string]configlog.Document)}
 	v.inForce.Store(configuration.Compile(&configuration.Configuration{}))
 	return v
@@ -48,9 +48,12 @@
 	return head.Version, err
 }
 
-// Changes implements instance.Source.
+// Changes implements instance.Source. Changes that were accepted here need no read of the table.
 func (v *versions) Changes(ctx context.Context, after uint64) ([]instance.Change, error) {
-	changes, err := v.log.Changes(ctx, after)
+	changes, err := v.log.after(after), error(nil)
+	if len(changes) == 0 {
+		changes, err = v.log.Changes(ctx, after)
+	}
 	if errors.Is(err, configlog.ErrCompacted) {
 		return nil, instance.ErrTrimmed
 	}
--- a/pkg/decision/spread/spreader.go
+++ b/pkg/decision/spread/spreader.go
@@ -117,6 +117,11 @@
 	if err != nil {
 		return nil
 	}
+	return s.Learned(version, now)
+}
+
+// Learned takes a version that the table has accepted.
+func (s *Spreader) Learned(version uint64, now time.Time) []Action {
 	s.learn(version, now)
 	return s.next(now)
 }
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -176,6 +176,12 @@
 	return err
 }
 
+// Learned tells the node that a version was accepted, so that it need not wait for the next read of
+// the head row. The Source must be able to return its changes.
+func (n *Node) Learned(version uint64) {
+	n.do(func() { n.perform(n.spreader.Learned(version, time.Now())) })
+}
+
 // SetSeeds replaces the addresses that are tried to find other instances.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) {
 	n.do(func() { n.table.SetSeeds(seeds) })
