--- a/pkg/standin/engine/batch.go
+++ b/pkg/standin/engine/batch.go
@@ -142,6 +142,7 @@
 		return answer(step, enginepb.StepStatus_STEP_STATUS_WRONG_LAYERS, "the engine holds "+s.held.layers.String()+" of "+s.held.model)
 	}
 	if s.leaving && step.Position == 0 {
+		s.refused = append(s.refused, time.Now())
 		return answer(step, enginepb.StepStatus_STEP_STATUS_LEAVING, "the engine is leaving")
 	}
 	entry := s.kv.entry(keyOf(step), layer.Range{First: first, End: end}, step.Position == 0)
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -62,6 +62,7 @@
 	stepTime   time.Duration
 	executions []Execution
 	crashed    []string
+	refused    []time.Time // refused is when each prefill was refused since the engine leaves.
 }
 
 // New starts an engine.
@@ -186,6 +187,13 @@
 	return append([]string(nil), s.crashed...)
 }
 
+// RefusedLeaving returns when each prefill was refused since the engine leaves.
+func (s *Server) RefusedLeaving() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]time.Time(nil), s.refused...)
+}
+
 // Close stops the engine and its goroutines.
 func (s *Server) Close() {
 	s.once.Do(func() { close(s.closed) })
