--- a/pkg/proof/world.go
+++ b/pkg/proof/world.go
@@ -52,6 +52,7 @@
 
 	mu    sync.Mutex
 	links map[string]*Link
+	log   logBuffer
 }
 
 // New starts a world and waits until its instances are ready.
@@ -100,7 +101,7 @@
 	w.links[s.Name] = link
 	w.mu.Unlock()
 	s.Platform = link.URL()
-	return entry.Start(ctx, s)
+	return entry.StartLogging(&w.log)(ctx, s)
 }
 
 // Link returns the path between an entry instance and the platform.
