--- /dev/null
+++ b/pkg/proof/refusal_test.go
@@ -0,0 +1,76 @@
+package proof_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/proof"
+	"github.com/cuminroute/cuminroute/pkg/standin/caller"
+	"github.com/cuminroute/cuminroute/pkg/standin/fleet"
+)
+
+// Guards against a full fleet that holds refusals back, refuses as NotRun what it ran, or gives a
+// caller the answer of another (P3, P2).
+func TestP3FullFleetRefusesAtOnce(t *testing.T) {
+	t.Parallel()
+	c := qt.New(t)
+	const (
+		questions = 150
+		tokens    = 20
+		timeout   = 3 * time.Second
+		atOnce    = time.Second
+	)
+	w := newWorld(c, proof.Options{Seed: 31, Entries: 2, Halves: 2})
+	// The instances judge deadlines by the rate of finished answers, so the fleet is full for some time first.
+	crowd := w.StartLoad(context.Background(), "crowd", 31, 24, tokens)
+	time.Sleep(2 * time.Second)
+	answers := make([]caller.Answer, questions)
+	var asking sync.WaitGroup
+	for n := range answers {
+		asking.Go(func() {
+			answers[n] = w.Client.Ask(context.Background(), caller.Question{
+				Address: w.Entries()[n%2].Callers(), Key: fleet.CallerKey(n % fleet.Workspaces), Pipeline: fleet.Pipeline,
+				Prompt: prompt(n), Tokens: tokens, Timeout: timeout,
+			})
+		})
+	}
+	asking.Wait()
+	counts, late := map[outcome.Outcome]int{}, 0
+	for n, a := range answers {
+		counts[a.Outcome]++
+		if a.Outcome != outcome.NotRun {
+			assertStarted(c, a, n, tokens)
+			continue
+		}
+		c.Assert(proof.Check(a, prompt(n), tokens), qt.IsNil)
+		c.Assert(w.Ran(word(n)), qt.IsFalse, qt.Commentf("%s ran and was refused as NotRun", word(n)))
+		if a.Ended.Sub(a.Started) > atOnce {
+			late++
+		}
+	}
+	c.Assert(counts[outcome.Done] > 0 && counts[outcome.NotRun] > questions/3, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Logf("outcomes %v, of the refusals %d came after %v", counts, late, atOnce)
+	c.Assert(late <= counts[outcome.NotRun]/20, qt.IsTrue, qt.Commentf("%d refusals came after %v", late, atOnce))
+	_, findings := crowd.Stop()
+	c.Assert(findings, qt.HasLen, 0)
+}
+
+func word(n int) string   { return fmt.Sprintf("<%d>", n) }
+func prompt(n int) string { return "how to darn " + word(n) }
+
+// assertStarted asserts that an answer that ran is the right one, or its right start with a stated end.
+func assertStarted(c *qt.C, a caller.Answer, n, tokens int) {
+	c.Assert(a.Broken, qt.IsFalse, qt.Commentf("%v", a.Err))
+	want := proof.Want(prompt(n), tokens)
+	if a.Outcome == outcome.Done {
+		c.Assert(a.Text, qt.Equals, want)
+		return
+	}
+	c.Assert(len(a.Text) < len(want) && want[:len(a.Text)] == a.Text, qt.IsTrue, qt.Commentf("%q is not the start of %q", a.Text, want))
+}
