Follow the picker's Leaving, which takes the time

Cause: a target that was restarted took its announcement back, which needs the time of it. Change: the daemon's adapter passes the present time. Conclusion: none.

--- a/pkg/daemon/router.go
+++ b/pkg/daemon/router.go
@@ -73,6 +73,6 @@
 
 // Leaving implements stream.Router.
 func (r *router) Leaving(name string) {
-	r.picker.Leaving(name)
+	r.picker.Leaving(name, time.Now())
 	r.leaving(name)
 }
