Suspect only requests that had not come through their route

Cause: a crash made every request on the target a suspect, also those in the middle of their answers. Change: a request that has made progress on the lost route is cleared, as Progress clears it anywhere else; a second crash after progress was not counted before either. Conclusion: a request that crashes targets only after its first token is not recognised, as before.

--- a/pkg/decision/quarantine/crash.go
+++ b/pkg/decision/quarantine/crash.go
@@ -50,12 +50,17 @@
 		runs := runsOf(batch, fingerprint)
 		s, known := l.suspects[fingerprint]
 		if !known || in.at.Sub(s.at) > suspectLife {
+			if !slices.ContainsFunc(runs, func(r *run) bool { return !r.progressed }) {
+				continue // It had come through the whole route, which clears it as Progress does.
+			}
 			s = &suspect{fingerprint: fingerprint, crashes: 1, first: in}
 			l.suspects[fingerprint] = s
-		} else if r := s.again(runs); r != nil {
+		} else if r := s.again(runs); r != nil && !r.progressed {
 			l.countAgain(s, r, in)
 		} else {
-			continue // A late notice of a death on the lost route says nothing about the present one.
+			// A late notice of a death on the lost route says nothing about the present one, and
+			// nor does a crash after the content had come through the whole route.
+			continue
 		}
 		s.last = l.sequence
 		s.at = in.at
@@ -70,7 +75,7 @@
 func (l *Ledger) countAgain(s *suspect, r *run, in *incident) {
 	s.crashes++
 	s.cleared = false
-	if r.progressed || s.second != nil {
+	if s.second != nil {
 		return
 	}
 	copied := r.started <= s.last
--- a/pkg/decision/quarantine/doc.go
+++ b/pkg/decision/quarantine/doc.go
@@ -1,7 +1,8 @@
 // Package quarantine finds requests that crash the targets that run them, and keeps them from
 // running again.
 //
-// A crash implicates every request that ran on the target. They become suspects and are run again
+// A crash implicates every request that ran on the target and had not yet come through its whole
+// route. They become suspects and are run again
 // apart from each other, each on targets that answered something after the crash (see MayRun).
 // Without that proof, a target of the same rack may have died at the same moment, and its death
 // would say nothing about the request. A suspect whose next target crashes before it answered the
