--- a/pkg/decision/latency/estimator.go
+++ b/pkg/decision/latency/estimator.go
@@ -1,4 +1,5 @@
-// Package latency estimates how long a step takes, and derives the deadline after which the target counts as frozen.
+// Package latency estimates how long a step takes, and derives the deadline after which the target
+// counts as frozen.
 //
 // Usage:
 //
@@ -10,7 +11,8 @@
 import "time"
 
 const (
-	// Floor is the shortest deadline. It covers pauses of a busy machine that do not mean that a target is frozen.
+	// Floor is the shortest deadline. It covers pauses of a busy machine that do not mean that a target
+	// is frozen.
 	Floor = 150 * time.Millisecond
 	// Cap is the longest deadline, so that a frozen target is noticed within 2 s whatever was observed before.
 	Cap = 2 * time.Second
@@ -21,8 +23,8 @@
 	deviationSmoothing = 4
 )
 
-// Estimator keeps a smoothed time and its mean deviation, as RFC 6298 does for round trips. The zero value has observed
-// nothing. It is not safe for concurrent use.
+// Estimator keeps a smoothed time and its mean deviation, as RFC 6298 does for round trips. The zero
+// value has observed nothing. It is not safe for concurrent use.
 type Estimator struct {
 	smoothed  time.Duration
 	deviation time.Duration
@@ -44,7 +46,8 @@
 	return e.smoothed
 }
 
-// Deadline returns the smoothed time plus four deviations, between Floor and Cap. Before the first observation it is Cap.
+// Deadline returns the smoothed time plus four deviations, between Floor and Cap. Before the first
+// observation it is Cap.
 func (e *Estimator) Deadline() time.Duration {
 	if !e.observed {
 		return Cap
--- a/pkg/decision/latency/estimator_test.go
+++ b/pkg/decision/latency/estimator_test.go
@@ -9,7 +9,8 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/latency"
 )
 
-// TestDeadline guards against a deadline that cuts off usual steps, that is longer than the cap, or that forgets a slow target.
+// TestDeadline guards against a deadline that cuts off usual steps, that is longer than the cap, or
+// that forgets a slow target.
 func TestDeadline(t *testing.T) {
 	repeat := func(d time.Duration, n int) []time.Duration {
 		times := make([]time.Duration, n)
--- a/pkg/drain/counter_test.go
+++ b/pkg/drain/counter_test.go
@@ -18,7 +18,8 @@
 	_ = flag.Set("rapid.seed", "1")
 }
 
-// TestCounter guards against a stop that cuts off a running request, that never ends, or that accepts new requests.
+// TestCounter guards against a stop that cuts off a running request, that never ends, or that accepts
+// new requests.
 func TestCounter(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var counter drain.Counter
--- a/pkg/peer/caller/chatcheck.go
+++ b/pkg/peer/caller/chatcheck.go
@@ -95,7 +95,8 @@
 		{"service_tier", r.ServiceTier, []string{`"auto"`, `"default"`}},
 	} {
 		if !isNeutral(field.value, field.neutral) {
-			return invalid("unsupported_parameter", "the field %s is not supported with the value %.100s", field.name, field.value)
+			return invalid("unsupported_parameter", "the field %s is not supported with the value %.100s",
+				field.name, field.value)
 		}
 	}
 	return nil
--- a/pkg/peer/caller/chatrequest.go
+++ b/pkg/peer/caller/chatrequest.go
@@ -12,8 +12,8 @@
 	"github.com/cuminroute/cuminroute/pkg/refusal"
 )
 
-// chatRequest is the body of POST /v1/chat/completions. Fields that are held raw are accepted only with a value that does
-// not change the answer. A field that the protocol does not have is refused.
+// chatRequest is the body of POST /v1/chat/completions. Fields that are held raw are accepted only with
+// a value that does not change the answer. A field that the protocol does not have is refused.
 type chatRequest struct {
 	Model               string         `json:"model"`
 	Messages            []chatMessage  `json:"messages"`
@@ -41,7 +41,8 @@
 	Store            json.RawMessage `json:"store"`
 	ServiceTier      json.RawMessage `json:"service_tier"`
 
-	// Temperature and TopP are checked. The engine protocol has no field for them; engines sample by their own settings.
+	// Temperature and TopP are checked. The engine protocol has no field for them; engines sample by
+	// their own settings.
 	Temperature *float64 `json:"temperature"`
 	TopP        *float64 `json:"top_p"`
 
@@ -103,7 +104,8 @@
 	text := strings.TrimPrefix(err.Error(), "json: ")
 	switch {
 	case errors.As(err, &wrongType):
-		return invalid("invalid_type", "the field %s cannot be a %s (byte %d)", wrongType.Field, wrongType.Value, wrongType.Offset)
+		return invalid("invalid_type", "the field %s cannot be a %s (byte %d)",
+			wrongType.Field, wrongType.Value, wrongType.Offset)
 	case errors.As(err, &syntax):
 		return invalid("malformed_json", "the body is not JSON: %s (byte %d)", syntax.Error(), syntax.Offset)
 	case strings.HasPrefix(text, "unknown field"):
--- a/pkg/peer/caller/completion.go
+++ b/pkg/peer/caller/completion.go
@@ -101,8 +101,8 @@
 	return "chatcmpl-" + x.id
 }
 
-// eventSink sends the answer as server-sent events. The headers go out with the first text, so that an earlier refusal
-// still has its own status.
+// eventSink sends the answer as server-sent events. The headers go out with the first text, so that an
+// earlier refusal still has its own status.
 type eventSink struct {
 	exchange     *exchange
 	model        string
--- a/pkg/peer/caller/exchange.go
+++ b/pkg/peer/caller/exchange.go
@@ -121,7 +121,8 @@
 			"the body has more than %d bytes", tooLarge.Limit)
 	}
 	if err != nil {
-		return nil, refusal.New(http.StatusBadRequest, "body_unreadable", outcome.NotRun, "the body could not be read").Because(err)
+		return nil, refusal.New(http.StatusBadRequest, "body_unreadable", outcome.NotRun,
+			"the body could not be read").Because(err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
@@ -191,7 +192,8 @@
 	_ = x.write(body) // The caller may be gone.
 }
 
-// write writes and flushes within writeTimeout. The deadline is cleared, since the connection may carry another request.
+// write writes and flushes within writeTimeout. The deadline is cleared, since the connection may carry
+// another request.
 func (x *exchange) write(data []byte) error {
 	control := http.NewResponseController(x.writer)
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout)) // A writer without deadlines is one of a test.
--- a/pkg/peer/caller/listener.go
+++ b/pkg/peer/caller/listener.go
@@ -13,7 +13,8 @@
 	headerTimeout = 5 * time.Second
 	// idleTimeout exceeds the usual idle timeout of a load balancer, which should close first.
 	idleTimeout = 2 * time.Minute
-	// maxHeaderBytes bounds what is read of a request's headers. It lies above DefaultMaxHeader, whose refusal is JSON.
+	// maxHeaderBytes bounds what is read of a request's headers. It lies above DefaultMaxHeader, whose
+	// refusal is JSON.
 	maxHeaderBytes = 64 << 10
 )
 
--- a/pkg/peer/caller/message.go
+++ b/pkg/peer/caller/message.go
@@ -54,10 +54,12 @@
 
 func (m chatMessage) check(index int) error {
 	if !slices.Contains([]string{"system", "developer", "user", "assistant"}, m.Role) {
-		return invalid("unsupported_parameter", "messages[%d].role is %q; system, developer, user and assistant are supported", index, m.Role)
+		return invalid("unsupported_parameter",
+			"messages[%d].role is %q; system, developer, user and assistant are supported", index, m.Role)
 	}
 	if m.Content.unsupported != "" {
-		return invalid("unsupported_parameter", "messages[%d].content has a part of type %q; only text is supported", index, m.Content.unsupported)
+		return invalid("unsupported_parameter",
+			"messages[%d].content has a part of type %q; only text is supported", index, m.Content.unsupported)
 	}
 	if !m.Content.given {
 		return invalid("missing_parameter", "messages[%d].content is missing", index)
@@ -76,8 +78,8 @@
 	Text string
 }
 
-// Prompt returns the text that engines get for a conversation: one line of role and text for each message, and the role of the
-// answer.
+// Prompt returns the text that engines get for a conversation: one line of role and text for each
+// message, and the role of the answer.
 func Prompt(messages []Message) string {
 	return Prefix(messages) + "assistant:"
 }
--- a/pkg/peer/caller/openai_test.go
+++ b/pkg/peer/caller/openai_test.go
@@ -73,7 +73,8 @@
 	return "length"
 }
 
-// TestStop guards against text at or after a stop sequence, also one that spans tokens, and against text lost before it.
+// TestStop guards against text at or after a stop sequence, also one that spans tokens, and against
+// text lost before it.
 func TestStop(t *testing.T) {
 	c := qt.New(t)
 	s := start(t)
@@ -96,8 +97,8 @@
 	c.Assert(reason, qt.Equals, "stop")
 }
 
-// TestConcurrentCallers guards against an answer that reaches another caller while an engine dies, and against tickets that are
-// never given back.
+// TestConcurrentCallers guards against an answer that reaches another caller while an engine dies, and
+// against tickets that are never given back.
 func TestConcurrentCallers(t *testing.T) {
 	c := qt.New(t)
 	s := start(t)
--- a/pkg/peer/caller/refusal_test.go
+++ b/pkg/peer/caller/refusal_test.go
@@ -45,8 +45,8 @@
 
 const chatPath = "/v1/chat/completions"
 
-// TestRefusals guards against a refusal without a stable code, a true outcome or a valid body, and against a request that is
-// answered differently from what it asks for.
+// TestRefusals guards against a refusal without a stable code, a true outcome or a valid body, and
+// against a request that is answered differently from what it asks for.
 func TestRefusals(t *testing.T) {
 	chat := func(fields string) string {
 		return `{"model":"guide","messages":[{"role":"user","content":"x"}]` + fields + `}`
@@ -151,7 +151,8 @@
 	}
 }
 
-// TestFullAndDraining guards against a refusal that is held back, that does not say when to come back, or that is not NotRun.
+// TestFullAndDraining guards against a refusal that is held back, that does not say when to come back,
+// or that is not NotRun.
 func TestFullAndDraining(t *testing.T) {
 	c := qt.New(t)
 	s := start(t)
--- a/pkg/peer/caller/server.go
+++ b/pkg/peer/caller/server.go
@@ -5,8 +5,8 @@
 //   - ANY /services/<service>/<path> reaches a service of the caller's workspace.
 //
 // A caller proves who it is by "Authorization: Bearer <key>". The headers Cuminroute-Priority and
-// Cuminroute-Timeout may only lower what the configuration gives. A refusal is sent at once, as JSON with a stable code, the outcome
-// and the time to come back.
+// Cuminroute-Timeout may only lower what the configuration gives. A refusal is sent at once, as JSON
+// with a stable code, the outcome and the time to come back.
 //
 // Usage:
 //
@@ -53,8 +53,8 @@
 	Deadline  time.Time
 }
 
-// Gate admits answers. It is admission.Gate behind an adapter. An error without a refusal in its chain means that the
-// request was not run and may come back soon.
+// Gate admits answers. It is admission.Gate behind an adapter. An error without a refusal in its chain
+// means that the request was not run and may come back soon.
 type Gate interface {
 	Enter(ctx context.Context, t Ticket) (release func(), err error)
 }
--- a/pkg/peer/caller/stopper_test.go
+++ b/pkg/peer/caller/stopper_test.go
@@ -13,8 +13,8 @@
 	_ = flag.Set("rapid.seed", "1")
 }
 
-// TestStopper guards against a stop sequence that is missed because it spans tokens, and against text that is lost, doubled or held
-// back although no stop sequence can start in it.
+// TestStopper guards against a stop sequence that is missed because it spans tokens, and against text
+// that is lost, doubled or held back although no stop sequence can start in it.
 func TestStopper(t *testing.T) {
 	word := rapid.StringOfN(rapid.SampledFrom([]rune("ab")), 0, 4, -1)
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/peer/engine/bench_test.go
+++ b/pkg/peer/engine/bench_test.go
@@ -18,8 +18,8 @@
 	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
 )
 
-// BenchmarkStep measures decode steps of 500 streams to one engine that answers each batch at once. The engine runs in the same
-// process, so that its share of the time is included.
+// BenchmarkStep measures decode steps of 500 streams to one engine that answers each batch at once. The
+// engine runs in the same process, so that its share of the time is included.
 func BenchmarkStep(b *testing.B) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
--- a/pkg/peer/engine/client_test.go
+++ b/pkg/peer/engine/client_test.go
@@ -58,8 +58,8 @@
 	return &enginepb.Step{Request: request, Generation: 2, Position: position, Count: 1, EndLayer: 4, Tokens: []uint32{token}}
 }
 
-// TestCrossedResults guards against a result that reaches another step: late ones of an old generation, ones of another
-// position, count, range or request, and repeated ones.
+// TestCrossedResults guards against a result that reaches another step: late ones of an old generation,
+// ones of another position, count, range or request, and repeated ones.
 func TestCrossedResults(t *testing.T) {
 	c := qt.New(t)
 	wrong := []func(*enginepb.StepResult){
@@ -100,12 +100,14 @@
 	callers.Wait()
 	counter := func(name string) int64 { return registry.Get("engine." + name).(metrics.Counter).Count() }
 	c.Assert(counter("steps"), qt.Equals, int64(streams*steps))
-	// A call ends with its last wanted result, so only the results before that one are read and dropped for certain.
+	// A call ends with its last wanted result, so only the results before that one are read and dropped
+	// for certain.
 	c.Assert(counter("results_dropped") >= int64(streams*steps*len(wrong)), qt.IsTrue)
 	c.Assert(counter("calls") < counter("steps")/4, qt.IsTrue, qt.Commentf("%d calls", counter("calls")))
 }
 
-// TestSlowBatch guards against a prefill that holds up decode steps, and against a step that waits for the rest of its batch.
+// TestSlowBatch guards against a prefill that holds up decode steps, and against a step that waits for
+// the rest of its batch.
 func TestSlowBatch(t *testing.T) {
 	c := qt.New(t)
 	address := serve(c, func(w http.ResponseWriter, r *http.Request, batch *enginepb.StepBatch) {
--- a/pkg/peer/engine/lane.go
+++ b/pkg/peer/engine/lane.go
@@ -62,7 +62,8 @@
 		if !l.acquire(c.ctx) {
 			return
 		}
-		// Streams whose results came in one batch submit their next steps together. Yielding once lets them join this call.
+		// Streams whose results came in one batch submit their next steps together. Yielding once lets
+		// them join this call.
 		runtime.Gosched()
 		c.sendPending(l)
 	}
--- a/pkg/peer/engine/pool.go
+++ b/pkg/peer/engine/pool.go
@@ -30,7 +30,8 @@
 	return c
 }
 
-// Keep closes the clients of other addresses. A client with steps that wait for a result is kept until a later call.
+// Keep closes the clients of other addresses. A client with steps that wait for a result is kept until
+// a later call.
 func (p *Pool) Keep(addresses []netip.AddrPort) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/peer/engine/unary.go
+++ b/pkg/peer/engine/unary.go
@@ -55,7 +55,8 @@
 // Export returns the KV cache of one generation, ErrNoCache where the engine holds none.
 func (c *Client) Export(ctx context.Context, request string, generation uint32) (*enginepb.KvCache, error) {
 	cache := &enginepb.KvCache{}
-	return cache, c.exchange(ctx, http.MethodPost, "/v1/kv/export", &enginepb.KvKey{Request: request, Generation: generation}, cache)
+	key := &enginepb.KvKey{Request: request, Generation: generation}
+	return cache, c.exchange(ctx, http.MethodPost, "/v1/kv/export", key, cache)
 }
 
 // Import gives the engine a KV cache that another engine exported.
--- a/pkg/peer/engine/waiting.go
+++ b/pkg/peer/engine/waiting.go
@@ -72,7 +72,8 @@
 	return added, true
 }
 
-// begin marks the steps that somebody still waits for as sent by a new call and returns the call, nil where none is left.
+// begin marks the steps that somebody still waits for as sent by a new call and returns the call, nil
+// where none is left.
 func (w *waiting) begin(pending []*waiter, cancel context.CancelFunc) *call {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -103,8 +104,8 @@
 	return true
 }
 
-// countMatches compares the number of positions. Only the engine knows it on the first stage of a prefill, and a step
-// that was not run has none.
+// countMatches compares the number of positions. Only the engine knows it on the first stage of a
+// prefill, and a step that was not run has none.
 func countMatches(s *enginepb.Step, r *enginepb.StepResult) bool {
 	if r.GetStatus() != enginepb.StepStatus_STEP_STATUS_OK || s.GetCount() == 0 {
 		return true
@@ -129,7 +130,8 @@
 	}
 }
 
-// abandon removes a waiter whose caller has given up. It reports whether the step was sent, and whether a reply came first.
+// abandon removes a waiter whose caller has given up. It reports whether the step was sent, and whether
+// a reply came first.
 func (w *waiting) abandon(left *waiter) (sent, replied bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/pkg/peer/service/balancer.go
+++ b/pkg/peer/service/balancer.go
@@ -25,8 +25,8 @@
 const (
 	// maxTargets bounds the targets that are remembered after they have gone.
 	maxTargets = 4096
-	// suspension keeps requests away from a target that failed, so that each frozen target stalls one request in
-	// this time and not every one.
+	// suspension keeps requests away from a target that failed, so that each frozen target stalls one
+	// request in this time and not every one.
 	suspension = 5 * time.Second
 )
 
@@ -34,8 +34,8 @@
 	return &balancer{targets: map[string]*load{}}
 }
 
-// choose returns the less loaded of two random targets that accept work and are not in avoid, and counts a request to it.
-// Targets that failed recently are chosen only where there are no others.
+// choose returns the less loaded of two random targets that accept work and are not in avoid, and
+// counts a request to it. Targets that failed recently are chosen only where there are no others.
 func (b *balancer) choose(all []target.Target, avoid []string, now time.Time) (target.Target, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/peer/service/once.go
+++ b/pkg/peer/service/once.go
@@ -24,7 +24,8 @@
 	// repeats are told that the outcome is unknown.
 	finishAttempts = 8
 	finishPause    = 2 * time.Second
-	// abandonTimeout bounds the release of a claim. One that is not released stays held and its key is told Unknown.
+	// abandonTimeout bounds the release of a claim. One that is not released stays held and its key is
+	// told Unknown.
 	abandonTimeout = time.Second
 	// maxKey bounds the Idempotency-Key, which becomes part of a row key.
 	maxKey = 255
--- a/pkg/peer/service/repeat.go
+++ b/pkg/peer/service/repeat.go
@@ -13,8 +13,8 @@
 // maxAttempts bounds the targets that one idempotent request is sent to.
 const maxAttempts = 3
 
-// repeat sends an idempotent request, and sends it again to another target when one fails. A target that does not
-// answer in its usual time counts as failed while other attempts remain.
+// repeat sends an idempotent request, and sends it again to another target when one fails. A target
+// that does not answer in its usual time counts as failed while other attempts remain.
 func (c *Client) repeat(ctx context.Context, req Request) (Answer, error) {
 	all := c.targets(req.Service)
 	c.budget.Request("workspace/"+req.Workspace, c.now())
--- a/pkg/peer/service/service.go
+++ b/pkg/peer/service/service.go
@@ -1,7 +1,8 @@
 // Package service sends requests to plain services, such as orders and stock.
 //
-// An idempotent request is sent to another target when one fails, within the retry budget. A request that may not be
-// repeated is claimed first, is dispatched at most once, and its first answer is stored and given to every repeat.
+// An idempotent request is sent to another target when one fails, within the retry budget. A request
+// that may not be repeated is claimed first, is dispatched at most once, and its first answer is stored
+// and given to every repeat.
 //
 // Usage:
 //
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -78,7 +78,8 @@
 	return outcome.Unknown
 }
 
-// From returns the *Error in the chain of err. Another error becomes an internal error with the outcome that err tells.
+// From returns the *Error in the chain of err. Another error becomes an internal error with the outcome
+// that err tells.
 func From(err error) *Error {
 	var refused *Error
 	if errors.As(err, &refused) {
--- a/pkg/stream/answer.go
+++ b/pkg/stream/answer.go
@@ -93,8 +93,8 @@
 	}
 }
 
-// awaitVerdict refuses quarantined content. An answer that has begun waits a little while its content is held, since a
-// crash is usually explained soon.
+// awaitVerdict refuses quarantined content. An answer that has begun waits a little while its content
+// is held, since a crash is usually explained soon.
 func (a *answer) awaitVerdict(ctx context.Context) error {
 	for {
 		switch a.runner.ledger.Check(a.req.Fingerprint, a.runner.now()) {
@@ -167,7 +167,8 @@
 		return refusal.New(http.StatusGatewayTimeout, "deadline_exceeded", a.outcome(),
 			"the request's timeout passed before its answer was complete").Because(context.Cause(ctx))
 	}
-	return refusal.New(statusClientClosed, "cancelled", a.outcome(), "the caller cancelled the request").Because(context.Cause(ctx))
+	return refusal.New(statusClientClosed, "cancelled", a.outcome(),
+		"the caller cancelled the request").Because(context.Cause(ctx))
 }
 
 // statusClientClosed is in common use for a client that closed its connection. No client sees it.
--- a/pkg/stream/deadline.go
+++ b/pkg/stream/deadline.go
@@ -7,14 +7,15 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/latency"
 )
 
-// prefillUnit is the prompt size to which prefill times are scaled. Shorter prefills count as one unit, since their time does
-// not shrink with the prompt.
+// prefillUnit is the prompt size to which prefill times are scaled. Shorter prefills count as one unit,
+// since their time does not shrink with the prompt.
 const prefillUnit = 1000
 
 // maxTargets bounds the targets that are remembered. 7,000 workers take a few hundred kilobytes.
 const maxTargets = 16384
 
-// deadlines keeps the observed step times of each target, apart for decode steps and for prefills per unit of prompt.
+// deadlines keeps the observed step times of each target, apart for decode steps and for prefills per
+// unit of prompt.
 type deadlines struct {
 	mu      sync.Mutex
 	targets map[string]*observed
@@ -108,7 +109,8 @@
 	return max(1, float64(size)/prefillUnit)
 }
 
-// crashes remembers when a crash of a target was last reported. One crash fails many steps and is reported once.
+// crashes remembers when a crash of a target was last reported. One crash fails many steps and is
+// reported once.
 type crashes struct {
 	mu   sync.Mutex
 	last map[string]time.Time
@@ -118,7 +120,8 @@
 	return &crashes{last: map[string]time.Time{}}
 }
 
-// first reports whether no crash of the target was reported since the time at which the failed work began there.
+// first reports whether no crash of the target was reported since the time at which the failed work
+// began there.
 func (c *crashes) first(name string, began, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/stream/faults_test.go
+++ b/pkg/stream/faults_test.go
@@ -41,7 +41,8 @@
 
 var faultNames = []string{none, none, none, notSent, lostRequest, lostAnswer, lostMemory, isOverloaded, isLeaving, otherAnswer}
 
-// memory is a model in memory whose token depends on every token before it and on the layers that each of them went through.
+// memory is a model in memory whose token depends on every token before it and on the layers that each
+// of them went through.
 type memory struct {
 	mu       sync.Mutex
 	faults   []string
@@ -178,8 +179,8 @@
 	return m, k.texts, err
 }
 
-// TestRandomFaults guards against a token that is duplicated, missing or computed from a wrong KV cache after any sequence of
-// faults, and against an outcome that is not true.
+// TestRandomFaults guards against a token that is duplicated, missing or computed from a wrong KV cache
+// after any sequence of faults, and against an outcome that is not true.
 func TestRandomFaults(t *testing.T) {
 	const tokens = 12
 	_, want, err := runInMemory(nil, tokens)
--- a/pkg/stream/generation.go
+++ b/pkg/stream/generation.go
@@ -61,8 +61,8 @@
 	}
 }
 
-// notePrefill takes the prompt's size from the answer to a prefill, which also holds the tokens already emitted. A later
-// prefill that counts differently did not compute the same text.
+// notePrefill takes the prompt's size from the answer to a prefill, which also holds the tokens already
+// emitted. A later prefill that counts differently did not compute the same text.
 func (g *generation) notePrefill(position uint32, prefill *enginepb.StepResult) error {
 	if position > 0 {
 		return nil
@@ -78,7 +78,8 @@
 	return nil
 }
 
-// pass runs one step through every stage in order and returns the last stage's result. A count of 0 is a prefill.
+// pass runs one step through every stage in order and returns the last stage's result. A count of 0 is
+// a prefill.
 func (g *generation) pass(ctx context.Context, position, count uint32) (*enginepb.StepResult, error) {
 	var result *enginepb.StepResult
 	for i := range g.route {
@@ -118,7 +119,8 @@
 	step.Tokens = []uint32{tokens[len(tokens)-1]}
 }
 
-// end frees what the generation holds on its stages, without waiting for them. A crash has been reported before.
+// end frees what the generation holds on its stages, without waiting for them. A crash has been
+// reported before.
 func (g *generation) end() {
 	runner := g.answer.runner
 	for i, t := range g.route {
@@ -132,7 +134,8 @@
 	}
 }
 
-// cancelTimeout bounds the wait for a cancel. The engine drops the KV cache of a generation that nobody continues by itself.
+// cancelTimeout bounds the wait for a cancel. The engine drops the KV cache of a generation that nobody
+// continues by itself.
 const cancelTimeout = 2 * time.Second
 
 // cancelLater does not use the context of the answer, which may have ended.
--- a/pkg/stream/retry.go
+++ b/pkg/stream/retry.go
@@ -19,11 +19,13 @@
 	// maxRetries bounds the new generations of one answer. Independent failures of four stages in
 	// one answer are far less likely than a request that breaks every stage it meets.
 	maxRetries = 8
-	// maxWaits bounds the waits of one answer for a route, a verdict or the retry budget, about 8 s with the full backoff.
+	// maxWaits bounds the waits of one answer for a route, a verdict or the retry budget, about 8 s
+	// with the full backoff.
 	maxWaits = 20
 	// maxFailedSteps bounds the attempts of a step that runs and fails, since it would most likely fail again.
 	maxFailedSteps = 2
-	// noRouteRetryAfter is the time in which a lost layer range is usually held again by another target's report.
+	// noRouteRetryAfter is the time in which a lost layer range is usually held again by another
+	// target's report.
 	noRouteRetryAfter = 2 * time.Second
 	// overloadRetryAfter is the time in which a full queue drains to an extent.
 	overloadRetryAfter = time.Second
@@ -55,8 +57,8 @@
 	return names
 }
 
-// forgive lets one avoided target be tried again where there is no route without it: one that was slow or full before one that
-// was dead, which may be back by now too.
+// forgive lets one avoided target be tried again where there is no route without it: one that was slow
+// or full before one that was dead, which may be back by now too.
 func (a *answer) forgive() {
 	if len(a.avoid) == 0 {
 		return
@@ -124,9 +126,10 @@
 	return nil
 }
 
-// allowed asks the workspace's budget. The target's budget counts only where the target refused and may be asked again by
-// others; a dead target is avoided. The first resume of an answer whose stage is gone is free: a budget of a few retries
-// a second would lose most of the answers of a dead target, and one more prefill for each of them bounds the added load.
+// allowed asks the workspace's budget. The target's budget counts only where the target refused and may
+// be asked again by others; a dead target is avoided. The first resume of an answer whose stage is gone
+// is free: a budget of a few retries a second would lose most of the answers of a dead target, and one
+// more prefill for each of them bounds the added load.
 func (a *answer) allowed(f *fault) bool {
 	now := a.runner.now()
 	if f.gone && !a.resumed {
@@ -139,7 +142,8 @@
 	return a.runner.budget.Allow(workspaceKey(a.req.Workspace), now)
 }
 
-// pause waits a little longer each time. It fails at once where the caller's deadline comes first, or after maxWaits.
+// pause waits a little longer each time. It fails at once where the caller's deadline comes first, or
+// after maxWaits.
 func (a *answer) pause(ctx context.Context) error {
 	a.waits++
 	wait := a.runner.backoff(a.waits)
@@ -174,7 +178,8 @@
 
 func (a *answer) route() ([]target.Target, error) {
 	route, err := a.runner.router.Place(Placement{
-		Request: a.req.ID, Fingerprint: a.req.Fingerprint, Model: a.req.Model, Layers: a.req.Layers, PrefixHash: a.req.PrefixHash, PromptBytes: len(a.req.Prompt),
+		Request: a.req.ID, Fingerprint: a.req.Fingerprint, Model: a.req.Model, Layers: a.req.Layers,
+		PrefixHash: a.req.PrefixHash, PromptBytes: len(a.req.Prompt),
 		Avoid: a.avoidNames(), Apart: a.apart, Now: a.runner.now(),
 	})
 	if err != nil {
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -82,8 +82,9 @@
 	r.cleanup.Wait()
 }
 
-// Run produces the answer to req and passes its tokens to emit in order, each exactly once. It returns after the answer's explicit
-// end, or with an error that refusal.From turns into an outcome. An error of emit ends the answer.
+// Run produces the answer to req and passes its tokens to emit in order, each exactly once. It returns
+// after the answer's explicit end, or with an error that refusal.From turns into an outcome. An error
+// of emit ends the answer.
 func (r *Runner) Run(ctx context.Context, req Request, emit func(Token) error) (Summary, error) {
 	a := newAnswer(r, req, emit)
 	err := a.run(ctx)
@@ -123,7 +124,7 @@
 	return counters{
 		answers: counter("answers"), generations: counter("generations"), tokens: counter("tokens"),
 		crashed: counter("stages_crashed"), frozen: counter("stages_frozen"), refused: counter("stages_refused"),
-		mismatched: counter("results_mismatched"), violated: counter("invariants_violated"), failed: counter("answers_failed"),
+		mismatched: counter("results_mismatched"), violated: metrics.GetOrRegisterCounter("invariant_broken", r), failed: counter("answers_failed"),
 		probes: counter("probes"),
 	}
 }
--- a/pkg/stream/step.go
+++ b/pkg/stream/step.go
@@ -57,8 +57,8 @@
 	return newWatch(a.times, a.times.decodeDeadline(), latency.Cap, probe, frozen)
 }
 
-// observe adds the time of a step. A step that ran into its deadline counts with its deadline, so that a target that is slow but
-// alive gets a longer one.
+// observe adds the time of a step. A step that ran into its deadline counts with its deadline, so that
+// a target that is slow but alive gets a longer one.
 func (a *attempt) observe(now time.Time) {
 	if isPrefill(a.step) {
 		a.times.observePrefill(now.Sub(a.began), a.size)
@@ -147,8 +147,8 @@
 	}
 }
 
-// check compares an answer with its step. A mismatch would mean a skipped or repeated layer or another caller's token, so the
-// check is always on and its violation ends the generation.
+// check compares an answer with its step. A mismatch would mean a skipped or repeated layer or another
+// caller's token, so the check is always on and its violation ends the generation.
 func (g *generation) check(stage int, step *enginepb.Step, r *enginepb.StepResult) error {
 	if mismatch := mismatchOf(step, r); mismatch != "" {
 		return g.violation(stage, mismatch, r)
--- a/pkg/stream/stream.go
+++ b/pkg/stream/stream.go
@@ -1,11 +1,12 @@
 // Package stream produces one answer from a model that is split across targets.
 //
-// A Runner sends the prompt through the stages of a route and then decodes token by token. Each step carries
-// the request, the generation, the position, the number of positions and the layer range, and each answer
-// is checked against all of them. When a stage dies, freezes, refuses because it is leaving, or has lost the KV cache, the
-// Runner starts a new generation on a new route that avoids the stage, rebuilds the cache by a prefill of the prompt and the tokens
-// already sent, and continues at the next position. A new generation never uses the KV cache of an
-// earlier one, because it is not known whether the lost step ran on the stages that survive.
+// A Runner sends the prompt through the stages of a route and then decodes token by token. Each step
+// carries the request, the generation, the position, the number of positions and the layer range, and
+// each answer is checked against all of them. When a stage dies, freezes, refuses because it is
+// leaving, or has lost the KV cache, the Runner starts a new generation on a new route that avoids the
+// stage, rebuilds the cache by a prefill of the prompt and the tokens already sent, and continues at
+// the next position. A new generation never uses the KV cache of an earlier one, because it is not
+// known whether the lost step ran on the stages that survive.
 //
 // Usage:
 //
@@ -27,10 +28,11 @@
 
 // Stage runs the steps of one stage, and frees what a generation holds there.
 type Stage interface {
-	// Step returns the engine's result for the step. An error with a method Ran tells whether the step may have reached the
-	// engine; any other error counts as unknown.
+	// Step returns the engine's result for the step. An error with a method Ran tells whether the step
+	// may have reached the engine; any other error counts as unknown.
 	Step(ctx context.Context, step *enginepb.Step) (*enginepb.StepResult, error)
-	// Report returns the target's load. It does not wait for steps, so that a busy target answers it and a frozen one does not.
+	// Report returns the target's load. It does not wait for steps, so that a busy target answers it
+	// and a frozen one does not.
 	Report(ctx context.Context) (*enginepb.Report, error)
 	// Cancel frees the KV cache of one generation.
 	Cancel(ctx context.Context, request string, generation uint32) error
@@ -81,8 +83,8 @@
 	Quarantined Verdict = "Quarantined"
 )
 
-// Ledger is told which requests run on which targets and which targets crash. It is quarantine.Ledger behind an adapter
-// that takes a lock.
+// Ledger is told which requests run on which targets and which targets crash. It is quarantine.Ledger
+// behind an adapter that takes a lock.
 type Ledger interface {
 	Check(fingerprint uint64, now time.Time) Verdict
 	// Start notes that a request is about to be sent to a target.
--- a/pkg/stream/watch.go
+++ b/pkg/stream/watch.go
@@ -7,21 +7,23 @@
 )
 
 const (
-	// confirmTick and confirmTicks are what a passed deadline is confirmed by: ticks that come on time, in which signs of life would
-	// be read. When the process or its machine is starved, every target seems silent at once; in a fleet on one busy machine
-	// all false alarms came in a few bursts of up to 75 in 100 ms.
+	// confirmTick and confirmTicks are what a passed deadline is confirmed by: ticks that come on time,
+	// in which signs of life would be read. When the process or its machine is starved, every target
+	// seems silent at once; in a fleet on one busy machine all false alarms came in a few bursts of up
+	// to 75 in 100 ms.
 	confirmTick  = 25 * time.Millisecond
 	confirmTicks = 2
 	// lateTick is how late a tick may come and still count.
 	lateTick = 10 * time.Millisecond
-	// probeTimeout ends a probe that nobody waits for any more. Deadlines are judged by when a probe was answered.
+	// probeTimeout ends a probe that nobody waits for any more. Deadlines are judged by when a probe
+	// was answered.
 	probeTimeout = time.Second
 )
 
-// watch calls frozen once the target has shown no sign of life for a step's deadline. Signs of life are answers to any stream, and
-// to a probe that is sent when half of the deadline has passed in silence. A target that lives has the step in its queue, and gets
-// up to the limit: a new generation elsewhere would only add a prefill to the load. The watch does not use the runner's clock,
-// since it waits.
+// watch calls frozen once the target has shown no sign of life for a step's deadline. Signs of life are
+// answers to any stream, and to a probe that is sent when half of the deadline has passed in silence. A
+// target that lives has the step in its queue, and gets up to the limit: a new generation elsewhere
+// would only add a prefill to the load. The watch does not use the runner's clock, since it waits.
 type watch struct {
 	times    *observed
 	probe    func()
--- a/pkg/stream/watch_test.go
+++ b/pkg/stream/watch_test.go
@@ -9,8 +9,8 @@
 	qt "github.com/frankban/quicktest"
 )
 
-// TestWatch guards against a busy target that counts as frozen, a frozen one that is noticed late, and a lost step that is awaited
-// for ever. The clock is driven.
+// TestWatch guards against a busy target that counts as frozen, a frozen one that is noticed late, and
+// a lost step that is awaited for ever. The clock is driven.
 func TestWatch(t *testing.T) {
 	const ms = time.Millisecond
 	const deadline, limit = 200 * ms, 2000 * ms
