--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -62,7 +62,7 @@
 	versions *versions
 	// bootstrap holds the operators of the settings.
 	bootstrap *configuration.Configuration
-	log       *configlog.Log
+	log       *accepted
 	clerk     *claim.Clerk
 	picker    *route.Picker
 	ledger    *ledger
@@ -105,7 +105,7 @@
 }
 
 // New starts an instance. It listens at once, and is ready when a configuration and the
-// platform's list have been read. The instance ends with Stop, with Kill, or with ctx.
+// platform's list have been read and the engines on it have been asked for their layers. The instance ends with Stop, with Kill, or with ctx.
 func New(ctx context.Context, s settings.Settings, options ...Option) (*Daemon, error) {
 	d := &Daemon{settings: s, registry: metrics.NewRegistry(), done: make(chan struct{}), stopping: make(chan struct{})}
 	for _, option := range options {
@@ -176,7 +176,7 @@
 	d.table = table.New(d.settings.Platform.Table, table.WithMetrics(d.registry))
 	d.objects = objectstore.New(d.settings.Platform.ObjectStore)
 	d.list = instancelist.New(d.settings.Platform.InstanceList)
-	d.log = configlog.New(d.table, configlog.WithObjects(d.objects))
+	d.log = newAccepted(configlog.New(d.table, configlog.WithObjects(d.objects)))
 	d.versions = newVersions(d.log)
 	// A restarted process under the same name must not pass for the holder of its predecessor's claims.
 	holder := fmt.Sprintf("%s/%08x", d.settings.Instance, rand.Uint32())
@@ -194,6 +194,7 @@
 		return errListen.Wrap(err, "the peers' address cannot be used")
 	}
 	d.node = node
+	d.log.learned = node.Learned
 	node.OnItem(func(i membership.Item) { d.control.observeItem(ctx, i) })
 	return nil
 }
@@ -256,7 +257,7 @@
 	case <-d.stopping:
 		return false
 	default:
-		return d.node.View().Ready() && d.control.listed.Load()
+		return d.node.View().Ready() && d.control.listed.Load() && d.control.routed.Load()
 	}
 }
 
