Run only suspected answers apart, and tell a crash before any of its answers goes on

Cause: every answer that lost a stage asked for a route apart from other suspects, whatever the ledger said, and an answer could read its verdict before another one had reported the crash. Change: an answer runs apart while the ledger suspects its content; the report of a crash is told under the lock that finds its first reporter.

--- a/pkg/decision/quarantine/doc.go
+++ b/pkg/decision/quarantine/doc.go
@@ -2,10 +2,9 @@
 // running again.
 //
 // A crash implicates every request that ran on the target and had not yet come through its whole
-// route. They become suspects and are run again
-// apart from each other, each on targets that answered something after the crash (see MayRun).
-// Without that proof, a target of the same rack may have died at the same moment, and its death
-// would say nothing about the request. A suspect whose next target crashes before it answered the
+// route. They become suspects and are run again apart from each other, each on targets that
+// answered something after the crash (see MayRun). Without that proof, a target of the same rack
+// may have died at the same moment, and its death would say nothing about the request. A suspect whose next target crashes before it answered the
 // suspect is quarantined by its fingerprint, unless another explanation exists: several targets
 // died at the same time, or another suspect of the first crash was hit by a second crash too.
 // Such a request is Held. It is not run again and not quarantined, and it is freed when another
--- a/pkg/stream/answer.go
+++ b/pkg/stream/answer.go
@@ -97,12 +97,11 @@
 // is held, since a crash is usually explained soon.
 func (a *answer) awaitVerdict(ctx context.Context) error {
 	for {
-		switch a.runner.ledger.Check(a.req.Fingerprint, a.runner.now()) {
+		verdict := a.runner.ledger.Check(a.req.Fingerprint, a.runner.now())
+		a.apart = verdict == Suspected
+		switch verdict {
 		case Quarantined:
 			return a.quarantined()
-		case Suspected:
-			a.apart = true
-			return nil
 		case Held:
 			if a.reached == nowhere || a.pause(ctx) != nil {
 				return a.held()
--- a/pkg/stream/deadline.go
+++ b/pkg/stream/deadline.go
@@ -120,18 +120,19 @@
 	return &crashes{last: map[string]time.Time{}}
 }
 
-// first reports whether no crash of the target was reported since the time at which the failed work
-// began there.
-func (c *crashes) first(name string, began, now time.Time) bool {
+// report calls tell unless a crash of the target was reported since the time at which the failed
+// work began there. It returns after the crash has been told, so that every answer that met the
+// crash reads the verdict that follows from it.
+func (c *crashes) report(name string, began, now time.Time, tell func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	last, found := c.last[name]
 	if found && !last.Before(began) {
-		return false
+		return
 	}
 	if len(c.last) >= maxTargets {
 		clear(c.last)
 	}
 	c.last[name] = now
-	return true
+	tell()
 }
--- a/pkg/stream/retry.go
+++ b/pkg/stream/retry.go
@@ -74,7 +74,6 @@
 	a.countFault(f.kind).Inc(1)
 	switch f.kind {
 	case crashed:
-		a.apart = true
 		a.reportCrash(f, a.runner.now())
 	case leaving:
 		a.runner.router.Leaving(f.target)
@@ -98,9 +97,7 @@
 
 // reportCrash tells the ledger of a crash that no other answer has reported.
 func (a *answer) reportCrash(f *fault, now time.Time) {
-	if a.runner.crashes.first(f.target, f.began, now) {
-		a.runner.ledger.Crash(f.target, now)
-	}
+	a.runner.crashes.report(f.target, f.began, now, func() { a.runner.ledger.Crash(f.target, now) })
 }
 
 // mayRetry returns nil when a new generation may start, and otherwise the final error.
