Describe accelerators and the placement in the configuration

Cause: the throughput bound and a managed placement need the engines' memory, rates and links, which they do not report. Conclusion: all values are whole numbers, as elsewhere in the file, and absent fields keep the earlier behaviour.

--- a/pkg/configuration/check.go
+++ b/pkg/configuration/check.go
@@ -67,6 +67,7 @@
 	ch.overrides("$.HeadOffice.Rules", h.Rules)
 	ch.models(h.Models)
 	ch.services(h.Services)
+	ch.placement(h)
 }
 
 func (ch *checker) timeZone(name string) {
@@ -87,6 +88,7 @@
 			ch.add(path+".Version", "", "A model needs a version", "a text such as \"1\"")
 		}
 		ch.between(path+".Layers", m.Layers, 1, MaxLayers, "Layers is out of range")
+		ch.placementOf(path, m)
 	}
 }
 
--- a/pkg/configuration/configuration.go
+++ b/pkg/configuration/configuration.go
@@ -60,6 +60,9 @@
 	Rules     Overrides `json:"Rules" yaml:"Rules"`
 	Models    []Model   `json:"Models" yaml:"Models"`
 	Services  []Service `json:"Services" yaml:"Services"`
+
+	Placement    Placement     `json:"Placement,omitzero" yaml:"Placement,omitempty"`
+	Accelerators []Accelerator `json:"Accelerators,omitempty" yaml:"Accelerators,omitempty"` // Accelerators are the kinds of hardware that engines report.
 }
 
 // Key is the SHA-256 hash of a caller's or an operator's key.
@@ -73,6 +76,11 @@
 	Name    string `json:"Name" yaml:"Name"`
 	Version string `json:"Version" yaml:"Version"`
 	Layers  int    `json:"Layers" yaml:"Layers"`
+
+	LayerBytes      int `json:"LayerBytes,omitempty" yaml:"LayerBytes,omitempty"`           // LayerBytes is the memory of one layer; 0 means DefaultLayerBytes.
+	LayerCost       int `json:"LayerCost,omitempty" yaml:"LayerCost,omitempty"`             // LayerCost is the cost of one layer for one token in layer-steps; 0 means 1.
+	ActivationBytes int `json:"ActivationBytes,omitempty" yaml:"ActivationBytes,omitempty"` // ActivationBytes is what one token sends from stage to stage; 0 means DefaultActivationBytes.
+	Share           int `json:"Share,omitempty" yaml:"Share,omitempty"`                     // Share is the model's part of all tokens, relative to other models; 0 means 1.
 }
 
 // Service is a plain service beside the model engines.
--- a/pkg/questionnaire/answers.go
+++ b/pkg/questionnaire/answers.go
@@ -46,6 +46,9 @@
 	Services   []Service                `yaml:"Services"`
 	Pipelines  []configuration.Pipeline `yaml:"Pipelines"`
 	Workspaces []Workspace              `yaml:"Workspaces"`
+
+	Accelerators []configuration.Accelerator `yaml:"Accelerators,omitempty"`
+	Placement    configuration.Placement     `yaml:"Placement,omitempty"`
 }
 
 // Operator is a person or a script that may change the configuration.
--- a/pkg/questionnaire/ask.go
+++ b/pkg/questionnaire/ask.go
@@ -14,6 +14,7 @@
 	q := &asker{in: bufio.NewScanner(in), out: out, answers: &Answers{}}
 	q.fleet()
 	q.models()
+	q.accelerators()
 	q.services()
 	q.pipelines()
 	q.workspaces()
@@ -47,6 +48,22 @@
 	}
 }
 
+func (q *asker) accelerators() {
+	for again := q.yes("Describe the accelerators, for the throughput bound and the placement of layers?", false); again; again = q.yes("Another kind of accelerator?", false) {
+		i := len(q.answers.Accelerators)
+		q.answers.Accelerators = append(q.answers.Accelerators, configuration.Accelerator{})
+		a := &q.answers.Accelerators[i]
+		path := at("$.Accelerators[%d]", i)
+		q.text(path+".Name", "Name of the kind, as engines report it", "", &a.Name)
+		q.number(path+".MemoryBytes", "Memory for weights in bytes", &a.MemoryBytes)
+		q.number(path+".Rate", "Rate in layer-steps/s", &a.Rate)
+		q.number(path+".Link", "Link in bytes/s, 0 if it does not limit", &a.Link)
+	}
+	if len(q.answers.Accelerators) > 0 {
+		q.answers.Placement.Managed = q.yes("Assign layers to engines by orders?", false)
+	}
+}
+
 func (q *asker) services() {
 	for again := q.yes("Is there a service beside the models, such as orders?", true); again; again = q.yes("Another service?", false) {
 		i := len(q.answers.Services)
--- a/pkg/questionnaire/generate.go
+++ b/pkg/questionnaire/generate.go
@@ -89,7 +89,10 @@
 
 func (g *generator) headOffice(a *Answers) configuration.HeadOffice {
 	g.origins.note("$.HeadOffice", "$")
-	h := configuration.HeadOffice{Fleet: a.Fleet, TimeZone: a.TimeZone, Rules: a.Rules, Models: a.Models}
+	h := configuration.HeadOffice{
+		Fleet: a.Fleet, TimeZone: a.TimeZone, Rules: a.Rules, Models: a.Models,
+		Placement: a.Placement, Accelerators: a.Accelerators,
+	}
 	for i, o := range a.Operators {
 		g.origins.note(at("$.HeadOffice.Operators[%d].Hash", i), at("$.Operators[%d].KeyHash", i))
 		h.Operators = append(h.Operators, configuration.Key{Name: o.Name, Hash: g.hash(operatorHolder(o.Name), o.KeyHash)})
--- a/pkg/questionnaire/questionnaire_test.go
+++ b/pkg/questionnaire/questionnaire_test.go
@@ -114,6 +114,13 @@
 32
 n
 y
+A1
+1073741824
+2500
+0
+n
+y
+y
 orders
 Reorder
 POST
@@ -155,6 +162,8 @@
 	again, _, err := questionnaire.Parse("answers.yaml", content)
 	qt.Assert(t, err, qt.IsNil, qt.Commentf("%s", content))
 	qt.Assert(t, *again.Workspaces[0].Branches[0].Differences.MarketDays, qt.DeepEquals, []string{"Tuesday", "Saturday"})
+	qt.Assert(t, again.Accelerators, qt.DeepEquals, []configuration.Accelerator{{Name: "A1", MemoryBytes: 1 << 30, Rate: 2500}})
+	qt.Assert(t, again.Placement.Managed, qt.IsTrue)
 
 	cut := session[:strings.Index(session, "/reorders")]
 	answers, err = questionnaire.Ask(strings.NewReader(cut), &out)
