--- a/pkg/decision/placement/planner.go
+++ b/pkg/decision/placement/planner.go
@@ -31,6 +31,10 @@
 		plan.Assignments = append(plan.Assignments, planModel(part, models[i])...)
 	}
 	plan.Throughput = throughput(plan.Assignments, workers, models)
+	if plan.Throughput == 0 {
+		plan.Assignments = unequal(workers, models)
+		plan.Throughput = throughput(plan.Assignments, workers, models)
+	}
 	return plan
 }
 
