Decide when targets are drained and ordered to load

Cause: a plan alone does not say which engine may change now; an order to an engine that serves would break its answers. Change: pkg/decision/rollout keeps the plan, drains a target before its order, keeps a whole version in service, and spaces loads by the weight store's rate. pkg/orders sends desired states only under the lease that they were computed under. Result: go test -race ./pkg/decision/rollout ./pkg/orders passes. With the check for spare targets disabled, the case of one target that alone holds a range fails.

--- /dev/null
+++ b/pkg/decision/rollout/rollout.go
@@ -0,0 +1,103 @@
+package rollout
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/placement"
+	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+)
+
+const (
+	// DefaultNotice is how long after the start of a drain new work may still arrive (P5).
+	DefaultNotice = 3 * time.Second
+	// DefaultDrainLimit bounds the wait for running steps. Most answers end within a minute.
+	DefaultDrainLimit = time.Minute
+	// idleReports is the number of successive reports without steps that show a target to be idle:
+	// between two steps of a stream, a report may show none, and loads in reports are some seconds old.
+	idleReports = 3
+	// changingShare bounds the targets that change at one time to a fourth of those available.
+	changingShare = 4
+)
+
+// Target is what is known of one engine.
+type Target struct {
+	Worker    placement.Worker
+	Available bool               // Available means that it is listed, not leaving, and answers.
+	Reported  reconcile.Reported // Reported is what it holds; its layers are empty while it loads.
+	Steps     int                // Steps is the number of queued and running steps.
+	Asked     time.Time          // Asked is when the newest report was asked for, zero before the first.
+}
+
+// Goal is what the configuration wants.
+type Goal struct {
+	Models   []placement.Model
+	Versions map[string]string // Versions maps a model to its version.
+	LoadRate float64           // LoadRate is the weight store's rate in bytes/s.
+}
+
+// Step is what to do now.
+type Step struct {
+	Desired map[string]reconcile.Assignment // Desired are the states that may be ordered now.
+	Drain   []string                        // Drain names the targets that get no new work.
+	Waiting []string                        // Waiting names the targets that are not in their desired state.
+}
+
+// Rollout is the progress of the changes. It is not safe for concurrent use.
+type Rollout struct {
+	notice     time.Duration
+	drainLimit time.Duration
+	changes    map[string]*change
+	nextLoad   time.Time // nextLoad is when the weight store is free again.
+}
+
+// change is the change of one target.
+type change struct {
+	want     placement.Assignment
+	version  string
+	began    time.Time
+	asked    time.Time // asked is that of the newest report that was counted.
+	idle     int       // idle counts successive reports without steps.
+	released bool
+}
+
+// Option changes a Rollout when it is made.
+type Option func(*Rollout)
+
+// WithTimes replaces the notice and the drain limit.
+func WithTimes(notice, drainLimit time.Duration) Option {
+	return func(r *Rollout) { r.notice, r.drainLimit = notice, drainLimit }
+}
+
+// New returns a rollout without changes.
+func New(opts ...Option) *Rollout {
+	r := &Rollout{notice: DefaultNotice, drainLimit: DefaultDrainLimit, changes: map[string]*change{}}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// Plan repairs the assignments that were kept for the targets that are available. A target without
+// an assignment is taken to keep what it holds, so that a fleet that becomes managed is not
+// reshuffled.
+func Plan(kept []placement.Assignment, targets []Target, goal Goal) placement.Plan {
+	var workers []placement.Worker
+	old := placement.Plan{Assignments: slices.Clone(kept)}
+	known := map[string]bool{}
+	for _, a := range kept {
+		known[a.Worker] = true
+	}
+	for _, t := range targets {
+		if !t.Available {
+			continue
+		}
+		workers = append(workers, t.Worker)
+		if held := t.Reported; !known[t.Worker.Name] && held.Layers.Valid() {
+			old.Assignments = append(old.Assignments, placement.Assignment{Worker: t.Worker.Name, Model: held.Model, Layers: held.Layers})
+		}
+	}
+	plan, _ := placement.New().Repair(old, workers, goal.Models)
+	slices.SortFunc(plan.Assignments, byWorker)
+	return plan
+}
--- /dev/null
+++ b/pkg/decision/rollout/step.go
@@ -0,0 +1,164 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/placement"
+	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+)
+
+func byWorker(a, b placement.Assignment) int {
+	return cmp.Compare(a.Worker, b.Worker)
+}
+
+// turn is one call of Step.
+type turn struct {
+	*Rollout
+	now     time.Time
+	goal    Goal
+	targets map[string]Target
+	settled []placement.Assignment
+	pending []placement.Assignment
+	step    Step
+}
+
+// Step returns what to do now to bring the targets to the plan.
+func (r *Rollout) Step(now time.Time, plan []placement.Assignment, targets []Target, goal Goal) Step {
+	t := &turn{
+		Rollout: r, now: now, goal: goal, targets: map[string]Target{},
+		step: Step{Desired: map[string]reconcile.Assignment{}},
+	}
+	for _, target := range targets {
+		if target.Available {
+			t.targets[target.Worker.Name] = target
+		}
+	}
+	t.compare(plan)
+	t.forget()
+	order := t.order(plan)
+	t.begin(order)
+	t.release(order)
+	t.step.Drain = slices.Sorted(maps.Keys(r.changes))
+	return t.step
+}
+
+// desired returns what the target is to hold. Adapters and roles are not planned and stay.
+func (t *turn) desired(a placement.Assignment) reconcile.Assignment {
+	reported := t.targets[a.Worker].Reported
+	return reconcile.Assignment{
+		Model: a.Model, Version: t.goal.Versions[a.Model], Layers: a.Layers, Adapters: reported.Adapters, Role: reported.Role,
+	}
+}
+
+// compare divides the assignments of available targets into settled and pending ones.
+func (t *turn) compare(plan []placement.Assignment) {
+	for _, a := range plan {
+		target, available := t.targets[a.Worker]
+		if !available || target.Asked.IsZero() {
+			continue
+		}
+		if target.Reported.Equal(t.desired(a)) {
+			t.settled = append(t.settled, a)
+			t.step.Desired[a.Worker] = t.desired(a)
+			continue
+		}
+		t.pending = append(t.pending, a)
+		t.step.Waiting = append(t.step.Waiting, a.Worker)
+	}
+}
+
+// forget ends the changes of targets that are settled or lost, and starts those anew whose aim changed.
+func (t *turn) forget() {
+	wanted := map[string]placement.Assignment{}
+	for _, a := range t.pending {
+		wanted[a.Worker] = a
+	}
+	for name, c := range t.changes {
+		a, pending := wanted[name]
+		if !pending {
+			delete(t.changes, name)
+			continue
+		}
+		if version := t.goal.Versions[a.Model]; c.want != a || c.version != version {
+			c.want, c.version, c.released = a, version, false
+		}
+	}
+}
+
+// order returns the pending assignments in the order in which they are to be loaded.
+func (t *turn) order(plan []placement.Assignment) []placement.Load {
+	if len(t.pending) == 0 {
+		return nil
+	}
+	var workers []placement.Worker
+	present := placement.Plan{}
+	for _, a := range plan {
+		if target, available := t.targets[a.Worker]; available {
+			workers = append(workers, target.Worker)
+			present.Assignments = append(present.Assignments, a)
+		}
+	}
+	return placement.New().Reload(present, t.settled, workers, t.goal.Models, t.goal.LoadRate)
+}
+
+// begin drains further targets as far as the others serve without them.
+func (t *turn) begin(order []placement.Load) {
+	limit := max(1, len(t.targets)/changingShare)
+	for _, load := range order {
+		name := load.Assignment.Worker
+		if _, begun := t.changes[name]; begun || len(t.changes) >= limit || !t.isPending(name) {
+			continue
+		}
+		if t.servedWithout(name) {
+			t.start(load.Assignment)
+		}
+	}
+	if len(t.changes) == 0 && len(order) > 0 && t.isPending(order[0].Assignment.Worker) {
+		// No target can be spared. Without this one the plan would never be reached.
+		t.start(order[0].Assignment)
+	}
+}
+
+func (t *turn) isPending(name string) bool {
+	return slices.Contains(t.step.Waiting, name)
+}
+
+func (t *turn) start(a placement.Assignment) {
+	t.changes[a.Worker] = &change{want: a, version: t.goal.Versions[a.Model], began: t.now}
+}
+
+// release lets the orders of drained targets go, spaced by the weight store's rate.
+func (t *turn) release(order []placement.Load) {
+	for _, load := range order {
+		name := load.Assignment.Worker
+		c := t.changes[name]
+		if c == nil {
+			continue
+		}
+		if !c.released && t.drained(c, t.targets[name]) && !t.now.Before(t.nextLoad) {
+			c.released = true
+			t.nextLoad = t.now.Add(load.End - load.Start)
+		}
+		if c.released {
+			t.step.Desired[name] = t.desired(load.Assignment)
+		}
+	}
+}
+
+// drained reports whether the target's layers may change now.
+func (t *turn) drained(c *change, target Target) bool {
+	if !target.Reported.Layers.Valid() {
+		return true
+	}
+	if target.Asked.After(c.asked) && target.Asked.Sub(c.began) >= t.notice {
+		c.asked = target.Asked
+		c.idle++
+		if target.Steps > 0 {
+			c.idle = 0
+		}
+	}
+	return c.idle >= idleReports || t.now.Sub(c.began) >= t.drainLimit
+}
--- a/pkg/orders/dispatcher.go
+++ b/pkg/orders/dispatcher.go
@@ -63,7 +63,9 @@
 	holder     *lease.Holder
 	reconciler *reconcile.Reconciler
 	candidate  bool
-	current    bool // current means that the row is known since the last write.
+	current    bool   // current means that the row is known since the last write.
+	fence      uint64 // fence is the lease's fencing number at the last turn, 0 where no order was allowed.
+	under      uint64 // under is the fencing number of the lease that the desired states belong to, 0 for any.
 	watched    time.Time
 
 	held     metrics.Gauge
@@ -123,13 +125,28 @@
 	d.candidate = candidate
 }
 
-// SetDesired replaces the desired states of the engines.
+// SetDesired replaces the desired states of the engines, whatever the lease.
 func (d *Dispatcher) SetDesired(desired map[string]reconcile.Assignment) {
+	d.SetDesiredUnder(0, desired)
+}
+
+// SetDesiredUnder replaces the desired states of the engines by states that were computed under the
+// lease with the fencing number. They are ordered only under that lease, so that an instance that
+// was paused and holds the lease anew does not order what it computed before the pause.
+func (d *Dispatcher) SetDesiredUnder(fence uint64, desired map[string]reconcile.Assignment) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.under = fence
 	d.reconciler.SetDesired(desired)
 }
 
+// Lease returns the lease's fencing number, and whether orders were allowed at the last turn.
+func (d *Dispatcher) Lease() (fence uint64, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fence, d.fence != 0
+}
+
 // Report takes in what an engine said of itself in answer to a request made at the time asked.
 func (d *Dispatcher) Report(asked time.Time, target string, r reconcile.Reported) {
 	d.mu.Lock()
--- a/pkg/orders/turn.go
+++ b/pkg/orders/turn.go
@@ -67,11 +67,15 @@
 	defer d.mu.Unlock()
 	now := time.Now()
 	fence, ok := d.holder.MayOrder(now)
+	d.fence = fence
 	if !ok {
 		d.held.Update(0)
 		return
 	}
 	d.held.Update(1)
+	if d.under != 0 && d.under != fence {
+		return
+	}
 	deadline := now.Add(d.holder.OrderLimit())
 	for _, order := range d.reconciler.Orders(now, fence) {
 		d.inFlight.Go(func() { d.send(ctx, order, deadline) })
