Keep the placement in the daemon and route by cache events

Cause: the operator API stated no bound, nothing drove the lease and the orders, and cache events were not read. The prefix hash of a conversation named a text that ends with an answer, which no engine has cached as a prompt. Change: pkg/placing keeps the plan in a table row and drives drains and orders under the lease; the daemon feeds it and reads events within the budget of report polls. Routes are made of one model version. The caller hashes up to the question before the latest answer. A stand-in engine does not restart a load that an order repeats.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -3,15 +3,14 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
+	"github.com/cuminroute/cuminroute/pkg/decision/rollout"
 	"github.com/cuminroute/cuminroute/pkg/decision/roster"
-	"github.com/cuminroute/cuminroute/pkg/decision/route"
-	"github.com/cuminroute/cuminroute/pkg/layer"
-	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -22,10 +21,6 @@
 	listInterval = time.Second
 	// tickInterval is how often queued requests are checked against their deadlines.
 	tickInterval = 50 * time.Millisecond
-	// reportsPerSecond bounds report polls to 8 a second, about 2 KB/s, however many targets there are.
-	reportsPerSecond = 8
-	// reportTimeout ends a poll of a target that does not answer.
-	reportTimeout = 500 * time.Millisecond
 	// entryRole is the role of entry instances in the platform's list.
 	entryRole = "Entry"
 	// engineRole is the role of model engines; every other role is the name of a plain service.
@@ -45,21 +40,21 @@
 	polling []string
 	drains  map[string]membership.Drain
 	listed  atomic.Bool
-}
 
-// engineView is what is known of one engine besides its place in the roster.
-type engineView struct {
-	maxBatch    int
-	accelerator string
-	inPoll      bool
+	failing  map[string]bool // failing names the engines whose newest poll failed.
+	urgent   int             // urgent counts the polls, of which each second one may go to an urgent engine.
+	changing map[string]bool // changing names the engines that get no new work because their layers change.
+	placed   atomic.Pointer[[]rollout.Target]
 }
 
 func newControl(d *Daemon) *control {
 	c := &control{
 		d: d, roster: roster.New(), events: make(chan func(time.Time), eventQueue),
 		engines: make(map[string]*engineView), drains: make(map[string]membership.Drain),
+		failing: make(map[string]bool), changing: make(map[string]bool),
 	}
 	c.targets.Store(&[]target.Target{})
+	c.placed.Store(&[]rollout.Target{})
 	return c
 }
 
@@ -141,6 +136,13 @@
 // publish gives traffic goroutines the targets in force.
 func (c *control) publish() {
 	targets := c.roster.Targets()
+	c.forgetEngines(targets)
+	c.publishPlaced(targets)
+	for i := range targets {
+		if c.changing[targets[i].Name] {
+			targets[i].State = target.Leaving
+		}
+	}
 	c.targets.Store(&targets)
 	var routable []target.Target
 	var addresses []netip.AddrPort
@@ -150,9 +152,8 @@
 			routable = append(routable, t)
 		}
 	}
-	c.d.picker.SetTargets(routable)
+	c.d.picker.SetTargets(c.servingVersions(routable))
 	c.d.engines.Keep(addresses)
-	c.forgetEngines(targets)
 	c.setCapacity()
 }
 
@@ -172,75 +173,11 @@
 	for name := range c.engines {
 		if !known[name] {
 			delete(c.engines, name)
+			delete(c.failing, name)
 		}
 	}
 }
 
-// pollNextReport asks the next engine in turn for its report.
-func (c *control) pollNextReport(ctx context.Context) {
-	for len(c.polling) > 0 {
-		name := c.polling[0]
-		c.polling = c.polling[1:]
-		view := c.engines[name]
-		if view == nil {
-			continue
-		}
-		c.polling = append(c.polling, name)
-		if !view.inPoll {
-			view.inPoll = true
-			c.pollReport(ctx, name)
-		}
-		return
-	}
-}
-
-func (c *control) pollReport(ctx context.Context, name string) {
-	address, ok := c.address(name)
-	if !ok {
-		return
-	}
-	client := c.d.engines.Client(address)
-	go func() {
-		bounded, cancel := context.WithTimeout(ctx, reportTimeout)
-		defer cancel()
-		report, err := client.Report(bounded)
-		c.post(ctx, func(now time.Time) { c.observeReport(name, report, err, now) })
-	}()
-}
-
-func (c *control) address(name string) (netip.AddrPort, bool) {
-	for _, t := range *c.targets.Load() {
-		if t.Name == name {
-			return t.Address, true
-		}
-	}
-	return netip.AddrPort{}, false
-}
-
-func (c *control) observeReport(name string, report *enginepb.Report, err error, now time.Time) {
-	view := c.engines[name]
-	if view == nil {
-		return
-	}
-	view.inPoll = false
-	if err != nil {
-		c.d.counters.reportFailures.Inc(1)
-		return
-	}
-	view.maxBatch, view.accelerator = int(report.GetMaxBatch()), report.GetAccelerator()
-	c.d.ledger.Alive(name)
-	c.roster.ObserveReport(name, roster.Report{
-		Leaving: report.GetLeaving(), Model: report.GetModel(), ModelLayers: int(report.GetModelLayers()),
-		Layers: layer.Range{First: int(report.GetFirstLayer()), End: int(report.GetEndLayer())}, Accelerator: report.GetAccelerator(),
-	})
-	c.publish()
-	c.d.picker.ObserveReport(name, route.Report{
-		Queued: int(report.GetQueuedSteps()), Running: int(report.GetRunningSteps()), MaxBatch: int(report.GetMaxBatch()),
-		StepTime: time.Duration(report.GetStepMicros()) * time.Microsecond,
-		Measured: time.UnixMilli(report.GetMeasuredUnixMilli()), Leaving: report.GetLeaving(),
-	}, now)
-}
-
 // observeLeaving takes a target's announcement in the answer to a step.
 func (c *control) observeLeaving(ctx context.Context, name string) {
 	c.post(ctx, func(time.Time) {
@@ -267,11 +204,16 @@
 // refreshDrains passes the drains that have not ended to the roster.
 func (c *control) refreshDrains(now time.Time) {
 	var names []string
+	clear(c.changing)
 	for name, drain := range c.drains {
 		if drain.Cancelled || drain.Expired(now) {
 			delete(c.drains, name)
 			continue
 		}
+		if engine, changing := strings.CutPrefix(name, placementDrain); changing {
+			c.changing[engine] = true
+			continue
+		}
 		names = append(names, name)
 	}
 	c.roster.SetDrained(names)
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -42,6 +42,7 @@
 	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
 	"github.com/cuminroute/cuminroute/pkg/peer/service"
 	"github.com/cuminroute/cuminroute/pkg/peer/table"
+	"github.com/cuminroute/cuminroute/pkg/placing"
 	"github.com/cuminroute/cuminroute/pkg/settings"
 	"github.com/cuminroute/cuminroute/pkg/stream"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -72,6 +73,10 @@
 	services  *service.Client
 	node      *instance.Node
 	control   *control
+	keeper    *placing.Keeper
+
+	placingOptions []placing.Option
+	ignoreEvents   bool
 
 	callers, operators *khttp.Server
 	callersAt          net.Listener
@@ -99,9 +104,20 @@
 	return func(d *Daemon) { d.output = w }
 }
 
+// WithPlacing passes options to the keeper of the placement.
+func WithPlacing(options ...placing.Option) Option {
+	return func(d *Daemon) { d.placingOptions = append(d.placingOptions, options...) }
+}
+
+// WithoutCacheEvents leaves the engines' cache events out of account.
+func WithoutCacheEvents() Option {
+	return func(d *Daemon) { d.ignoreEvents = true }
+}
+
 type counters struct {
 	listFailures   metrics.Counter
 	reportFailures metrics.Counter
+	eventGaps      metrics.Counter
 }
 
 // New starts an instance. It listens at once, and is ready when a configuration and the
@@ -116,6 +132,7 @@
 	d.counters = counters{
 		listFailures:   metrics.GetOrRegisterCounter("list.failures", d.registry),
 		reportFailures: metrics.GetOrRegisterCounter("reports.failures", d.registry),
+		eventGaps:      metrics.GetOrRegisterCounter("events.gaps", d.registry),
 	}
 	if err := d.listen(); err != nil {
 		return nil, err
@@ -235,6 +252,8 @@
 // start runs the control goroutine and the kratos application.
 func (d *Daemon) start(ctx context.Context) {
 	frameworkLogger.Do(func() { klog.SetLogger(newKratosLogger(d.logger)) })
+	d.keeper = placing.New(d.table, placer{d}, placer{d}, d.settings.Instance,
+		append([]placing.Option{placing.WithLogger(d.logger), placing.WithMetrics(d.registry)}, d.placingOptions...)...)
 	go d.control.run(ctx)
 	d.app = kratos.New(
 		kratos.Name("cuminrouted"), kratos.ID(d.settings.Instance), kratos.Context(ctx),
@@ -244,79 +263,12 @@
 	go func() {
 		defer close(d.done)
 		d.err = d.app.Run()
-		d.release()
+		d.release(ctx)
 	}()
 	d.logger.Info().Str("Callers", d.callersAt.Addr().String()).Str("Operators", d.operatorsAt.Addr().String()).
 		Str("Peers", d.node.Address().String()).Msg("listening")
 }
 
-// Ready reports whether callers may be sent here.
-func (d *Daemon) Ready() bool {
-	select {
-	case <-d.stopping:
-		return false
-	default:
-		return d.node.View().Ready() && d.control.listed.Load()
-	}
-}
-
-// drain is the first part of a planned stop: not ready, then no new requests, then wait for the
-// running ones. No timeout cuts a request off.
-func (d *Daemon) drain(ctx context.Context) error {
-	close(d.stopping)
-	d.logger.Info().Int("Running", d.running.Running()).Msg("stopping")
-	select {
-	case <-time.After(d.settings.StopNotice):
-	case <-ctx.Done():
-	}
-	d.running.Drain()
-	return d.running.Wait(ctx)
-}
-
-// release ends what is left after the listeners are closed.
-func (d *Daemon) release() {
-	d.runner.Close()
-	if err := d.node.Close(); err != nil {
-		d.logger.Warn().Err(err).Msg("the departure could not be announced")
-	}
-	d.clerk.Close()
-	d.services.Close()
-	d.engines.Close()
-	d.cancel()
-	d.table.Close()
-	d.objects.Close()
-	d.list.Close()
-	d.logger.Info().Msg("stopped")
-}
-
-// Stop stops the instance without cutting off any request. It returns early, with the context's
-// error, if ctx ends first; the stop then goes on.
-func (d *Daemon) Stop(ctx context.Context) error {
-	d.stopOnce.Do(func() {
-		go func() { _ = d.app.Stop() }()
-	})
-	select {
-	case <-d.done:
-		return d.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// Kill ends the instance at once, as the loss of its machine would.
-func (d *Daemon) Kill() {
-	_ = d.callers.Close()
-	_ = d.operators.Close()
-	d.cancel()
-	<-d.done
-}
-
-// Wait returns when the instance has ended.
-func (d *Daemon) Wait() error {
-	<-d.done
-	return d.err
-}
-
 // Addresses returns where the instance listens.
 func (d *Daemon) Addresses() Addresses {
 	return Addresses{
--- /dev/null
+++ b/pkg/daemon/events.go
@@ -0,0 +1,68 @@
+package daemon
+
+import "github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
+
+// maxPrefixes bounds the prefixes kept of one engine. An engine's own cache is limited as well, and
+// the picker keeps 2,048 for all engines that hold one range.
+const maxPrefixes = 512
+
+// cacheView is what is known of the prompt prefixes in one engine's cache.
+type cacheView struct {
+	since uint64   // since is the sequence number of the newest event seen.
+	known []uint64 // known holds the hashes, the oldest first.
+}
+
+// observeEvents passes cache events to the picker. Events come late and some are lost. After a gap
+// it is not known which prefixes were dropped, so all that was known of the engine is.
+func (c *control) observeEvents(name string, view *engineView, p poll) {
+	if p.events == nil || p.since != view.cache.since {
+		return
+	}
+	if first := p.events.GetFirstSequence(); first > view.cache.since+1 && len(p.events.GetEvents()) > 0 {
+		c.gap(name, view)
+		view.cache.since = first - 1
+	}
+	for _, e := range p.events.GetEvents() {
+		if e.GetSequence() <= view.cache.since {
+			continue
+		}
+		if e.GetSequence() != view.cache.since+1 {
+			c.gap(name, view)
+		}
+		view.cache.since = e.GetSequence()
+		c.observePrefix(name, view, e)
+	}
+}
+
+func (c *control) observePrefix(name string, view *engineView, e *enginepb.CacheEvent) {
+	c.d.picker.ObservePrefix(name, e.GetPrefixHash(), !e.GetRemoved())
+	if e.GetRemoved() {
+		return
+	}
+	view.cache.known = append(view.cache.known, e.GetPrefixHash())
+	if len(view.cache.known) > maxPrefixes {
+		c.d.picker.ObservePrefix(name, view.cache.known[0], false)
+		view.cache.known = view.cache.known[1:]
+	}
+}
+
+// gap drops what is known of the engine's prefixes.
+func (c *control) gap(name string, view *engineView) {
+	if view.cache.since == 0 && len(view.cache.known) == 0 {
+		return
+	}
+	c.d.counters.eventGaps.Inc(1)
+	for _, hash := range view.cache.known {
+		c.d.picker.ObservePrefix(name, hash, false)
+	}
+	view.cache.known = nil
+}
+
+// forgetPrefixes starts anew with an engine that does not answer or holds other layers: it may have
+// been restarted, and its events are numbered from 1 then.
+func (c *control) forgetPrefixes(name string, view *engineView) {
+	for _, hash := range view.cache.known {
+		c.d.picker.ObservePrefix(name, hash, false)
+	}
+	view.cache = cacheView{}
+}
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -127,13 +127,12 @@
 	return layers > 0 && boundaries[layers]
 }
 
-// Plan implements operator.Fleet. It shows the placement that the engines report.
-func (f fleet) Plan(context.Context) (api.Plan, error) {
-	plan := api.Plan{LimitedBy: "not computed: the engines' memory and rates are not reported"}
-	for _, t := range *f.d.control.targets.Load() {
-		if t.Kind == target.Engine && t.Layers.Valid() {
-			plan.Assignments = append(plan.Assignments, api.Assignment{Target: t.Name, Model: t.Model, First: t.Layers.First, End: t.Layers.End})
-		}
+// Plan implements operator.Fleet.
+func (f fleet) Plan(ctx context.Context) (api.Plan, error) {
+	computed := f.d.keeper.Plan(ctx)
+	plan := api.Plan{Bound: computed.Bound, LimitedBy: computed.LimitedBy}
+	for _, a := range computed.Assignments {
+		plan.Assignments = append(plan.Assignments, api.Assignment{Target: a.Worker, Model: a.Model, First: a.Layers.First, End: a.Layers.End})
 	}
 	return plan, nil
 }
--- /dev/null
+++ b/pkg/daemon/placement.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"encoding/binary"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/placement"
+	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+	"github.com/cuminroute/cuminroute/pkg/decision/rollout"
+	"github.com/cuminroute/cuminroute/pkg/orders"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+const (
+	// placementDrain starts the name under which the keeper of the placement drains a target, so that
+	// the end of its drain does not end that of an operator.
+	placementDrain = "Placement/"
+	// placementDrainLife is how long such a drain lasts if its holder is lost.
+	placementDrainLife = 2 * time.Minute
+	// candidates is the number of instances that may hold the lease for orders. Three outlast the
+	// loss of two, and their reads of the lease row are few.
+	candidates = 3
+)
+
+// placer gives the keeper of the placement its view of this instance.
+type placer struct {
+	d *Daemon
+}
+
+// Configuration implements placing.Fleet.
+func (p placer) Configuration() *configuration.Configuration { return p.d.versions.current() }
+
+// Targets implements placing.Fleet.
+func (p placer) Targets() []rollout.Target { return *p.d.control.placed.Load() }
+
+// Candidate implements placing.Fleet by rendezvous hashing over the live members.
+func (p placer) Candidate() bool {
+	own := candidateScore(membership.Member{Address: p.d.node.Address()})
+	higher := 0
+	for _, m := range p.d.node.Members() {
+		if m.State.Live() && m.Address != p.d.node.Address() && candidateScore(m) > own {
+			higher++
+		}
+	}
+	return higher < candidates
+}
+
+func candidateScore(m membership.Member) uint64 {
+	address := m.Address.Addr().As16()
+	content := binary.BigEndian.AppendUint16(address[:], m.Address.Port())
+	return xxhash.Sum64(append(content, orders.Key...))
+}
+
+// Drain implements placing.Fleet. Drains that an earlier holder left are ended.
+func (p placer) Drain(targets []string) {
+	now := time.Now()
+	wanted := map[string]bool{}
+	for _, name := range targets {
+		wanted[placementDrain+name] = true
+	}
+	for _, item := range p.d.node.View().Items {
+		drain, ok := item.(membership.Drain)
+		if !ok || drain.Cancelled || !strings.HasPrefix(drain.Target, placementDrain) {
+			continue
+		}
+		if !wanted[drain.Target] {
+			p.publish(membership.Drain{Target: drain.Target, At: now, Expires: now.Add(placementDrainLife), Cancelled: true})
+			continue
+		}
+		if drain.Expires.Sub(now) > placementDrainLife/2 {
+			delete(wanted, drain.Target)
+		}
+	}
+	for name := range wanted {
+		p.publish(membership.Drain{Target: name, At: now, Expires: now.Add(placementDrainLife)})
+	}
+}
+
+func (p placer) publish(drain membership.Drain) {
+	if err := p.d.node.Publish(drain); err != nil {
+		p.d.logger.Warn().Err(err).Str("Target", drain.Target).Msg("a drain could not be published")
+	}
+}
+
+// Order implements orders.Engines.
+func (p placer) Order(ctx context.Context, o reconcile.Order) (bool, error) {
+	address, known := p.d.control.address(o.Target)
+	if !known {
+		return false, refusal.New(0, "unknown_target", outcome.NotRun, "the target %s is not listed any more", o.Target)
+	}
+	result, err := p.d.engines.Client(address).Order(ctx, &enginepb.Order{
+		Fence: o.Fence, Model: o.Model, Version: o.Version, FirstLayer: uint32(o.Layers.First), EndLayer: uint32(o.Layers.End),
+		Adapters: o.Adapters, Role: o.Role,
+	})
+	if err != nil {
+		return false, err
+	}
+	p.d.logger.Info().Str("Target", o.Target).Uint64("Fence", o.Fence).Str("Model", o.Model).Str("Version", o.Version).
+		Str("Layers", o.Layers.String()).Bool("Accepted", result.GetAccepted()).Str("Answer", result.GetMessage()).Msg("order sent")
+	return result.GetAccepted(), nil
+}
+
+// publishPlaced gives the keeper of the placement the engines. A drain that the keeper itself
+// ordered does not make a target unavailable.
+func (c *control) publishPlaced(targets []target.Target) {
+	placed := make([]rollout.Target, 0, len(targets))
+	for _, t := range targets {
+		view := c.engines[t.Name]
+		if t.Kind != target.Engine || view == nil {
+			continue
+		}
+		placed = append(placed, rollout.Target{
+			Worker:    placement.Worker{Name: t.Name, Accelerator: view.hardware, DataCentre: t.DataCentre},
+			Available: t.Accepting() && view.failures < lostAfter,
+			Reported:  view.reported, Steps: view.steps, Asked: view.asked,
+		})
+	}
+	c.placed.Store(&placed)
+}
+
+// servingVersions takes the targets of a model out of the choice that hold another version than the
+// one that serves, so that no route is made of two versions.
+func (c *control) servingVersions(routable []target.Target) []target.Target {
+	held := map[string][]rollout.Held{}
+	for _, t := range routable {
+		if t.Accepting() {
+			held[t.Model] = append(held[t.Model], rollout.Held{Version: c.versionOf(t), Layers: t.Layers})
+		}
+	}
+	serving := map[string]string{}
+	for model, list := range held {
+		m, _ := c.d.versions.current().Model(model)
+		serving[model] = rollout.Serving(list, m.Layers, m.Version)
+	}
+	for i, t := range routable {
+		if t.Accepting() && c.versionOf(t) != serving[t.Model] {
+			routable[i].State = target.Leaving
+		}
+	}
+	return routable
+}
+
+func (c *control) versionOf(t target.Target) string {
+	if view := c.engines[t.Name]; view != nil {
+		return view.reported.Version
+	}
+	return ""
+}
--- a/pkg/peer/caller/chat.go
+++ b/pkg/peer/caller/chat.go
@@ -83,14 +83,24 @@
 	}, nil
 }
 
-// prefixHash is that of every message but the last. It is what the next request of a conversation, or another
-// request with the same instructions, has in common with this one.
+// prefixHash is that of the messages that engines may have cached from an earlier request. Engines
+// cache prompts and not answers, so a conversation's next request has in common with the one before
+// every message up to the question before the latest answer. Another conversation with the same
+// instructions has every message but the last in common.
 func prefixHash(messages []Message) uint64 {
-	shared := messages
-	if len(messages) > 1 {
-		shared = messages[:len(messages)-1]
+	return xxhash.Sum64String(Prefix(messages[:sharedMessages(messages)]))
+}
+
+func sharedMessages(messages []Message) int {
+	n := len(messages)
+	switch {
+	case n >= 3 && messages[n-2].Role == "assistant":
+		return n - 2
+	case n >= 2:
+		return n - 1
+	default:
+		return n
 	}
-	return xxhash.Sum64String(Prefix(shared))
 }
 
 // priorityOf takes the pipeline's priority during opening hours only.
--- /dev/null
+++ b/pkg/placing/placing.go
@@ -0,0 +1,169 @@
+// Package placing keeps the placement of model layers: it states the plan and its throughput bound
+// and, where the configuration manages the placement, brings the engines to it.
+//
+// A few candidates run the lease of package orders. The holder repairs the plan, keeps it in one
+// row of the table by compare-and-swap, and hands the states that may be ordered now to the
+// dispatcher. A successor reads the row first and goes on from it. Nothing is computed or ordered
+// from a row that was read under an earlier lease.
+//
+// Usage:
+//
+//	k := placing.New(tableClient, engines, fleet, "entry-3")
+//	defer k.Close(ctx)
+//	k.Report(asked, "worker-1", reported)
+//	plan, err := k.Plan(ctx)
+package placing
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/decision/placement"
+	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+	"github.com/cuminroute/cuminroute/pkg/decision/rollout"
+	"github.com/cuminroute/cuminroute/pkg/orders"
+)
+
+const (
+	// DefaultTick is the pause between two looks at the fleet.
+	DefaultTick = time.Second
+	// leastHeard is the part of the known targets that must be available for a change of the plan. A
+	// holder that hears fewer is more likely cut off itself than a witness of the loss of two data
+	// centres of three.
+	leastHeard = 0.5
+)
+
+// Fleet is what the keeper needs of its instance.
+type Fleet interface {
+	// Configuration returns the configuration in force.
+	Configuration() *configuration.Configuration
+	// Targets returns every listed engine. Memory, rate and link are filled by the keeper.
+	Targets() []rollout.Target
+	// Candidate reports whether this instance is one of the few that may hold the lease.
+	Candidate() bool
+	// Drain replaces the set of targets that get no new work because their layers change. Only the
+	// holder of the lease calls it.
+	Drain(targets []string)
+}
+
+// Keeper keeps the placement. It is safe for concurrent use.
+type Keeper struct {
+	table      orders.Table
+	fleet      Fleet
+	dispatcher *orders.Dispatcher
+	tick       time.Duration
+	logger     *log.Logger
+	waiting    atomic.Pointer[[]string]
+	moves      metrics.Counter
+	failures   metrics.Counter
+	differing  metrics.Gauge
+
+	dispatcherOptions []orders.Option
+	rolloutOptions    []rollout.Option
+
+	state  holding // state belongs to the goroutine.
+	cancel context.CancelFunc
+	loop   sync.WaitGroup
+}
+
+// holding is what the holder of one lease knows.
+type holding struct {
+	fence    uint64 // fence is the lease's fencing number, 0 where this instance does not hold it.
+	known    bool   // known means that the row was read under this lease.
+	revision uint64
+	plan     []placement.Assignment
+	inputs   uint64 // inputs is the hash of what the plan was made from.
+	rollout  *rollout.Rollout
+}
+
+// Option changes a Keeper when it is made.
+type Option func(*Keeper)
+
+// WithTick sets the pause between two looks at the fleet.
+func WithTick(d time.Duration) Option {
+	return func(k *Keeper) { k.tick = d }
+}
+
+// WithLogger sets where changes of the plan are logged.
+func WithLogger(l *log.Logger) Option {
+	return func(k *Keeper) { k.logger = l }
+}
+
+// WithOrders passes options to the dispatcher of orders.
+func WithOrders(opts ...orders.Option) Option {
+	return func(k *Keeper) { k.dispatcherOptions = append(k.dispatcherOptions, opts...) }
+}
+
+// WithRollout passes options to the rollout.
+func WithRollout(opts ...rollout.Option) Option {
+	return func(k *Keeper) { k.rolloutOptions = append(k.rolloutOptions, opts...) }
+}
+
+// WithMetrics registers placing.moves, placing.failures, placing.differing and the metrics of the
+// dispatcher in r.
+func WithMetrics(r metrics.Registry) Option {
+	return func(k *Keeper) {
+		k.moves = metrics.GetOrRegisterCounter("placing.moves", r)
+		k.failures = metrics.GetOrRegisterCounter("placing.failures", r)
+		k.differing = metrics.GetOrRegisterGauge("placing.differing", r)
+		k.dispatcherOptions = append(k.dispatcherOptions, orders.WithMetrics(r))
+	}
+}
+
+// New returns a keeper and starts its goroutine.
+func New(t orders.Table, e orders.Engines, f Fleet, instance string, opts ...Option) *Keeper {
+	k := &Keeper{table: t, fleet: f, tick: DefaultTick, logger: &log.Logger{Level: log.PanicLevel}}
+	WithMetrics(metrics.NewRegistry())(k)
+	for _, opt := range opts {
+		opt(k)
+	}
+	k.waiting.Store(&[]string{})
+	k.dispatcher = orders.New(t, e, instance, k.dispatcherOptions...)
+	ctx, cancel := context.WithCancel(context.Background())
+	k.cancel = cancel
+	k.loop.Go(func() { k.run(ctx) })
+	return k
+}
+
+// Report takes in what an engine said of itself in answer to a request made at the time asked.
+func (k *Keeper) Report(asked time.Time, target string, r reconcile.Reported) {
+	k.dispatcher.Report(asked, target, r)
+}
+
+// Waiting returns the targets whose reports the keeper waits for. It is empty unless this instance
+// holds the lease.
+func (k *Keeper) Waiting() []string {
+	return *k.waiting.Load()
+}
+
+// Holds reports whether this instance gives the orders.
+func (k *Keeper) Holds() bool {
+	_, ok := k.dispatcher.Lease()
+	return ok
+}
+
+// Close stops the keeper, and releases the lease unless ctx ends first.
+func (k *Keeper) Close(ctx context.Context) error {
+	k.cancel()
+	k.loop.Wait()
+	return k.dispatcher.Close(ctx)
+}
+
+func (k *Keeper) run(ctx context.Context) {
+	ticker := time.NewTicker(k.tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			k.turn(ctx)
+		}
+	}
+}
--- a/pkg/standin/engine/batch.go
+++ b/pkg/standin/engine/batch.go
@@ -155,6 +155,10 @@
 	outputs := runLayers(entry.states, first, inputs)
 	entry.positions += len(inputs)
 	s.prefixes.store(step)
+	if step.Position == 0 {
+		s.prefilled.Positions += len(inputs)
+		s.prefilled.Cached += min(w.cached, len(inputs))
+	}
 	s.record(step, len(inputs))
 	return s.output(w, outputs)
 }
--- a/pkg/standin/engine/orders.go
+++ b/pkg/standin/engine/orders.go
@@ -17,7 +17,8 @@
 	adapters []string
 	role     string
 	fence    uint64
-	loads    int // loads counts the orders that changed what is held.
+	loading  layer.Range // loading is the range that is being loaded, empty if none is.
+	loads    int         // loads counts the orders that changed what is held.
 }
 
 // loadSample is the load at one time.
@@ -39,7 +40,12 @@
 	s.held.adapters = slices.Clone(o.Adapters)
 	s.held.role = o.Role
 	wanted := layer.Range{First: int(o.FirstLayer), End: int(o.EndLayer)}
-	if s.held.model != o.Model || s.held.version != o.Version || s.held.layers != wanted {
+	// An order that repeats what is being loaded does not start the load anew.
+	aim := s.held.layers
+	if s.held.loading.Valid() {
+		aim = s.held.loading
+	}
+	if s.held.model != o.Model || s.held.version != o.Version || aim != wanted {
 		s.load(o, wanted)
 	}
 	return &enginepb.OrderResult{Accepted: true, Fence: s.held.fence}
@@ -49,13 +55,13 @@
 func (s *Server) load(o *enginepb.Order, wanted layer.Range) {
 	s.held.loads++
 	load := s.held.loads
-	s.held.model, s.held.version, s.held.layers = o.Model, o.Version, layer.Range{}
+	s.held.model, s.held.version, s.held.layers, s.held.loading = o.Model, o.Version, layer.Range{}, wanted
 	s.kv = newKvMemory(s.options.generations)
 	time.AfterFunc(time.Duration(wanted.Len())*s.options.loadTime, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.held.loads == load {
-			s.held.layers = wanted
+			s.held.layers, s.held.loading = wanted, layer.Range{}
 		}
 	})
 }
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
 )
 
 // CrashMarker in a prompt kills the engine that runs the prompt.
@@ -37,6 +38,12 @@
 	At         time.Time
 }
 
+// Prefilled counts the positions of prefills, and those of them that the prefix cache held.
+type Prefilled struct {
+	Positions int
+	Cached    int
+}
+
 // Server is a stand-in engine.
 type Server struct {
 	options options
@@ -61,6 +68,7 @@
 	samples    []loadSample
 	stepTime   time.Duration
 	executions []Execution
+	prefilled  Prefilled
 	crashed    []string
 }
 
@@ -179,6 +187,18 @@
 	return append([]Execution(nil), s.executions...)
 }
 
+// Prefilled returns the counts over restarts.
+func (s *Server) Prefilled() Prefilled {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.prefilled
+}
+
+// Report returns what the engine reports.
+func (s *Server) Report() *enginepb.Report {
+	return s.report(time.Now())
+}
+
 // Crashes returns the prompt of each request that crashed the engine.
 func (s *Server) Crashes() []string {
 	s.mu.Lock()
