--- a/pkg/standin/entry/entry.go
+++ b/pkg/standin/entry/entry.go
@@ -37,8 +37,13 @@
 
 // StartLogging returns a fleet.StartEntry whose daemons log to w.
 func StartLogging(w io.Writer) fleet.StartEntry {
+	return StartWith(func(fleet.Spec) []daemon.Option { return []daemon.Option{daemon.WithLogOutput(w)} })
+}
+
+// StartWith returns a fleet.StartEntry whose daemons have the options that are made for each.
+func StartWith(options func(s fleet.Spec) []daemon.Option) fleet.StartEntry {
 	return func(ctx context.Context, s fleet.Spec) (fleet.Entry, error) {
-		d, err := daemon.New(ctx, settingsOf(s), daemon.WithLogOutput(w))
+		d, err := daemon.New(ctx, settingsOf(s), options(s)...)
 		if err != nil {
 			return nil, err
 		}
--- a/pkg/standin/fleet/fleet.go
+++ b/pkg/standin/fleet/fleet.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"github.com/cuminroute/cuminroute/pkg/configuration"
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
@@ -61,6 +62,9 @@
 	Recording bool     // Recording keeps every execution for an oracle.
 	Workers   []Worker // Workers replace the default fleet where they are given.
 	Start     StartEntry
+
+	Configuration *configuration.Configuration // Configuration replaces the default one where it is given.
+	Engine        []engine.Option              // Engine are further options of every engine.
 }
 
 // configureLimit is the time that the first entry instance has to take the first configuration.
@@ -120,8 +124,11 @@
 		return err
 	}
 	for _, w := range f.Workers {
-		e, err := engine.New(engine.WithName(w.Name), engine.WithModel(Model, Layers, w.Layers),
-			engine.WithAccelerator(w.Accelerator), engine.WithMaxBatch(MaxBatch), engine.WithRecording(f.options.Recording))
+		options := append([]engine.Option{
+			engine.WithName(w.Name), engine.WithModel(Model, Layers, w.Layers),
+			engine.WithAccelerator(w.Accelerator), engine.WithMaxBatch(MaxBatch), engine.WithRecording(f.options.Recording),
+		}, f.options.Engine...)
+		e, err := engine.New(options...)
 		if err != nil {
 			return err
 		}
@@ -144,7 +151,11 @@
 	ctx, cancel := context.WithTimeout(f.ctx, configureLimit)
 	defer cancel()
 	client := operator.NewClient("http://"+f.entries[0].Operators().String(), OperatorKey)
-	_, err := client.Apply(ctx, api.Change{ID: "initial", Configuration: Configuration()})
+	c := f.options.Configuration
+	if c == nil {
+		c = Configuration()
+	}
+	_, err := client.Apply(ctx, api.Change{ID: "initial", Configuration: c})
 	return err
 }
 
