Roll a model version over the fleet without refusals

Cause: an instance learns by gossip that a drain has ended and by its own poll what an engine holds since, so the next drain could leave it without a whole version. A lease that lapsed for a moment on a busy machine made the holder start its rollout anew each time: TestLostTarget failed once so. Change: a changed target counts as serving after the notice; an instance gives it work once it has heard it after the change, and polls it first. A lapse alone no longer resets the holder.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -44,6 +44,7 @@
 	failing  map[string]bool // failing names the engines whose newest poll failed.
 	urgent   int             // urgent counts the polls, of which each second one may go to an urgent engine.
 	changing map[string]bool // changing names the engines that get no new work because their layers change.
+	changed  map[string]bool // changed names the engines that got other layers and were not heard since.
 	placed   atomic.Pointer[[]rollout.Target]
 }
 
@@ -51,7 +52,7 @@
 	c := &control{
 		d: d, roster: roster.New(), events: make(chan func(time.Time), eventQueue),
 		engines: make(map[string]*engineView), drains: make(map[string]membership.Drain),
-		failing: make(map[string]bool), changing: make(map[string]bool),
+		failing: make(map[string]bool), changing: make(map[string]bool), changed: make(map[string]bool),
 	}
 	c.targets.Store(&[]target.Target{})
 	c.placed.Store(&[]rollout.Target{})
@@ -139,7 +140,7 @@
 	c.forgetEngines(targets)
 	c.publishPlaced(targets)
 	for i := range targets {
-		if c.changing[targets[i].Name] {
+		if name := targets[i].Name; c.changing[name] || c.changed[name] {
 			targets[i].State = target.Leaving
 		}
 	}
@@ -174,6 +175,7 @@
 		if !known[name] {
 			delete(c.engines, name)
 			delete(c.failing, name)
+			delete(c.changed, name)
 		}
 	}
 }
@@ -198,6 +200,12 @@
 
 func (c *control) observeDrain(d membership.Drain, now time.Time) {
 	c.drains[d.Target] = d
+	if engine, changed := strings.CutPrefix(d.Target, placementDrain); changed && d.Cancelled && c.engines[engine] != nil {
+		// What this instance knows of the engine's layers is older than their change.
+		c.changed[engine] = true
+		c.engines[engine].polled = now.Add(-urgentInterval)
+		c.engines[engine].changedAt = now
+	}
 	c.refreshDrains(now)
 }
 
--- a/pkg/daemon/polling.go
+++ b/pkg/daemon/polling.go
@@ -19,7 +19,7 @@
 	reportTimeout = 500 * time.Millisecond
 	// urgentInterval spaces the polls of a target that failed or whose layers change. Such targets
 	// get at most every second poll, so that the others are not forgotten.
-	urgentInterval = 500 * time.Millisecond
+	urgentInterval = 250 * time.Millisecond
 	// lostAfter is the number of polls without an answer after which a target counts as lost for the
 	// placement. Routing takes failures in before that.
 	lostAfter = 3
@@ -32,10 +32,12 @@
 	failures int       // failures counts successive polls without an answer.
 	asked    time.Time // asked is when the newest report was asked for.
 	polled   time.Time // polled is when the newest poll began.
-	reported reconcile.Reported
-	hardware string
-	steps    int
-	cache    cacheView
+
+	changedAt time.Time // changedAt is when the end of the engine's last change of layers was heard.
+	reported  reconcile.Reported
+	hardware  string
+	steps     int
+	cache     cacheView
 }
 
 // poll is the answer of one poll.
@@ -84,6 +86,9 @@
 	for name := range c.failing {
 		look(name)
 	}
+	for name := range c.changed {
+		look(name)
+	}
 	for _, name := range c.d.keeper.Waiting() {
 		look(name)
 	}
@@ -153,6 +158,9 @@
 		c.forgetPrefixes(name, view)
 	}
 	view.failures, view.asked = 0, p.asked
+	if p.asked.After(view.changedAt) {
+		delete(c.changed, name)
+	}
 	view.maxBatch, view.hardware = int(report.GetMaxBatch()), report.GetAccelerator()
 	view.steps = int(report.GetQueuedSteps() + report.GetRunningSteps())
 	view.reported = reconcile.Reported{
--- a/pkg/decision/rollout/rollout.go
+++ b/pkg/decision/rollout/rollout.go
@@ -9,15 +9,16 @@
 )
 
 const (
-	// DefaultNotice is how long after the start of a drain new work may still arrive (P5).
+	// DefaultNotice is how long the start or the end of a drain takes to reach every instance (P5).
+	// New work may still arrive before, and a target that has changed gets none from some instances.
 	DefaultNotice = 3 * time.Second
 	// DefaultDrainLimit bounds the wait for running steps. Most answers end within a minute.
 	DefaultDrainLimit = time.Minute
 	// idleReports is the number of successive reports without steps that show a target to be idle:
 	// between two steps of a stream, a report may show none, and loads in reports are some seconds old.
 	idleReports = 3
-	// changingShare bounds the targets that change at one time to a fourth of those available.
-	changingShare = 4
+	// DefaultShare bounds the targets that change at one time to a fourth of those available.
+	DefaultShare = 0.25
 )
 
 // Target is what is known of one engine.
@@ -47,8 +48,11 @@
 type Rollout struct {
 	notice     time.Duration
 	drainLimit time.Duration
+	share      float64
 	changes    map[string]*change
-	nextLoad   time.Time // nextLoad is when the weight store is free again.
+	nextLoad   time.Time            // nextLoad is when the weight store is free again.
+	started    time.Time            // started is when the first step was.
+	ended      map[string]time.Time // ended is when the last change of a target ended.
 }
 
 // change is the change of one target.
@@ -69,9 +73,14 @@
 	return func(r *Rollout) { r.notice, r.drainLimit = notice, drainLimit }
 }
 
+// WithShare replaces the part of the available targets that may change at one time.
+func WithShare(share float64) Option {
+	return func(r *Rollout) { r.share = share }
+}
+
 // New returns a rollout without changes.
 func New(opts ...Option) *Rollout {
-	r := &Rollout{notice: DefaultNotice, drainLimit: DefaultDrainLimit, changes: map[string]*change{}}
+	r := &Rollout{notice: DefaultNotice, drainLimit: DefaultDrainLimit, share: DefaultShare, changes: map[string]*change{}, ended: map[string]time.Time{}}
 	for _, opt := range opts {
 		opt(r)
 	}
--- a/pkg/decision/rollout/serving.go
+++ b/pkg/decision/rollout/serving.go
@@ -55,12 +55,12 @@
 	return true
 }
 
-// served reports whether one version of the model is held whole by targets that neither change nor
-// have the excluded name.
+// served reports whether one version of the model is held whole by targets that do not change, do
+// not have the excluded name, and are known to every instance to hold it.
 func (t *turn) served(model string, layers int, excluded string) bool {
 	ranges := map[string][]layer.Range{}
 	for name, target := range t.targets {
-		if held := target.Reported; t.changes[name] == nil && name != excluded && held.Model == model {
+		if held := target.Reported; t.changes[name] == nil && name != excluded && held.Model == model && t.known(name) {
 			ranges[held.Version] = append(ranges[held.Version], held.Layers)
 		}
 	}
--- a/pkg/decision/rollout/step.go
+++ b/pkg/decision/rollout/step.go
@@ -27,6 +27,9 @@
 
 // Step returns what to do now to bring the targets to the plan.
 func (r *Rollout) Step(now time.Time, plan []placement.Assignment, targets []Target, goal Goal) Step {
+	if r.started.IsZero() {
+		r.started = now
+	}
 	t := &turn{
 		Rollout: r, now: now, goal: goal, targets: map[string]Target{},
 		step: Step{Desired: map[string]reconcile.Assignment{}},
@@ -80,6 +83,7 @@
 		a, pending := wanted[name]
 		if !pending {
 			delete(t.changes, name)
+			t.ended[name] = t.now
 			continue
 		}
 		if version := t.goal.Versions[a.Model]; c.want != a || c.version != version {
@@ -106,7 +110,11 @@
 
 // begin drains further targets as far as the others serve without them.
 func (t *turn) begin(order []placement.Load) {
-	limit := max(1, len(t.targets)/changingShare)
+	if t.now.Sub(t.started) < t.notice {
+		// What an earlier holder changed last is not known here, and may not have reached every instance.
+		return
+	}
+	limit := max(1, int(t.share*float64(len(t.targets))))
 	for _, load := range order {
 		name := load.Assignment.Worker
 		if _, begun := t.changes[name]; begun || len(t.changes) >= limit || !t.isPending(name) {
@@ -116,12 +124,28 @@
 			t.start(load.Assignment)
 		}
 	}
-	if len(t.changes) == 0 && len(order) > 0 && t.isPending(order[0].Assignment.Worker) {
+	if len(t.changes) == 0 && len(order) > 0 && t.quiet() && t.isPending(order[0].Assignment.Worker) {
 		// No target can be spared. Without this one the plan would never be reached.
 		t.start(order[0].Assignment)
 	}
 }
 
+// quiet reports whether every instance knows of all changes that have ended.
+func (t *turn) quiet() bool {
+	for name := range t.ended {
+		if !t.known(name) {
+			return false
+		}
+	}
+	return true
+}
+
+// known reports whether every instance knows what the target holds.
+func (t *turn) known(name string) bool {
+	ended, changed := t.ended[name]
+	return !changed || t.now.Sub(ended) >= t.notice
+}
+
 func (t *turn) isPending(name string) bool {
 	return slices.Contains(t.step.Waiting, name)
 }
--- a/pkg/placing/turn.go
+++ b/pkg/placing/turn.go
@@ -19,10 +19,19 @@
 	managed := c.HeadOffice.Placement.Managed
 	k.dispatcher.SetCandidate(managed && k.fleet.Candidate())
 	fence, holds := k.dispatcher.Lease()
-	if !managed || !holds {
+	if !managed {
+		if holds {
+			k.fleet.Drain(nil)
+		}
 		k.leave()
 		return
 	}
+	if !holds {
+		// The lease may only have lapsed. If nobody else takes it, it comes back with its number, and
+		// what is known stays valid.
+		k.waiting.Store(&[]string{})
+		return
+	}
 	if fence != k.state.fence {
 		k.leave()
 		k.state = holding{fence: fence, rollout: rollout.New(k.rolloutOptions...)}
@@ -42,13 +51,12 @@
 	k.dispatcher.SetDesiredUnder(fence, step.Desired)
 }
 
-// leave forgets what was known under a lease that this instance does not hold any more. Its drains
-// are left to its successor.
+// leave forgets what was known under a lease. Drains are left to its next holder.
 func (k *Keeper) leave() {
 	if k.state.fence == 0 {
 		return
 	}
-	k.logger.Info().Uint64("Fence", k.state.fence).Msg("this instance no longer gives the orders to engines")
+	k.logger.Info().Uint64("Fence", k.state.fence).Msg("the lease for orders is not used any more")
 	k.state = holding{}
 	k.waiting.Store(&[]string{})
 	k.differing.Update(0)
--- a/pkg/standin/caller/client.go
+++ b/pkg/standin/caller/client.go
@@ -18,6 +18,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -27,12 +28,19 @@
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 )
 
+// Message is one message of a conversation.
+type Message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
 // Question asks a model.
 type Question struct {
 	Address  netip.AddrPort
 	Key      string
 	Pipeline string
 	Prompt   string
+	Earlier  []Message // Earlier are the messages of the conversation before the prompt.
 	Tokens   int
 	Timeout  time.Duration // Timeout is sent as Cuminroute-Timeout where it is not zero.
 }
@@ -79,7 +87,7 @@
 func (c *Client) Ask(ctx context.Context, q Question) Answer {
 	body, err := json.Marshal(map[string]any{
 		"model": q.Pipeline, "stream": true, "max_tokens": q.Tokens,
-		"messages": []map[string]string{{"role": "user", "content": q.Prompt}},
+		"messages": append(slices.Clone(q.Earlier), Message{Role: "user", Content: q.Prompt}),
 	})
 	if err != nil {
 		return Answer{Err: err, Broken: true, Outcome: outcome.NotRun}
--- a/pkg/standin/fleet/fleet.go
+++ b/pkg/standin/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
+	"github.com/cuminroute/cuminroute/pkg/peer/table"
 	"github.com/cuminroute/cuminroute/pkg/standin/engine"
 	"github.com/cuminroute/cuminroute/pkg/standin/platform"
 	"github.com/cuminroute/cuminroute/pkg/standin/service"
@@ -181,6 +182,11 @@
 	f.Platform.SetInstances(list)
 }
 
+// Table returns a client of the platform's table.
+func (f *Fleet) Table() *table.Client {
+	return table.New(f.Platform.URL())
+}
+
 // SetLeaving lists a target as leaving, or as live again, and reports whether that is a change.
 func (f *Fleet) SetLeaving(name string, leaving bool) bool {
 	f.mu.Lock()
