--- a/pkg/daemon/readiness.go
+++ b/pkg/daemon/readiness.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"context"
+
 	"github.com/cuminroute/cuminroute/pkg/configuration"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -10,6 +12,18 @@
 // a second. At the usual 8 a second, a new instance of a fleet of 40 engines would refuse answers for 5 s.
 const startReports = 8
 
+// pollReports reads some more reports, of which a new instance needs many at once.
+func (c *control) pollReports(ctx context.Context) {
+	polls := 1
+	if !c.routed.Load() {
+		polls = startReports
+	}
+	for range polls {
+		c.pollNextReport(ctx)
+	}
+	c.learnRoutes()
+}
+
 // learnRoutes notes when the instance knows enough of the engines to serve: every model that is
 // offered has a route, or every listed engine was asked once. It stays noted afterwards, since
 // the loss of engines is not a reason for the load balancer to leave all instances.
@@ -24,7 +38,7 @@
 
 func (c *control) allAsked() bool {
 	for _, view := range c.engines {
-		if !view.asked {
+		if !view.tried {
 			return false
 		}
 	}
--- a/pkg/decision/placement/repair.go
+++ b/pkg/decision/placement/repair.go
@@ -16,7 +16,8 @@
 
 // Repair adapts a plan to the workers that remain or have joined, with few moves: workers keep
 // their ranges unless a move raises the throughput or fills a range that no worker holds. It
-// returns the new plan and those of its assignments that the old plan did not have.
+// returns the new plan and those of its assignments that the old plan did not have. Where the old
+// plan's ranges cannot carry a model any more, the plan is made anew.
 func (p *Planner) Repair(plan Plan, workers []Worker, models []Model) (Plan, []Assignment) {
 	r := &repair{workers: workersByName(workers), ranges: map[string][]layer.Range{}}
 	for _, a := range plan.Assignments {
@@ -40,7 +41,10 @@
 	r.held = best // Moves that only prepared for a gain that did not come are taken back.
 	repaired := Plan{Assignments: r.held, Throughput: throughput(r.held, workers, models)}
 	repaired.Bound, repaired.LimitedBy = bound(workers, models)
-	moved := slices.DeleteFunc(slices.Clone(r.held), func(a Assignment) bool { return slices.Contains(plan.Assignments, a) })
+	if repaired.Throughput == 0 {
+		repaired = p.Plan(workers, models)
+	}
+	moved := slices.DeleteFunc(slices.Clone(repaired.Assignments), func(a Assignment) bool { return slices.Contains(plan.Assignments, a) })
 	return repaired, moved
 }
 
