Prove keys, bad input and certificates, and mend what the proofs found

Cause: nothing showed the handling of keys, secrets in dumps and certificates on whole instances, and the proofs so far depended on the speed of the machine. They found five faults: both listeners shared one TLS configuration (data race); an instance without a configuration told callers that their keys were invalid; a NotRun after a passed timeout had no Retry-After; a killed instance could start a cleanup while its runner was waiting for them (data race); one lost report poll counted as an asked engine.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -46,7 +46,8 @@
 	maxBatch    int
 	accelerator string
 	inPoll      bool
-	asked       bool // asked is set after the first poll, whether it was answered or not.
+	answered    bool // answered is set after the first report.
+	failures    int  // failures counts the polls without an answer before the first report.
 }
 
 func newControl(d *Daemon) *control {
--- a/pkg/daemon/listeners.go
+++ b/pkg/daemon/listeners.go
@@ -30,12 +30,12 @@
 	if err != nil {
 		return err
 	}
-	callers := caller.New(d.versions.current, d.runner, d.services, caller.WithGate(d.gate), caller.WithDrain(d.running),
+	callers := caller.New(d.versions.received, d.runner, d.services, caller.WithGate(d.gate), caller.WithDrain(d.running),
 		caller.WithFingerprint(quarantine.Fingerprint), caller.WithLogger(d.logger), caller.WithRegistry(d.registry))
-	d.callers = newListener(d.callersAt, certificate)
+	d.callers = d.newListener(d.callersAt, certificate)
 	d.callers.HandleFunc("/ready", d.serveReady)
 	d.callers.HandlePrefix("/", callers)
-	d.operators = newListener(d.operatorsAt, certificate)
+	d.operators = d.newListener(d.operatorsAt, certificate)
 	d.operators.ReadTimeout = operatorTimeout
 	d.operators.HandleFunc("/live", serveLive)
 	d.operators.HandleFunc("/ready", d.serveReady)
@@ -59,13 +59,15 @@
 
 // newListener returns a kratos server on l. The library's timeout is off, since answers are
 // streamed for longer than any fixed time.
-func newListener(l net.Listener, certificate *tls.Config) *khttp.Server {
+func (d *Daemon) newListener(l net.Listener, certificate *tls.Config) *khttp.Server {
 	options := []khttp.ServerOption{khttp.Listener(l), khttp.Timeout(0), khttp.StrictSlash(false)}
 	if certificate != nil {
-		options = append(options, khttp.TLSConfig(certificate))
+		// Each server writes its protocols into its configuration, so two must not share one.
+		options = append(options, khttp.TLSConfig(certificate.Clone()))
 	}
 	s := khttp.NewServer(options...)
 	s.ReadHeaderTimeout = headerTimeout
+	s.ErrorLog = d.logger.Std("", 0)
 	return s
 }
 
--- a/pkg/daemon/readiness.go
+++ b/pkg/daemon/readiness.go
@@ -10,8 +10,12 @@
 // a second. At the usual 8 a second, a new instance of a fleet of 40 engines would refuse answers for 5 s.
 const startReports = 8
 
+// startAttempts is how often an engine that does not answer is asked before the instance serves
+// without it. A single lost poll on a busy machine must not make it ready without any engine.
+const startAttempts = 3
+
 // learnRoutes notes when the instance knows enough of the engines to serve: every model that is
-// offered has a route, or every listed engine was asked once. It stays noted afterwards, since
+// offered has a route, or every listed engine has answered or was asked several times. It stays noted afterwards, since
 // the loss of engines is not a reason for the load balancer to leave all instances.
 func (c *control) learnRoutes() {
 	if c.routed.Load() || !c.listed.Load() || !c.d.node.View().Ready() {
@@ -24,7 +28,7 @@
 
 func (c *control) allAsked() bool {
 	for _, view := range c.engines {
-		if !view.asked {
+		if !view.answered && view.failures < startAttempts {
 			return false
 		}
 	}
--- a/pkg/daemon/reports.go
+++ b/pkg/daemon/reports.go
@@ -75,11 +75,13 @@
 	if view == nil {
 		return
 	}
-	view.inPoll, view.asked = false, true
+	view.inPoll = false
 	if err != nil {
+		view.failures++
 		c.d.counters.reportFailures.Inc(1)
 		return
 	}
+	view.answered = true
 	view.maxBatch, view.accelerator = int(report.GetMaxBatch()), report.GetAccelerator()
 	c.d.ledger.Alive(name)
 	c.roster.ObserveReport(name, roster.Report{
--- a/pkg/daemon/versions.go
+++ b/pkg/daemon/versions.go
@@ -42,6 +42,16 @@
 	return v.inForce.Load()
 }
 
+// received returns the configuration in force, nil before the first version. Without the difference,
+// an instance that is not ready would tell every caller that its key is invalid.
+func (v *versions) received() *configuration.Configuration {
+	c := v.current()
+	if c.Version == 0 {
+		return nil
+	}
+	return c
+}
+
 // Head implements instance.Source.
 func (v *versions) Head(ctx context.Context) (uint64, error) {
 	head, err := v.log.Head(ctx)
--- a/pkg/peer/service/once.go
+++ b/pkg/peer/service/once.go
@@ -82,7 +82,7 @@
 	if ctx.Err() != nil {
 		c.abandon(ctx, req, ticket)
 		return Answer{}, refusal.New(http.StatusGatewayTimeout, "deadline_exceeded", outcome.NotRun,
-			"the request's timeout passed before it was sent").Because(ctx.Err())
+			"the request's timeout passed before it was sent").After(failedRetryAfter).Because(ctx.Err())
 	}
 	detached, cancel := detach(ctx)
 	defer cancel()
--- a/pkg/proof/configuration_test.go
+++ b/pkg/proof/configuration_test.go
@@ -11,8 +11,10 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
 	"github.com/cuminroute/cuminroute/pkg/proof"
+	"github.com/cuminroute/cuminroute/pkg/standin/caller"
 	"github.com/cuminroute/cuminroute/pkg/standin/entry"
 	"github.com/cuminroute/cuminroute/pkg/standin/fleet"
 	"github.com/cuminroute/cuminroute/pkg/standin/platform"
@@ -188,6 +190,12 @@
 	c.Assert(err, qt.IsNil)
 	defer lone.Kill()
 	c.Assert(eventually(3*time.Second, lone.Ready), qt.IsFalse)
+	client := caller.New()
+	defer client.Close()
+	a := client.Ask(context.Background(), caller.Question{Address: lone.Callers(), Key: fleet.CallerKey(0), Pipeline: fleet.Pipeline, Prompt: "early", Tokens: 1})
+	c.Assert(a.Status, qt.Equals, http.StatusServiceUnavailable, qt.Commentf("%v", a.Err))
+	c.Assert(a.Outcome, qt.Equals, outcome.NotRun)
+	c.Assert(a.RetryAfter >= time.Second, qt.IsTrue)
 	response, err := http.Get("http://" + lone.Callers().String() + "/ready")
 	c.Assert(err, qt.IsNil)
 	defer response.Body.Close()
--- a/pkg/proof/load.go
+++ b/pkg/proof/load.go
@@ -67,6 +67,13 @@
 	}
 }
 
+// Done returns the number of whole answers so far.
+func (l *Load) Done() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outcomes[outcome.Done]
+}
+
 // Stop lets every caller finish its last question and returns the number of each outcome and what was wrong.
 func (l *Load) Stop() (map[outcome.Outcome]int, []string) {
 	l.stop()
--- a/pkg/stream/answer.go
+++ b/pkg/stream/answer.go
@@ -165,7 +165,7 @@
 func (a *answer) expired(ctx context.Context) error {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refusal.New(http.StatusGatewayTimeout, "deadline_exceeded", a.outcome(),
-			"the request's timeout passed before its answer was complete").Because(context.Cause(ctx))
+			"the request's timeout passed before its answer was complete").After(overloadRetryAfter).Because(context.Cause(ctx))
 	}
 	return refusal.New(statusClientClosed, "cancelled", a.outcome(), "the caller cancelled the request").Because(context.Cause(ctx))
 }
--- a/pkg/stream/generation.go
+++ b/pkg/stream/generation.go
@@ -137,7 +137,7 @@
 
 // cancelLater does not use the context of the answer, which may have ended.
 func (r *Runner) cancelLater(s Stage, request string, number uint32) {
-	r.cleanup.Go(func() {
+	r.cleanUp(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
 		if err := s.Cancel(ctx, request, number); err != nil {
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -25,6 +25,8 @@
 	deadlines *deadlines
 	crashes   *crashes
 	cleanup   sync.WaitGroup
+	closing   sync.Mutex
+	closed    bool // closed is set when no more cleanups may start; answers may outlast a killed instance.
 }
 
 // Option changes a runner.
@@ -79,9 +81,21 @@
 
 // Close waits until what ended answers held on the engines has been cancelled, at most a few seconds.
 func (r *Runner) Close() {
+	r.closing.Lock()
+	r.closed = true
+	r.closing.Unlock()
 	r.cleanup.Wait()
 }
 
+// cleanUp runs f beside the answers, until Close.
+func (r *Runner) cleanUp(f func()) {
+	r.closing.Lock()
+	defer r.closing.Unlock()
+	if !r.closed {
+		r.cleanup.Go(f)
+	}
+}
+
 // Run produces the answer to req and passes its tokens to emit in order, each exactly once. It returns after the answer's explicit
 // end, or with an error that refusal.From turns into an outcome. An error of emit ends the answer.
 func (r *Runner) Run(ctx context.Context, req Request, emit func(Token) error) (Summary, error) {
