--- a/pkg/daemon/polling.go
+++ b/pkg/daemon/polling.go
@@ -29,7 +29,6 @@
 type engineView struct {
 	maxBatch int
 	inPoll   bool
-	tried    bool      // tried is set after the first poll, whether it was answered or not.
 	failures int       // failures counts successive polls without an answer.
 	asked    time.Time // asked is when the newest report was asked for.
 	polled   time.Time // polled is when the newest poll began.
@@ -136,7 +135,7 @@
 	if view == nil {
 		return
 	}
-	view.inPoll, view.tried = false, true
+	view.inPoll = false
 	if p.err != nil {
 		c.d.counters.reportFailures.Inc(1)
 		c.failing[name] = true
