Let new instances ask peers before the platform

Change: an instance with addresses of others gives peers two seconds before it polls; a lone one polls at once. OnItem replays the items that are already known.

--- a/pkg/decision/spread/spreader.go
+++ b/pkg/decision/spread/spreader.go
@@ -74,11 +74,13 @@
 	rand  *rand.Rand
 	polls bool
 
-	version uint64 // version is the one in force here
-	known   uint64 // known is the highest version heard of
-	behind  time.Time
-	sources []source
-	told    bool // told is set if a peer said that it holds more than what is in force
+	expected bool      // expected is set if peers may turn up
+	started  time.Time // started is the time of the first tick
+	version  uint64    // version is the one in force here
+	known    uint64    // known is the highest version heard of
+	behind   time.Time
+	sources  []source
+	told     bool // told is set if a peer said that it holds more than what is in force
 
 	busy     bool // busy is set while a fetch or an apply is under way
 	snapshot bool // snapshot is set if the missing changes cannot be had any more
@@ -102,6 +104,11 @@
 	return &Spreader{self: self, rand: r, polls: true}
 }
 
+// ExpectPeers tells whether addresses of other instances are known. A new instance then gives peers the
+// first two seconds before it polls. A whole fleet that starts at once would otherwise read the whole
+// configuration from the platform thousands of times.
+func (s *Spreader) ExpectPeers(expected bool) { s.expected = expected }
+
 // Version returns the version in force here; 0 means none. It never falls.
 func (s *Spreader) Version() uint64 { return s.version }
 
@@ -117,7 +124,11 @@
 // Tick returns the actions that are due.
 func (s *Spreader) Tick(now time.Time) []Action {
 	var actions []Action
-	if s.polls && !s.reading && !now.Before(s.nextPoll) {
+	if s.started.IsZero() {
+		s.started = now
+	}
+	waits := s.expected && s.version == 0 && now.Sub(s.started) < tableAfter
+	if s.polls && !waits && !s.reading && !now.Before(s.nextPoll) {
 		s.reading = true
 		s.nextPoll = now.Add(pollInterval)
 		actions = append(actions, Action{Do: ReadHead, Timeout: headTimeout})
--- a/pkg/decision/spread/spreader_test.go
+++ b/pkg/decision/spread/spreader_test.go
@@ -83,6 +83,24 @@
 	qt.Assert(t, tableAt >= 2*time.Second && tableAt < 5*time.Second, qt.IsTrue, qt.Commentf("%s", tableAt))
 }
 
+// TestStart guards against a fleet that starts at once and reads everything from the platform, and
+// against a lone instance that waits for nobody.
+func TestStart(t *testing.T) {
+	for _, test := range []struct {
+		expected bool
+		after    time.Duration
+		want     int
+	}{{false, 0, 1}, {true, 0, 0}, {true, 1900 * time.Millisecond, 0}, {true, 2 * time.Second, 1}} {
+		s := spreader(1)
+		s.ExpectPeers(test.expected)
+		s.SetMembers([]membership.Member{member(1)})
+		if test.after > 0 {
+			s.Tick(start)
+		}
+		qt.Assert(t, s.Tick(start.Add(test.after)), qt.HasLen, test.want, qt.Commentf("%+v", test))
+	}
+}
+
 // TestSpreader guards against versions that fall or skip a change, and against two fetches or
 // applies at the same time, whatever the answers are.
 func TestSpreader(t *testing.T) {
--- a/pkg/peer/instance/capacity_test.go
+++ b/pkg/peer/instance/capacity_test.go
@@ -259,8 +259,7 @@
 		c.startAll(n)
 		c.run(20 * time.Second)
 		c.cut = func(a, b *process) bool { return a.region() != b.region() }
-		b.ReportMetric(c.runUntil(3*time.Minute, "the sides have parted", c.parted).Seconds(), "part-s")
-		c.run(3*time.Minute + 20*time.Second - c.at)
+		b.ReportMetric(c.partFor(3*time.Minute).Seconds(), "part-s")
 		c.cut = func(_, _ *process) bool { return false }
 		c.head++
 		for _, p := range c.processes {
@@ -281,6 +280,18 @@
 	})
 }
 
+// partFor runs the cluster and returns when the sides first had parted.
+func (c *cluster) partFor(d time.Duration) time.Duration {
+	start, took := c.at, d
+	for c.at-start < d {
+		c.run(time.Second)
+		if took == d && c.parted() {
+			took = c.at - start
+		}
+	}
+	return took
+}
+
 // parted reports whether no process knows one of the other region.
 func (c *cluster) parted() bool {
 	var count [2]int
@@ -289,3 +300,25 @@
 	}
 	return c.everyone(func(p *process) bool { return p.table.Count() == count[p.region()] })()
 }
+
+// BenchmarkStart starts all instances at once with three random seeds each, and reports when
+// all know all and when all have a configuration.
+func BenchmarkStart(b *testing.B) {
+	bySize(b, func(b *testing.B, n int) {
+		c := newCluster(b, 6)
+		c.head = 1
+		for i := range n {
+			c.start(i, address(c.rand.IntN(n)), address(c.rand.IntN(n)), address(c.rand.IntN(n)))
+		}
+		ready := c.runUntil(time.Minute, "all have a configuration", c.everyone(c.current))
+		b.ReportMetric(ready.Seconds(), "ready-s")
+		c.runUntil(5*time.Minute, "all know all", c.agreed)
+		b.ReportMetric(c.at.Seconds(), "joined-s")
+		b.ReportMetric(float64(c.tableGets), "table-gets")
+		bytes := 0
+		for _, p := range c.processes {
+			bytes += p.bytes
+		}
+		b.ReportMetric(float64(bytes)/float64(n)/c.at.Seconds(), "gossip-B/s")
+	})
+}
--- a/pkg/peer/instance/driven_calls_test.go
+++ b/pkg/peer/instance/driven_calls_test.go
@@ -29,6 +29,7 @@
 			peer := c.byAddress[a.Peer]
 			c.fetch(p, a, c.reaches(p, peer), func() uint64 { return peer.spreader.Version() })
 		default:
+			c.tableGets++
 			c.fetch(p, a, !c.tableDown, func() uint64 { return c.head })
 		}
 	}
--- a/pkg/peer/instance/driven_test.go
+++ b/pkg/peer/instance/driven_test.go
@@ -74,6 +74,7 @@
 	tableDown bool
 	onEvent   func(p *process, e membership.Event)
 	pending   map[uint64]*spreading
+	tableGets int // tableGets counts reads of changes or the whole configuration from the table
 	fetched   int // fetched counts bytes of change records and head rows
 }
 
@@ -100,6 +101,7 @@
 	qt.Assert(c.t, err, qt.IsNil)
 	p.self = p.table.Self()
 	p.spreader = spread.New(p.self, seeded(c.rand.Uint64()))
+	p.spreader.ExpectPeers(len(seeds) > 0)
 	if i == len(c.processes) {
 		c.processes = append(c.processes, p)
 	} else {
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -113,9 +114,15 @@
 	}
 	n.table = table
 	n.spreader = spread.New(table.Self(), r)
+	n.spreader.ExpectPeers(n.hasPeers(c.Seeds))
 	return nil
 }
 
+// hasPeers reports whether the seeds name another instance.
+func (n *Node) hasPeers(seeds []netip.AddrPort) bool {
+	return slices.ContainsFunc(seeds, func(a netip.AddrPort) bool { return a != n.Address() })
+}
+
 func (n *Node) start(f func()) {
 	n.group.Go(f)
 }
@@ -161,9 +168,14 @@
 // result must not be changed.
 func (n *Node) Members() []membership.Member { return n.View().Members }
 
-// OnItem has a function called for each drain and quarantine that this node learns of or publishes.
-// Calls come one at a time from one goroutine.
-func (n *Node) OnItem(f func(membership.Item)) { n.notices.onItem(f) }
+// OnItem has a function called for each drain and quarantine that is known, and that this node learns
+// of or publishes later. Calls come one at a time from one goroutine; an item may come twice.
+func (n *Node) OnItem(f func(membership.Item)) {
+	n.notices.onItem(f)
+	for _, i := range n.View().Items {
+		n.notices.item(i)
+	}
+}
 
 // OnMembers has a function called after the live members have changed. Calls come one at a time
 // from one goroutine.
@@ -180,7 +192,10 @@
 
 // SetSeeds replaces the addresses that are tried to find other instances.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) {
-	n.do(func() { n.table.SetSeeds(seeds) })
+	n.do(func() {
+		n.table.SetSeeds(seeds)
+		n.spreader.ExpectPeers(n.hasPeers(seeds))
+	})
 }
 
 // Close announces the departure, stops the node and waits for its goroutines. The Applier and Source
--- a/pkg/peer/instance/node_test.go
+++ b/pkg/peer/instance/node_test.go
@@ -143,6 +143,11 @@
 	qt.Assert(t, nodes[1].Publish(drain), qt.IsNil)
 	qt.Assert(t, (<-drained).(membership.Drain).Target, qt.Equals, "w1")
 
+	eventually(t, 6*time.Second, "the drain is at the late node", func() bool { return len(late.View().Items) == 1 })
+	registered := make(chan membership.Item, 1)
+	late.OnItem(func(i membership.Item) { registered <- i })
+	qt.Assert(t, (<-registered).(membership.Drain).Target, qt.Equals, "w1")
+
 	qt.Assert(t, nodes[0].Close(), qt.IsNil)
 	qt.Assert(t, nodes[0].Publish(drain), qt.Equals, instance.ErrClosed)
 	left := func(v *instance.View) bool { return len(v.Members) == 6 }
