--- a/pkg/decision/membership/item.go
+++ b/pkg/decision/membership/item.go
@@ -131,13 +131,13 @@
 
 // Check implements Item.
 func (d Drain) Check() error {
-	switch {
-	case d.Target == "" || len(d.Target) > MaxTargetBytes:
-		return Malformed.New("drain target has %d bytes, 1 to %d are accepted", len(d.Target), MaxTargetBytes)
-	case d.Expires.Sub(d.At) > MaxItemLife:
-		return Malformed.New("drain lasts %s, at most %s is accepted", d.Expires.Sub(d.At), MaxItemLife)
+	if d.Target == "" {
+		return Malformed.New("drain has no target")
 	}
-	return nil
+	if life := d.Expires.Sub(d.At); life > MaxItemLife {
+		return Malformed.New("drain lasts %s, at most %s is accepted", life, MaxItemLife)
+	}
+	return checkText("drain target", d.Target, MaxTargetBytes)
 }
 
 // Wins implements Item: the one set later wins, then the one that expires later, then the cancelled.
--- a/pkg/decision/membership/member.go
+++ b/pkg/decision/membership/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"unicode/utf8"
 
 	"github.com/joomcode/errorx"
 )
@@ -60,11 +61,13 @@
 	if err := checkAddress(m.Address); err != nil {
 		return err
 	}
+	if err := checkText("member name", m.Name, MaxNameBytes); err != nil {
+		return err
+	}
+	if err := checkText("data centre", m.DataCentre, MaxNameBytes); err != nil {
+		return err
+	}
 	switch {
-	case len(m.Name) > MaxNameBytes:
-		return Malformed.New("member name has %d bytes, at most %d are accepted", len(m.Name), MaxNameBytes)
-	case len(m.DataCentre) > MaxNameBytes:
-		return Malformed.New("data centre has %d bytes, at most %d are accepted", len(m.DataCentre), MaxNameBytes)
 	case m.Incarnation == 0 || m.Incarnation > MaxIncarnation:
 		return Malformed.New("incarnation %d is not from 1 to %d", m.Incarnation, uint64(MaxIncarnation))
 	case m.State.rank() == 0:
@@ -73,6 +76,15 @@
 	return nil
 }
 
+// checkText refuses texts that do not fit a packet or cannot be encoded in one. A single text that is
+// not UTF-8 would keep every packet that carries it from being sent.
+func checkText(what, s string, limit int) error {
+	if len(s) > limit || !utf8.ValidString(s) {
+		return Malformed.New("%s has %d bytes, at most %d bytes of UTF-8 are accepted", what, len(s), limit)
+	}
+	return nil
+}
+
 func checkAddress(a netip.AddrPort) error {
 	if !a.IsValid() || a.Port() == 0 || a.Addr().IsUnspecified() || a.Addr().Zone() != "" {
 		return Malformed.New("%q is not a usable address and port without a zone", a)
--- a/pkg/decision/membership/packet.go
+++ b/pkg/decision/membership/packet.go
@@ -61,8 +61,8 @@
 	if !p.Kind.known() {
 		return Malformed.New("packet kind %q is unknown", p.Kind)
 	}
-	if len(p.Fleet) > MaxNameBytes {
-		return Malformed.New("fleet has %d bytes, at most %d are accepted", len(p.Fleet), MaxNameBytes)
+	if err := checkText("fleet", p.Fleet, MaxNameBytes); err != nil {
+		return err
 	}
 	if p.Kind == PingRequest {
 		if err := checkAddress(p.Target); err != nil {
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -71,8 +71,8 @@
 	if err := c.Self.Check(); err != nil {
 		return nil, err
 	}
-	if len(c.Fleet) > MaxNameBytes {
-		return nil, Malformed.New("fleet has %d bytes, at most %d are accepted", len(c.Fleet), MaxNameBytes)
+	if err := checkText("fleet", c.Fleet, MaxNameBytes); err != nil {
+		return nil, err
 	}
 	t := &Table{
 		fleet: c.Fleet, self: c.Self, hash: hashAddress(c.Self.Address), rand: r, now: now,
--- a/pkg/decision/membership/table_test.go
+++ b/pkg/decision/membership/table_test.go
@@ -58,11 +58,12 @@
 	}
 }
 
-// TestPublishRefuses guards against items that never expire or never fit a packet.
+// TestPublishRefuses guards against items that never expire, or never fit a packet or cannot be encoded in one.
 func TestPublishRefuses(t *testing.T) {
 	k := table(t)
 	for _, i := range []Item{
 		Drain{Target: string(make([]byte, MaxTargetBytes+1)), At: start, Expires: start.Add(time.Hour)},
+		Drain{Target: "\xff", At: start, Expires: start.Add(time.Hour)},
 		Drain{Target: "", At: start, Expires: start.Add(time.Hour)},
 		Drain{Target: "w", At: start, Expires: start.Add(8 * 24 * time.Hour)},
 		Drain{Target: "w", At: start, Expires: start},
--- a/pkg/peer/instance/server.go
+++ b/pkg/peer/instance/server.go
@@ -18,19 +18,23 @@
 	// maxConnections bounds the calls served at the same time. Callers that find no room turn to
 	// another peer.
 	maxConnections = 64
+	// maxSnapshots bounds the snapshots handed out at the same time: each holds the whole configuration in
+	// memory, and an instance has 128 MB for all control.
+	maxSnapshots = 2
 	// partBytes is the size of one part of a snapshot, below the 4 MiB that drpc accepts.
 	partBytes = 256 << 10
 )
 
 // service answers calls of other instances.
 type service struct {
-	node *Node
+	node      *Node
+	snapshots chan struct{} // snapshots has one element for each snapshot that is handed out
 }
 
 // serve accepts connections until the listener is closed.
 func (n *Node) serve() {
 	mux := drpcmux.New()
-	if err := instancepb.DRPCRegisterInstances(mux, &service{node: n}); err != nil {
+	if err := instancepb.DRPCRegisterInstances(mux, &service{node: n, snapshots: make(chan struct{}, maxSnapshots)}); err != nil {
 		n.logger.Error().Err(err).Msg("calls of other instances cannot be served")
 		return
 	}
@@ -95,6 +99,12 @@
 	if s.node.applier == nil || !s.node.View().Ready() {
 		return Unavailable.New("no configuration is in force here")
 	}
+	select {
+	case s.snapshots <- struct{}{}:
+		defer func() { <-s.snapshots }()
+	default:
+		return Unavailable.New("%d snapshots are handed out already", maxSnapshots)
+	}
 	whole, err := s.node.applier.Snapshot(stream.Context())
 	if err != nil {
 		return err
