--- a/pkg/peer/instance/cluster_test.go
+++ b/pkg/peer/instance/cluster_test.go
@@ -135,7 +135,8 @@
 }
 
 // TestVersions guards against a version that falls or skips a change, and against instances that do
-// not have the newest version 6 s after cuts, loss, restarts and outages of the table have ended.
+// not have the newest version 6 s after cuts, loss, restarts and outages of the table have ended, or
+// do not agree on the members a minute later.
 func TestVersions(t *testing.T) {
 	rapid.Check(t, func(r *rapid.T) {
 		c := newCluster(t, rapid.Uint64().Draw(r, "seed"))
@@ -149,6 +150,7 @@
 		c.cut, c.loss, c.tableDown = func(_, _ *process) bool { return false }, 0, false
 		c.head++
 		c.runUntil(6*time.Second, "the newest version is everywhere", c.everyone(c.current))
+		c.runUntil(time.Minute, "all know exactly the running instances", c.agreed)
 	})
 }
 
