Report the reasons of requests that the proof run did not get done

Cause: a run without violations can still fail many requests, and its report did not say why. Change: the report counts the stated codes by kind.

--- a/pkg/soak/oracle.go
+++ b/pkg/soak/oracle.go
@@ -106,6 +106,9 @@
 			continue
 		}
 		r.Requests[rec.kind+"."+string(rec.answer.Outcome)]++
+		if rec.answer.Code != "" {
+			r.Codes[rec.kind+"."+rec.answer.Code]++
+		}
 		if rec.want != "" && !rec.right() {
 			r.add(rec.promiseOfWrongText(others), "%s at %s answered %q and not %q", rec.id, rec.entry, rec.answer.Text, rec.want)
 		}
--- a/pkg/soak/report.go
+++ b/pkg/soak/report.go
@@ -13,6 +13,7 @@
 	Duration   string         `json:"Duration"`
 	Faults     map[Kind]int   `json:"Faults"`
 	Requests   map[string]int `json:"Requests"` // Requests are counted by kind and outcome; broken ones ended without a stated outcome.
+	Codes      map[string]int `json:"Codes"`    // Codes count the stated reasons of requests that were not done, by kind.
 	Violations map[string]int `json:"Violations"`
 	Findings   []string       `json:"Findings,omitempty"` // Findings describe the first violations of each promise.
 	// TargetsPerCrash is the largest number of targets that one crashing request killed.
@@ -39,7 +40,7 @@
 }
 
 func newReport(o Options) Report {
-	r := Report{Seed: o.Seed, Duration: o.Duration.Round(time.Second).String(), Requests: map[string]int{}, Violations: map[string]int{}, Faults: map[Kind]int{}}
+	r := Report{Seed: o.Seed, Duration: o.Duration.Round(time.Second).String(), Requests: map[string]int{}, Codes: map[string]int{}, Violations: map[string]int{}, Faults: map[Kind]int{}}
 	for n := 1; n <= 7; n++ {
 		r.Violations[fmt.Sprintf("P%d", n)] = 0
 	}
