--- a/pkg/decision/quarantine/crash.go
+++ b/pkg/decision/quarantine/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -17,28 +18,49 @@
 	in := &incident{target: target, at: now, shared: l.remote[target].After(now)}
 	for _, r := range batch {
 		l.leave(r.request, target)
+	}
+	all := l.withLeft(target, batch)
+	for _, r := range all {
 		if !slices.Contains(in.members, r.fingerprint) {
 			in.members = append(in.members, r.fingerprint)
 		}
 	}
 	slices.Sort(in.members)
-	l.implicate(in, batch)
+	l.implicate(in, all)
 	delete(l.alive, target)
 	l.remember(in)
 	l.prune(now)
 	return l.suspectsOf(batch, now)
 }
 
+// withLeft adds the runs that ended on a target without progress to those that ran there.
+func (l *Ledger) withLeft(target string, batch map[string]*run) map[string]*run {
+	all := map[string]*run{}
+	for _, r := range l.left[target] {
+		all[r.request] = r
+	}
+	delete(l.left, target)
+	maps.Copy(all, batch)
+	return all
+}
+
 // implicate updates the suspects of an incident.
 func (l *Ledger) implicate(in *incident, batch map[string]*run) {
 	for _, fingerprint := range in.members {
 		runs := runsOf(batch, fingerprint)
 		s, known := l.suspects[fingerprint]
 		if !known || in.at.Sub(s.at) > suspectLife {
+			if !slices.ContainsFunc(runs, func(r *run) bool { return !r.progressed }) {
+				continue // It had come through the whole route, which clears it as Progress does.
+			}
 			s = &suspect{fingerprint: fingerprint, crashes: 1, first: in}
 			l.suspects[fingerprint] = s
-		} else if r := s.again(runs); r != nil {
+		} else if r := s.again(runs); r != nil && !r.progressed {
 			l.countAgain(s, r, in)
+		} else {
+			// A late notice of a death on the lost route says nothing about the present one, and
+			// nor does a crash after the content had come through the whole route.
+			continue
 		}
 		s.last = l.sequence
 		s.at = in.at
@@ -53,7 +75,7 @@
 func (l *Ledger) countAgain(s *suspect, r *run, in *incident) {
 	s.crashes++
 	s.cleared = false
-	if r.progressed || s.second != nil {
+	if s.second != nil {
 		return
 	}
 	copied := r.started <= s.last
@@ -64,11 +86,12 @@
 
 // again returns a run that counts as a further run of the content, one without progress if there
 // is any. The other targets of the route that was lost in the last crash don't count, since they
-// may have died together with it.
+// may have died together with it. They do count if several copies were lost: one copy may have
+// caused the last crash and another one this.
 func (s *suspect) again(runs []*run) *run {
 	var found *run
 	for _, r := range runs {
-		if r.started <= s.last && slices.Contains(s.requests, r.request) {
+		if r.started <= s.last && len(s.requests) == 1 && s.requests[0] == r.request {
 			continue
 		}
 		if found == nil || !r.progressed {
