Let suspects of a crash free their targets with their first token

Cause: a suspect kept its targets apart from other suspects for its whole answer, although its first token clears it, and waited for such targets with a backoff of up to 1 s. Change: the hold ends with the first step through the whole route; waits for other suspects are short and counted apart. The test fails when the hold lasts for the answer. Conclusion: suspects still take turns, which makes a dead stage slower to replace than a frozen one.

--- a/pkg/stream/answer.go
+++ b/pkg/stream/answer.go
@@ -12,20 +12,21 @@
 
 // answer is one answer in the making. It belongs to the goroutine that called Run.
 type answer struct {
-	runner  *Runner
-	req     Request
-	emit    func(Token) error
-	summary Summary
-	tokens  []uint32 // tokens are the tokens already emitted.
-	reached reached
-	avoid   []avoided
-	waits   int  // waits counts the pauses, which are bounded for the whole answer.
-	retries int  // retries counts the new generations after a step was sent.
-	apart   bool // apart means that the content is suspected of a crash.
-	resumed bool // resumed means that the free resume has been used.
-	began   time.Time
-	latest  time.Time // latest is when the latest token was emitted.
-	refused error     // refused is the error of emit.
+	runner     *Runner
+	req        Request
+	emit       func(Token) error
+	summary    Summary
+	tokens     []uint32 // tokens are the tokens already emitted.
+	reached    reached
+	avoid      []avoided
+	waits      int  // waits counts the pauses, which are bounded for the whole answer.
+	apartWaits int  // apartWaits counts the pauses of a suspect for targets without other suspects.
+	retries    int  // retries counts the new generations after a step was sent.
+	apart      bool // apart means that the content is suspected of a crash.
+	resumed    bool // resumed means that the free resume has been used.
+	began      time.Time
+	latest     time.Time // latest is when the latest token was emitted.
+	refused    error     // refused is the error of emit.
 }
 
 // reached is how far the request got on any target. It only rises.
--- a/pkg/stream/fleet_test.go
+++ b/pkg/stream/fleet_test.go
@@ -35,6 +35,7 @@
 	places  []stream.Placement
 	failed  map[string]int
 	leaving []string
+	holder  string  // holder is the one suspect that has targets apart.
 	balance float64 // balance is the cost that was sent and neither finished nor abandoned.
 }
 
@@ -46,6 +47,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.places = append(r.places, p)
+	if p.Apart && r.holder != "" {
+		return nil, errors.New("another suspect holds the targets")
+	}
 	var route []target.Target
 	for _, group := range r.groups {
 		open := slices.DeleteFunc(slices.Clone(group), func(t target.Target) bool { return slices.Contains(p.Avoid, t.Name) })
@@ -54,10 +58,23 @@
 		}
 		route = append(route, open[r.random.IntN(len(open))])
 	}
+	if p.Apart {
+		r.holder = p.Request
+	}
 	return route, nil
 }
 
-func (r *router) Release([]target.Target) {}
+func (r *router) Release([]target.Target) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.holder = ""
+}
+
+func (r *router) holds() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holder
+}
 
 func (r *router) Sent(_ string, cost float64, _ time.Time) { r.add(cost) }
 
--- a/pkg/stream/generation.go
+++ b/pkg/stream/generation.go
@@ -68,6 +68,8 @@
 		return nil
 	}
 	g.answer.runner.ledger.Progress(g.answer.req.ID)
+	g.answer.apart = false
+	g.release()
 	size := int(prefill.GetCount()) - len(g.answer.tokens)
 	if g.answer.summary.PromptTokens == 0 {
 		g.answer.summary.PromptTokens = size
@@ -129,9 +131,17 @@
 			runner.cancelLater(g.stages[i], g.answer.req.ID, g.number)
 		}
 	}
-	if g.apart {
-		runner.router.Release(g.route)
+	g.release()
+}
+
+// release ends the hold on the route's targets. A suspect is cleared by its first step through the whole route, and others
+// wait for the targets.
+func (g *generation) release() {
+	if !g.apart {
+		return
 	}
+	g.apart = false
+	g.answer.runner.router.Release(g.route)
 }
 
 // cancelTimeout bounds the wait for a cancel. The engine drops the KV cache of a generation that nobody
--- a/pkg/stream/retry.go
+++ b/pkg/stream/retry.go
@@ -22,6 +22,9 @@
 	// maxWaits bounds the waits of one answer for a route, a verdict or the retry budget, about 8 s
 	// with the full backoff.
 	maxWaits = 20
+	// maxApartWaits and apartWait bound the waits of a suspect for targets without other suspects, about 8 s.
+	maxApartWaits = 160
+	apartWait     = 50 * time.Millisecond
 	// maxFailedSteps bounds the attempts of a step that runs and fails, since it would most likely fail again.
 	maxFailedSteps = 2
 	// noRouteRetryAfter is the time in which a lost layer range is usually held again by another
@@ -146,9 +149,14 @@
 // after maxWaits.
 func (a *answer) pause(ctx context.Context) error {
 	a.waits++
-	wait := a.runner.backoff(a.waits)
-	deadline, ok := ctx.Deadline()
-	if a.waits > maxWaits || ok && time.Until(deadline) <= wait {
+	if a.waits > maxWaits {
+		return context.DeadlineExceeded
+	}
+	return a.sleep(ctx, a.runner.backoff(a.waits))
+}
+
+func (a *answer) sleep(ctx context.Context, wait time.Duration) error {
+	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
 		return context.DeadlineExceeded
 	}
 	timer := time.NewTimer(wait)
@@ -161,6 +169,15 @@
 	}
 }
 
+// pauseApart waits shortly, since another suspect frees its targets with its first token.
+func (a *answer) pauseApart(ctx context.Context) error {
+	a.apartWaits++
+	if a.apartWaits > maxApartWaits {
+		return context.DeadlineExceeded
+	}
+	return a.sleep(ctx, min(a.runner.backoff(a.apartWaits), rand.N(2*apartWait)))
+}
+
 // place finds a route for the next generation. An answer that has not begun is refused at once; one that has
 // begun waits a little for a replacement.
 func (a *answer) place(ctx context.Context) (*generation, error) {
@@ -169,13 +186,22 @@
 		if err == nil {
 			return newGeneration(a, route), nil
 		}
-		if a.reached == nowhere || a.pause(ctx) != nil {
+		if a.reached == nowhere || a.awaitRoute(ctx) != nil {
 			return nil, a.noRoute(err)
 		}
-		a.forgive()
 	}
 }
 
+// awaitRoute waits for other suspects, or for a replacement of a lost target.
+func (a *answer) awaitRoute(ctx context.Context) error {
+	if a.apart && a.apartWaits < maxApartWaits {
+		return a.pauseApart(ctx)
+	}
+	err := a.pause(ctx)
+	a.forgive()
+	return err
+}
+
 func (a *answer) route() ([]target.Target, error) {
 	route, err := a.runner.router.Place(Placement{
 		Request: a.req.ID, Fingerprint: a.req.Fingerprint, Model: a.req.Model, Layers: a.req.Layers,
--- a/pkg/stream/runner_test.go
+++ b/pkg/stream/runner_test.go
@@ -202,7 +202,8 @@
 }
 
 // TestCrashReport guards against one crash that counts once for each of its streams, against suspects
-// that share a target again, and against runs that the ledger never sees end.
+// that share a target again or keep others from theirs for longer than a first token, and against
+// runs that the ledger never sees end.
 func TestCrashReport(t *testing.T) {
 	c := qt.New(t)
 	l := &ledger{verdict: stream.Free}
@@ -213,6 +214,9 @@
 	for i := range 20 {
 		callers.Go(func() {
 			k := &collector{after: func(index int) {
+				if index == 23 {
+					c.Check(f.router.holds(), qt.Not(qt.Equals), fmt.Sprint("r", i))
+				}
 				if index == 10 {
 					once.Do(func() {
 						dying := f.running("r0", 2)
@@ -227,6 +231,7 @@
 	}
 	callers.Wait()
 	c.Assert(l.crashed, qt.DeepEquals, []string{victim})
+	c.Assert(f.router.holds(), qt.Equals, "")
 	for name, n := range l.running {
 		c.Check(n, qt.Equals, 0, qt.Commentf("%s", name))
 	}
