Ask for the verdict again after each wait for a route

Cause: an answer that waited for targets apart from other suspects kept asking for such targets after the ledger had cleared it or found the guilty request. Change: the verdict is read again after each wait. Conclusion: a cleared answer continues at once; the gain was not measured by itself.

--- a/pkg/stream/retry.go
+++ b/pkg/stream/retry.go
@@ -186,6 +186,9 @@
 		if a.reached == nowhere || a.awaitRoute(ctx) != nil {
 			return nil, a.noRoute(err)
 		}
+		if err := a.awaitVerdict(ctx); err != nil {
+			return nil, err
+		}
 	}
 }
 
