--- a/pkg/stream/runner_test.go
+++ b/pkg/stream/runner_test.go
@@ -208,7 +208,8 @@
 }
 
 // TestCrashReport guards against one crash that counts once for each of its streams, against suspects
-// that share a target again, and against runs that the ledger never sees end.
+// that share a target again or keep others from theirs for longer than a first token, and against
+// runs that the ledger never sees end.
 func TestCrashReport(t *testing.T) {
 	for _, afterwards := range []stream.Verdict{stream.Free, stream.Suspected} {
 		t.Run(string(afterwards), func(t *testing.T) { testCrashReport(t, afterwards) })
@@ -226,6 +227,9 @@
 	for i := range 20 {
 		callers.Go(func() {
 			k := &collector{after: func(index int) {
+				if index == 23 {
+					c.Check(f.router.holds(), qt.Not(qt.Equals), fmt.Sprint("r", i))
+				}
 				if index == 10 {
 					once.Do(func() {
 						dying := f.running("r0", 2)
@@ -240,6 +244,7 @@
 	}
 	callers.Wait()
 	c.Assert(l.crashed, qt.DeepEquals, []string{victim})
+	c.Assert(f.router.holds(), qt.Equals, "")
 	for name, n := range l.running {
 		c.Check(n, qt.Equals, 0, qt.Commentf("%s", name))
 	}
