Bound the cost and the width of a rollout

Cause: among 7,000 targets a repair did not end in 2 min, since each gap candidate sorted all workers and each move looked at every model; and 316 of 323 targets of one model were drained at once, since only a share of the whole fleet was bounded. Change: flows are kept per model, a move is sought only for the model that limits, the order of loads is kept while it holds, and a fourth of each model's targets may change. Conclusion: ordering hundreds of loads is still slow; it holds up the holder's next step and nothing else.

--- a/pkg/decision/placement/bound.go
+++ b/pkg/decision/placement/bound.go
@@ -116,10 +116,7 @@
 	parts := make([]float64, len(models))
 	sum := 0.0
 	for i, m := range models {
-		parts[i] = m.Share
-		if parts[i] <= 0 {
-			parts[i] = 1
-		}
+		parts[i] = shareOf(m)
 		sum += parts[i]
 	}
 	for i := range parts {
@@ -127,3 +124,11 @@
 	}
 	return parts
 }
+
+// shareOf returns the model's share relative to other models.
+func shareOf(m Model) float64 {
+	if m.Share <= 0 {
+		return 1
+	}
+	return m.Share
+}
--- a/pkg/decision/placement/gap.go
+++ b/pkg/decision/placement/gap.go
@@ -47,7 +47,7 @@
 
 func (r *repairing) clone() *repairing {
 	c := *r
-	c.held = maps.Clone(r.held)
+	c.held, c.flow = maps.Clone(r.held), maps.Clone(r.flow)
 	c.rates, c.holders, c.ranges = map[string]flows{}, map[string]map[layer.Range]int{}, map[string][]layer.Range{}
 	for _, m := range r.models {
 		c.rates[m.Name] = maps.Clone(r.rates[m.Name])
@@ -67,6 +67,9 @@
 }
 
 func (r *repairing) coverModel(m Model) bool {
+	if r.through(m) > 0 {
+		return true
+	}
 	needed, gaps := r.cheapestWay(m)
 	for _, gap := range gaps {
 		filled, ok := r.fill(m, gap, needed)
@@ -217,12 +220,12 @@
 		return !slices.Contains(needed, a.Layers)
 	}
 	other, _ := r.model(a.Model)
-	if r.rates[a.Model].through(other.Layers) == 0 {
+	if r.through(other) == 0 {
 		return true
 	}
 	r.take(w.Name)
 	defer r.put(a)
-	return r.rates[a.Model].through(other.Layers) > 0
+	return r.through(other) > 0
 }
 
 // loss returns the worker's part of the rate of its range.
--- a/pkg/decision/placement/repair.go
+++ b/pkg/decision/placement/repair.go
@@ -63,6 +63,7 @@
 	held    map[string]Assignment // held is the plan in the making.
 	rates   map[string]flows      // rates are the token rates of held, kept up to date by put and take.
 	holders map[string]map[layer.Range]int
+	flow    map[string]float64 // flow holds the flows through the models that did not change since they were computed.
 	ranges  map[string][]layer.Range
 	byName  map[string]Worker
 }
@@ -71,7 +72,8 @@
 	r := &repairing{
 		workers: slices.Clone(workers), models: models,
 		kept: map[string]Assignment{}, held: map[string]Assignment{}, ranges: map[string][]layer.Range{},
-		rates: map[string]flows{}, holders: map[string]map[layer.Range]int{}, byName: workersByName(workers),
+		rates: map[string]flows{}, holders: map[string]map[layer.Range]int{}, flow: map[string]float64{},
+		byName: workersByName(workers),
 	}
 	for _, m := range models {
 		r.rates[m.Name], r.holders[m.Name] = flows{}, map[layer.Range]int{}
@@ -116,6 +118,7 @@
 // put replaces what the worker holds.
 func (r *repairing) put(a Assignment) {
 	r.take(a.Worker)
+	delete(r.flow, a.Model)
 	r.held[a.Worker] = a
 	r.holders[a.Model][a.Layers]++
 	r.rates[a.Model][a.Layers] += r.rate(a)
@@ -128,6 +131,7 @@
 		return a, false
 	}
 	delete(r.held, worker)
+	delete(r.flow, a.Model)
 	r.holders[a.Model][a.Layers]--
 	r.rates[a.Model][a.Layers] -= r.rate(a)
 	if r.holders[a.Model][a.Layers] == 0 {
@@ -153,11 +157,28 @@
 }
 
 func (r *repairing) throughput() float64 {
-	least := math.Inf(1)
+	_, least := r.bottleneck()
+	return least
+}
+
+// bottleneck returns the model with the least flow for its share, and the throughput that it allows.
+func (r *repairing) bottleneck() (Model, float64) {
+	least, model := math.Inf(1), Model{}
 	for i, share := range shares(r.models) {
-		least = min(least, r.rates[r.models[i].Name].through(r.models[i].Layers)/share)
+		if value := r.through(r.models[i]) / share; value < least {
+			least, model = value, r.models[i]
+		}
 	}
-	return least
+	return model, least
+}
+
+func (r *repairing) through(m Model) float64 {
+	value, known := r.flow[m.Name]
+	if !known {
+		value = r.rates[m.Name].through(m.Layers)
+		r.flow[m.Name] = value
+	}
+	return value
 }
 
 // moves compares assignments with what could be kept.
@@ -178,24 +199,23 @@
 		if _, busy := r.held[w.Name]; busy {
 			continue
 		}
-		if a, _ := r.bestFor(w); a.Worker != "" {
+		if a, _ := r.bestFor(w, r.models); a.Worker != "" {
 			r.assign(a)
 		}
 	}
 }
 
-// bestFor returns the best assignment of the worker and the throughput with it.
-func (r *repairing) bestFor(w Worker) (best Assignment, value float64) {
+// bestFor returns the best assignment of the worker to one of the models, and the throughput with it.
+func (r *repairing) bestFor(w Worker, models []Model) (best Assignment, value float64) {
 	before, had := r.take(w.Name)
-	shares := shares(r.models)
 	least := 0.0
-	for i, m := range r.models {
+	for _, m := range models {
 		for _, layers := range r.ranges[m.Name] {
 			if layers.Len() > maxLayers(w, m) {
 				continue
 			}
 			a := Assignment{Worker: w.Name, Model: m.Name, Layers: layers}
-			rate := r.rates[m.Name][layers] / shares[i]
+			rate := r.rates[m.Name][layers] / shareOf(m)
 			r.put(a)
 			with := r.throughput()
 			r.take(w.Name)
@@ -214,14 +234,15 @@
 // is as wanted or no move gains.
 func (r *repairing) raise(wanted float64) {
 	for range r.workers {
-		now := r.throughput()
+		// Only a move to the model that limits the throughput can raise it.
+		limiting, now := r.bottleneck()
 		if now >= wanted {
 			return
 		}
 		var best Assignment
 		value := now * (1 + leastGain)
 		for _, w := range r.representatives() {
-			if a, with := r.bestFor(w); with > value {
+			if a, with := r.bestFor(w, []Model{limiting}); with > value {
 				best, value = a, with
 			}
 		}
--- a/pkg/decision/rollout/rollout.go
+++ b/pkg/decision/rollout/rollout.go
@@ -17,7 +17,8 @@
 	// idleReports is the number of successive reports without steps that show a target to be idle:
 	// between two steps of a stream, a report may show none, and loads in reports are some seconds old.
 	idleReports = 3
-	// DefaultShare bounds the targets that change at one time to a fourth of those available.
+	// DefaultShare bounds the targets that change at one time to a fourth of those available, and to a
+	// fourth of those of each model, so that its others can bear the load.
 	DefaultShare = 0.25
 )
 
@@ -51,6 +52,7 @@
 	share      float64
 	changes    map[string]*change
 	nextLoad   time.Time            // nextLoad is when the weight store is free again.
+	order      []placement.Load     // order is the order of loading that was computed last.
 	started    time.Time            // started is when the first step was.
 	ended      map[string]time.Time // ended is when the last change of a target ended.
 }
@@ -73,7 +75,8 @@
 	return func(r *Rollout) { r.notice, r.drainLimit = notice, drainLimit }
 }
 
-// WithShare replaces the part of the available targets that may change at one time.
+// WithShare replaces the part of the available targets, in all and of each model, that may change at
+// one time.
 func WithShare(share float64) Option {
 	return func(r *Rollout) { r.share = share }
 }
--- a/pkg/decision/rollout/rollout_test.go
+++ b/pkg/decision/rollout/rollout_test.go
@@ -167,6 +167,22 @@
 	}
 }
 
+// TestShareOfModel guards against a change that takes most targets of one model at once because the
+// fleet as a whole is large.
+func TestShareOfModel(t *testing.T) {
+	w := newWorld(t, 8)
+	w.goal.Models = append(w.goal.Models, placement.Model{Name: "sewing", Layers: layers, LayerBytes: layerBytes, LayerCost: 1})
+	w.goal.Versions = map[string]string{"darning": "1", "sewing": "2"}
+	for i := range 8 {
+		w.targets[i].Reported.Model = "sewing"
+	}
+	plan := rollout.Plan(nil, w.targets, w.goal).Assignments
+	w.rollout.Step(w.now, plan, w.targets, w.goal)
+	step := w.rollout.Step(w.now.Add(time.Minute), plan, w.targets, w.goal)
+	qt.Assert(t, step.Waiting, qt.HasLen, 8)
+	qt.Assert(t, step.Drain, qt.HasLen, 2)
+}
+
 // TestServing guards against a route of mixed versions where one version is whole, and against a
 // switch to a new version before it has as many targets as the old one.
 func TestServing(t *testing.T) {
--- a/pkg/decision/rollout/step.go
+++ b/pkg/decision/rollout/step.go
@@ -41,7 +41,7 @@
 	}
 	t.compare(plan)
 	t.forget()
-	order := t.order(plan)
+	order := t.loads(plan)
 	t.begin(order)
 	t.release(order)
 	t.step.Drain = slices.Sorted(maps.Keys(r.changes))
@@ -92,15 +92,25 @@
 	}
 }
 
-// order returns the pending assignments in the order in which they are to be loaded.
-func (t *turn) order(plan []placement.Assignment) []placement.Load {
-	if len(t.pending) == 0 {
-		return nil
+// loads returns the pending assignments in the order in which they are to be loaded. The order is
+// kept until there is an assignment that it lacks: 300 loads among 7,000 targets take seconds to order.
+func (t *turn) loads(plan []placement.Assignment) []placement.Load {
+	pending := map[placement.Assignment]bool{}
+	for _, a := range t.pending {
+		pending[a] = true
+	}
+	t.order = slices.DeleteFunc(t.order, func(l placement.Load) bool { return !pending[l.Assignment] })
+	if len(t.order) < len(pending) {
+		t.order = t.reload(plan)
 	}
+	return t.order
+}
+
+func (t *turn) reload(plan []placement.Assignment) []placement.Load {
 	var workers []placement.Worker
 	present := placement.Plan{}
 	for _, a := range plan {
-		if target, available := t.targets[a.Worker]; available {
+		if target, available := t.targets[a.Worker]; available && !target.Asked.IsZero() {
 			workers = append(workers, target.Worker)
 			present.Assignments = append(present.Assignments, a)
 		}
@@ -114,22 +124,42 @@
 		// What an earlier holder changed last is not known here, and may not have reached every instance.
 		return
 	}
-	limit := max(1, int(t.share*float64(len(t.targets))))
+	all := t.limit(len(t.targets))
+	held, changing := t.byModel()
 	for _, load := range order {
 		name := load.Assignment.Worker
-		if _, begun := t.changes[name]; begun || len(t.changes) >= limit || !t.isPending(name) {
+		model := t.targets[name].Reported.Model
+		if _, begun := t.changes[name]; begun || len(t.changes) >= all || changing[model] >= t.limit(held[model]) {
 			continue
 		}
 		if t.servedWithout(name) {
 			t.start(load.Assignment)
+			changing[model]++
 		}
 	}
-	if len(t.changes) == 0 && len(order) > 0 && t.quiet() && t.isPending(order[0].Assignment.Worker) {
+	if len(t.changes) == 0 && len(order) > 0 && t.quiet() {
 		// No target can be spared. Without this one the plan would never be reached.
 		t.start(order[0].Assignment)
 	}
 }
 
+// limit returns how many of n targets may change at one time.
+func (t *turn) limit(n int) int {
+	return max(1, int(t.share*float64(n)))
+}
+
+// byModel counts the targets that hold or load layers of each model, and those of them that change.
+func (t *turn) byModel() (held, changing map[string]int) {
+	held, changing = map[string]int{}, map[string]int{}
+	for name, target := range t.targets {
+		held[target.Reported.Model]++
+		if t.changes[name] != nil {
+			changing[target.Reported.Model]++
+		}
+	}
+	return held, changing
+}
+
 // quiet reports whether every instance knows of all changes that have ended.
 func (t *turn) quiet() bool {
 	for name := range t.ended {
@@ -146,10 +176,6 @@
 	return !changed || t.now.Sub(ended) >= t.notice
 }
 
-func (t *turn) isPending(name string) bool {
-	return slices.Contains(t.step.Waiting, name)
-}
-
 func (t *turn) start(a placement.Assignment) {
 	t.changes[a.Worker] = &change{want: a, version: t.goal.Versions[a.Model], began: t.now}
 }
