Bound the bytes of cache events

Cause: an answer with 1,024 events has about 22 KB, and an instance may use 4 KB/s for all control traffic. Change: events are asked for only while a budget of 1 KB/s, with a burst of 32 KB, is not used up. Conclusion: where engines publish more than about 50 events/s in all, events are read later.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -41,11 +41,14 @@
 	drains  map[string]membership.Drain
 	listed  atomic.Bool
 
-	failing  map[string]bool // failing names the engines whose newest poll failed.
-	urgent   int             // urgent counts the polls, of which each second one may go to an urgent engine.
-	changing map[string]bool // changing names the engines that get no new work because their layers change.
-	changed  map[string]bool // changed names the engines that got other layers and were not heard since.
-	placed   atomic.Pointer[[]rollout.Target]
+	failing     map[string]bool // failing names the engines whose newest poll failed.
+	urgent      int             // urgent counts the polls, of which each second one may go to an urgent engine.
+	changing    map[string]bool // changing names the engines that get no new work because their layers change.
+	changed     map[string]bool // changed names the engines that got other layers and were not heard since.
+	eventBytes  eventBudget
+	wantsEvents bool // wantsEvents means that the present poll may ask for cache events.
+
+	placed atomic.Pointer[[]rollout.Target]
 }
 
 func newControl(d *Daemon) *control {
@@ -53,6 +56,7 @@
 		d: d, roster: roster.New(), events: make(chan func(time.Time), eventQueue),
 		engines: make(map[string]*engineView), drains: make(map[string]membership.Drain),
 		failing: make(map[string]bool), changing: make(map[string]bool), changed: make(map[string]bool),
+		eventBytes: eventBurst,
 	}
 	c.targets.Store(&[]target.Target{})
 	c.placed.Store(&[]rollout.Target{})
--- a/pkg/daemon/events.go
+++ b/pkg/daemon/events.go
@@ -1,10 +1,31 @@
 package daemon
 
-import "github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
+import (
+	"google.golang.org/protobuf/proto"
 
-// maxPrefixes bounds the prefixes kept of one engine. An engine's own cache is limited as well, and
-// the picker keeps 2,048 for all engines that hold one range.
-const maxPrefixes = 512
+	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
+)
+
+const (
+	// maxPrefixes bounds the prefixes kept of one engine. An engine's own cache is limited as well,
+	// and the picker keeps 2,048 for all engines that hold one range.
+	maxPrefixes = 512
+	// eventRate is what cache events may take of the 4 KB/s of an instance, in bytes/s. It is about 50
+	// events/s. Where engines publish more, events are read later and gaps come up.
+	eventRate = 1024
+	// eventBurst holds a whole answer of 1,024 events, so that a new instance learns quickly.
+	eventBurst = 32 << 10
+)
+
+// eventBudget is the number of bytes that answers with cache events may take now. An answer's size
+// is not known before, so the budget may become negative.
+type eventBudget float64
+
+// turn adds what one turn of the report polls earns, and reports whether events may be asked for.
+func (b *eventBudget) turn() bool {
+	*b = min(eventBurst, *b+eventRate/reportsPerSecond)
+	return *b > 0
+}
 
 // cacheView is what is known of the prompt prefixes in one engine's cache.
 type cacheView struct {
@@ -15,7 +36,11 @@
 // observeEvents passes cache events to the picker. Events come late and some are lost. After a gap
 // it is not known which prefixes were dropped, so all that was known of the engine is.
 func (c *control) observeEvents(name string, view *engineView, p poll) {
-	if p.events == nil || p.since != view.cache.since {
+	if p.events == nil {
+		return
+	}
+	c.eventBytes -= eventBudget(proto.Size(p.events))
+	if p.since != view.cache.since {
 		return
 	}
 	if first := p.events.GetFirstSequence(); first > view.cache.since+1 && len(p.events.GetEvents()) > 0 {
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -9,6 +9,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/configuration"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/rollout"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
@@ -109,24 +110,10 @@
 			held = append(held, t.Layers)
 		}
 	}
-	listed.Complete = reaches(held, model.Layers)
+	listed.Complete = rollout.Covers(held, model.Layers)
 	return listed
 }
 
-// reaches reports whether some of the ranges, put end to end, cover [0, layers).
-func reaches(held []layer.Range, layers int) bool {
-	boundaries := map[int]bool{0: true}
-	for grown := true; grown; {
-		grown = false
-		for _, r := range held {
-			if boundaries[r.First] && !boundaries[r.End] {
-				boundaries[r.End], grown = true, true
-			}
-		}
-	}
-	return layers > 0 && boundaries[layers]
-}
-
 // Plan implements operator.Fleet.
 func (f fleet) Plan(ctx context.Context) (api.Plan, error) {
 	computed := f.d.keeper.Plan(ctx)
--- a/pkg/daemon/gap_test.go
+++ b/pkg/daemon/gap_test.go
@@ -47,3 +47,19 @@
 		})
 	}
 }
+
+// TestEventBudget guards against cache events that take more of an instance's control traffic than
+// their part, whatever the engines publish.
+func TestEventBudget(t *testing.T) {
+	const answer = 22 << 10 // answer is the size of 1,024 events.
+	b := eventBudget(eventBurst)
+	asked := 0
+	for range 3600 * reportsPerSecond {
+		if b.turn() {
+			asked++
+			b -= answer
+		}
+	}
+	qt.Assert(t, asked*answer <= 3600*eventRate+eventBurst+answer, qt.IsTrue, qt.Commentf("%d answers", asked))
+	qt.Assert(t, asked*answer >= 3600*eventRate, qt.IsTrue, qt.Commentf("%d answers", asked))
+}
--- a/pkg/daemon/polling.go
+++ b/pkg/daemon/polling.go
@@ -51,6 +51,7 @@
 
 // pollNextReport asks the next engine in turn for its report, or an urgent one.
 func (c *control) pollNextReport(ctx context.Context) {
+	c.wantsEvents = c.eventBytes.turn() && !c.d.ignoreEvents
 	c.urgent++
 	if c.urgent%2 == 0 && c.pollUrgent(ctx) {
 		return
@@ -107,7 +108,7 @@
 	view.inPoll, view.polled = true, time.Now()
 	client := c.d.engines.Client(address)
 	p := poll{asked: view.polled, since: view.cache.since}
-	wantsEvents := !c.d.ignoreEvents && view.reported.Layers.Valid() && view.reported.Layers.First == 0
+	wantsEvents := c.wantsEvents && view.reported.Layers.Valid() && view.reported.Layers.First == 0
 	go func() {
 		bounded, cancel := context.WithTimeout(ctx, reportTimeout)
 		defer cancel()
