--- a/pkg/bench/recovery.go
+++ b/pkg/bench/recovery.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// recoveryLoad is relative to the bound. It leaves room to carry what a lost target carried.
-	recoveryLoad = 0.7
+	// defaultRecoveryLoad is relative to the bound. It leaves room to carry what a lost target carried.
+	defaultRecoveryLoad = 0.7
 	// degraded is the factor by which a link gets worse.
 	degraded = 100
 	// goodputWindow averages the rate of tokens over several answers' arrivals.
@@ -113,7 +113,7 @@
 }
 
 func (o Options) measureFailure(ctx context.Context, f *fleet.Fleet, failure failure) FailureResult {
-	l := load{fleet: f, client: caller.New(), resend: true}
+	l := load{fleet: f, client: caller.New(), deadline: o.Deadline, resend: true}
 	defer l.client.Close()
 	failing := make(chan time.Time, 1)
 	var hit []string
@@ -122,7 +122,7 @@
 		hit = failure.inject(f)
 		failing <- at
 	})
-	answers := l.play(ctx, arrivals(o.Seed, recoveryLoad*f.Bound, warmUp+goodputWindow+o.Duration))
+	answers := l.play(ctx, arrivals(o.Seed, o.Load*f.Bound, warmUp+goodputWindow+o.Duration))
 	at := <-failing
 	result := FailureResult{Failure: failure.name, Others: map[outcome.Outcome]int{}}
 	result.addStreams(answers, streamsOn(f, hit, at), at)
@@ -220,12 +220,23 @@
 	return -1
 }
 
+// tokensIn counts the tokens in one window that belong to complete answers.
 func tokensIn(answers []sent, from time.Time) float64 {
-	to := from.Add(goodputWindow)
-	tokens := delivered(answers, from, to)
+	tokens := 0
 	for _, s := range answers {
+		tokens += tokensOf(s.answer, from)
 		if s.again != nil {
-			tokens += delivered([]sent{{answer: *s.again}}, from, to)
+			tokens += tokensOf(*s.again, from)
+		}
+	}
+	return float64(tokens)
+}
+
+func tokensOf(a caller.Answer, from time.Time) int {
+	tokens := 0
+	for _, at := range a.At {
+		if a.Outcome == outcome.Done && at.After(from) && at.Before(from.Add(goodputWindow)) {
+			tokens++
 		}
 	}
 	return tokens
--- a/pkg/claim/batch.go
+++ b/pkg/claim/batch.go
@@ -14,6 +14,15 @@
 // timeout on a slow link.
 const maxBatchBytes = 1 << 20
 
+const (
+	// maxInterval bounds the time between two transactions while the table limits its rate. It
+	// lets 100 instances share 400 writes/s.
+	maxInterval = 250 * time.Millisecond
+	// recovery is the percentage to which the interval shrinks with each transaction that
+	// commits. It doubles with each one above the rate, so that the instances settle near it.
+	recovery = 95
+)
+
 // run writes batches until ctx ends.
 func (c *Clerk) run(ctx context.Context) {
 	var next time.Time // next is when the following transaction may start.
@@ -26,14 +35,22 @@
 		started := time.Now()
 		batch := c.take(started)
 		if conflicts := c.write(ctx, batch); !conflicts {
-			next = started.Add(c.gather)
+			next = started.Add(c.interval)
 		}
+		c.wrote()
 	}
 	c.failAll()
 }
 
-// due returns when a batch may go: at next, or at once if it is full, but not before an operation
-// is ready.
+// wrote notes that every operation of the last transaction is settled or back in the queue.
+func (c *Clerk) wrote() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writing = false
+}
+
+// due returns when a batch may go: at next, or at once if it is full and the table is not above its
+// rate, but not before an operation is ready.
 func (c *Clerk) due(next time.Time) (at time.Time, found bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -50,7 +67,8 @@
 			first = op.notBefore
 		}
 	}
-	if ready >= c.batch || next.Before(first) {
+	full := ready >= c.batch && c.interval == c.gather
+	if full || next.Before(first) {
 		return first, true
 	}
 	return next, true
@@ -88,6 +106,7 @@
 	}
 	clear(c.queue[len(rest):])
 	c.queue, c.bytes = rest, c.bytes-bytes
+	c.writing = len(batch) > 0
 	return batch
 }
 
@@ -98,12 +117,15 @@
 	for _, op := range batch {
 		op.addTo(&t)
 	}
-	c.counters.wrote(len(batch))
-	res, err := c.table.Commit(ctx, t)
+	res, err := c.commit(ctx, t, len(batch))
 	switch {
+	case errors.Is(err, table.ErrRateLimited):
+		c.interval = min(2*c.interval, max(c.gather, maxInterval))
+		c.unanswered(batch, err)
 	case err != nil:
-		c.unanswered(batch, errors.Is(err, table.ErrUnavailable), err)
+		c.unanswered(batch, err)
 	case res.Committed:
+		c.interval = max(c.gather, c.interval*recovery/100)
 		for _, op := range batch {
 			c.settle(op, op.committed(res.Revision))
 		}
@@ -114,6 +136,22 @@
 	return false
 }
 
+// commit sends the transaction and notes whether the table answers.
+func (c *Clerk) commit(ctx context.Context, t table.Transaction, operations int) (table.Result, error) {
+	c.counters.wrote(operations)
+	started := time.Now()
+	res, err := c.table.Commit(ctx, t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !errors.Is(err, table.ErrUnknown):
+		c.silent = time.Time{}
+	case c.silent.IsZero():
+		c.silent = started
+	}
+	return res, err
+}
+
 // conflicting settles the operations whose rows did not match and requeues the rest.
 func (c *Clerk) conflicting(batch []*operation, failed []table.Row) {
 	found := make(map[string]table.Row, len(failed))
@@ -136,19 +174,25 @@
 }
 
 // unanswered handles a transaction without an answer. A claim that provably was not written fails
-// at once. Everything else is tried again until its patience ends.
-func (c *Clerk) unanswered(batch []*operation, proved bool, cause error) {
+// at once, unless the table only limits its rate. Everything else is tried again until its
+// patience ends.
+func (c *Clerk) unanswered(batch []*operation, cause error) {
 	now := time.Now()
+	proved, limited := errors.Is(cause, table.ErrUnavailable), errors.Is(cause, table.ErrRateLimited)
 	for _, op := range batch {
 		op.ambiguous = op.ambiguous || !proved
 		if op.giveUp.IsZero() {
 			op.giveUp = now.Add(op.patience())
 		}
-		impatient := op.kind == kindClaim && !op.ambiguous
+		impatient := op.kind == kindClaim && !op.ambiguous && !limited
 		if impatient || now.After(op.giveUp) {
 			c.fail(op, cause)
 			continue
 		}
+		if limited {
+			c.requeue(op, 0)
+			continue
+		}
 		op.backoff = min(max(2*op.backoff, firstBackoff), maxBackoff)
 		c.requeue(op, op.backoff)
 	}
--- a/pkg/decision/quarantine/crash.go
+++ b/pkg/decision/quarantine/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -9,33 +10,57 @@
 // Crash notes that a target died, and returns the requests that ran on it, each with the verdict
 // so far. Held requests must not be run again.
 func (l *Ledger) Crash(target string, now time.Time) []Suspect {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	batch := l.running[target]
 	delete(l.running, target)
 	l.sequence++
-	in := &incident{target: target, at: now, alone: true, shared: l.remote[target].After(now)}
+	in := &incident{target: target, at: now, shared: l.remote[target].After(now)}
 	for _, r := range batch {
 		l.leave(r.request, target)
+	}
+	all := l.withLeft(target, batch)
+	for _, r := range all {
 		if !slices.Contains(in.members, r.fingerprint) {
 			in.members = append(in.members, r.fingerprint)
 		}
 	}
-	l.implicate(in, batch)
+	slices.Sort(in.members)
+	l.implicate(in, all)
 	delete(l.alive, target)
 	l.remember(in)
 	l.prune(now)
 	return l.suspectsOf(batch, now)
 }
 
+// withLeft adds the runs that ended on a target without progress to those that ran there.
+func (l *Ledger) withLeft(target string, batch map[string]*run) map[string]*run {
+	all := map[string]*run{}
+	for _, r := range l.left[target] {
+		all[r.request] = r
+	}
+	delete(l.left, target)
+	maps.Copy(all, batch)
+	return all
+}
+
 // implicate updates the suspects of an incident.
 func (l *Ledger) implicate(in *incident, batch map[string]*run) {
 	for _, fingerprint := range in.members {
 		runs := runsOf(batch, fingerprint)
 		s, known := l.suspects[fingerprint]
 		if !known || in.at.Sub(s.at) > suspectLife {
+			if !slices.ContainsFunc(runs, func(r *run) bool { return !r.progressed }) {
+				continue // It had come through the whole route, which clears it as Progress does.
+			}
 			s = &suspect{fingerprint: fingerprint, crashes: 1, first: in}
 			l.suspects[fingerprint] = s
-		} else if r := s.again(runs); r != nil {
+		} else if r := s.again(runs); r != nil && !r.progressed {
 			l.countAgain(s, r, in)
+		} else {
+			// A late notice of a death on the lost route says nothing about the present one, and
+			// nor does a crash after the content had come through the whole route.
+			continue
 		}
 		s.last = l.sequence
 		s.at = in.at
@@ -48,24 +73,25 @@
 
 // countAgain counts a further crash against a suspect.
 func (l *Ledger) countAgain(s *suspect, r *run, in *incident) {
-	in.alone = false
 	s.crashes++
 	s.cleared = false
-	if r.progressed || s.second != nil {
+	if s.second != nil {
 		return
 	}
 	copied := r.started <= s.last
 	s.second = in
+	s.doubtful = s.first.explained
 	s.proven = copied || l.alive[in.target] > s.last
 }
 
 // again returns a run that counts as a further run of the content, one without progress if there
 // is any. The other targets of the route that was lost in the last crash don't count, since they
-// may have died together with it.
+// may have died together with it. They do count if several copies were lost: one copy may have
+// caused the last crash and another one this.
 func (s *suspect) again(runs []*run) *run {
 	var found *run
 	for _, r := range runs {
-		if r.started <= s.last && slices.Contains(s.requests, r.request) {
+		if r.started <= s.last && len(s.requests) == 1 && s.requests[0] == r.request {
 			continue
 		}
 		if found == nil || !r.progressed {
@@ -99,38 +125,43 @@
 		suspects = append(suspects, Suspect{
 			Request:     r.request,
 			Fingerprint: r.fingerprint,
-			Verdict:     l.Check(r.fingerprint, now),
+			Verdict:     l.check(r.fingerprint, now),
 		})
 	}
 	slices.SortFunc(suspects, func(a, b Suspect) int { return cmp.Compare(a.Request, b.Request) })
 	return suspects
 }
 
-// prune drops what has expired, and the oldest beyond the bounds.
+// prune drops the oldest suspects beyond the bound and, once a second, what has expired.
 func (l *Ledger) prune(now time.Time) {
+	dropOldest(l.suspects, maxSuspects, func(s *suspect) time.Time { return s.at })
+	if now.Sub(l.pruned).Abs() < pruneEvery {
+		return
+	}
+	l.pruned = now
 	for fingerprint, s := range l.suspects {
 		if now.Sub(s.at) > suspectLife {
 			delete(l.suspects, fingerprint)
 		}
 	}
-	for fingerprint, until := range l.quarantined {
-		if !until.After(now) {
-			delete(l.quarantined, fingerprint)
-		}
+	dropExpired(l.quarantined, now)
+	dropExpired(l.holds, now)
+	dropExpired(l.remote, now)
+	if len(l.suspects) == 0 {
+		clear(l.alive)
 	}
-	for target, until := range l.remote {
+}
+
+func dropExpired[K comparable](m map[K]time.Time, now time.Time) {
+	for key, until := range m {
 		if !until.After(now) {
-			delete(l.remote, target)
+			delete(m, key)
 		}
 	}
-	dropOldest(l.suspects, maxSuspects, func(s *suspect) time.Time { return s.at })
-	dropOldest(l.quarantined, maxEntries, func(until time.Time) time.Time { return until })
-	if len(l.suspects) == 0 {
-		clear(l.alive)
-	}
 }
 
-// dropOldest reduces m to the limit.
+// dropOldest reduces m to seven eighths of the limit once it exceeds the limit, so that the cost of
+// sorting is spread over many entries.
 func dropOldest[V any](m map[uint64]V, limit int, at func(V) time.Time) {
 	if len(m) <= limit {
 		return
@@ -142,7 +173,7 @@
 	slices.SortFunc(keys, func(a, b uint64) int {
 		return cmp.Or(at(m[a]).Compare(at(m[b])), cmp.Compare(a, b))
 	})
-	for _, key := range keys[:len(m)-limit] {
+	for _, key := range keys[:len(m)-limit*7/8] {
 		delete(m, key)
 	}
 }
--- a/pkg/peer/caller/exchange.go
+++ b/pkg/peer/caller/exchange.go
@@ -36,6 +36,20 @@
 	return &exchange{server: s, writer: w, request: r, id: uuid.NewString(), began: s.now(), configuration: s.snapshot()}
 }
 
+func (x *exchange) checkHeader() error {
+	size := 0
+	for name, values := range x.request.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	if size > DefaultMaxHeader {
+		return refusal.New(http.StatusRequestHeaderFieldsTooLarge, "headers_too_large", outcome.NotRun,
+			"the headers have %d bytes; at most %d are accepted", size, DefaultMaxHeader)
+	}
+	return nil
+}
+
 func (x *exchange) authenticate() error {
 	if x.configuration == nil {
 		return refusal.New(http.StatusServiceUnavailable, "not_ready", outcome.NotRun,
@@ -107,7 +121,8 @@
 			"the body has more than %d bytes", tooLarge.Limit)
 	}
 	if err != nil {
-		return nil, refusal.New(http.StatusBadRequest, "body_unreadable", outcome.NotRun, "the body could not be read").Because(err)
+		return nil, refusal.New(http.StatusBadRequest, "body_unreadable", outcome.NotRun,
+			"the body could not be read").Because(err)
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
@@ -177,7 +192,8 @@
 	_ = x.write(body) // The caller may be gone.
 }
 
-// write writes and flushes within writeTimeout. The deadline is cleared, since the connection may carry another request.
+// write writes and flushes within writeTimeout. The deadline is cleared, since the connection may carry
+// another request.
 func (x *exchange) write(data []byte) error {
 	control := http.NewResponseController(x.writer)
 	_ = control.SetWriteDeadline(time.Now().Add(writeTimeout)) // A writer without deadlines is one of a test.
--- a/pkg/peer/caller/refusal_test.go
+++ b/pkg/peer/caller/refusal_test.go
@@ -45,8 +45,8 @@
 
 const chatPath = "/v1/chat/completions"
 
-// TestRefusals guards against a refusal without a stable code, a true outcome or a valid body, and against a request that is
-// answered differently from what it asks for.
+// TestRefusals guards against a refusal without a stable code, a true outcome or a valid body, and
+// against a request that is answered differently from what it asks for.
 func TestRefusals(t *testing.T) {
 	chat := func(fields string) string {
 		return `{"model":"guide","messages":[{"role":"user","content":"x"}]` + fields + `}`
@@ -95,6 +95,7 @@
 		{name: "priority", body: chat(""), headers: []string{"Cuminroute-Priority: High"}, status: 400, code: "invalid_priority"},
 		{name: "timeout", body: chat(""), headers: []string{"Cuminroute-Timeout: -1s"}, status: 400, code: "invalid_timeout"},
 		{name: "large", body: chat(`,"user":"` + strings.Repeat("x", 5000) + `"`), status: 413, code: "body_too_large"},
+		{name: "headers", headers: []string{"X-Large: " + strings.Repeat("x", 17000)}, status: 431, code: "headers_too_large"},
 		{name: "service", path: "/services/none/kits", status: 404, code: "request_kind_not_found"},
 		{name: "kind", path: "/services/orders/other", status: 404, code: "request_kind_not_found"},
 		{name: "path", method: "GET", path: "/services/orders/stock/..%5ckits", status: 400, code: "invalid_path"},
@@ -150,7 +151,8 @@
 	}
 }
 
-// TestFullAndDraining guards against a refusal that is held back, that does not say when to come back, or that is not NotRun.
+// TestFullAndDraining guards against a refusal that is held back, that does not say when to come back,
+// or that is not NotRun.
 func TestFullAndDraining(t *testing.T) {
 	c := qt.New(t)
 	s := start(t)
--- a/pkg/peer/caller/server.go
+++ b/pkg/peer/caller/server.go
@@ -5,8 +5,8 @@
 //   - ANY /services/<service>/<path> reaches a service of the caller's workspace.
 //
 // A caller proves who it is by "Authorization: Bearer <key>". The headers Cuminroute-Priority and
-// Cuminroute-Timeout may only lower what the configuration gives. A refusal is sent at once, as JSON with a stable code, the outcome
-// and the time to come back.
+// Cuminroute-Timeout may only lower what the configuration gives. A refusal is sent at once, as JSON
+// with a stable code, the outcome and the time to come back.
 //
 // Usage:
 //
@@ -53,8 +53,8 @@
 	Deadline  time.Time
 }
 
-// Gate admits answers. It is admission.Gate behind an adapter. An error without a refusal in its chain means that the
-// request was not run and may come back soon.
+// Gate admits answers. It is admission.Gate behind an adapter. An error without a refusal in its chain
+// means that the request was not run and may come back soon.
 type Gate interface {
 	Enter(ctx context.Context, t Ticket) (release func(), err error)
 }
@@ -62,6 +62,8 @@
 const (
 	// DefaultMaxBody bounds a request's body. A prompt of 4 MiB exceeds the context of any model in use.
 	DefaultMaxBody = 4 << 20
+	// DefaultMaxHeader bounds a request's headers.
+	DefaultMaxHeader = 16 << 10
 	// DefaultMaxTokens applies where a request does not say how long its answer may be.
 	DefaultMaxTokens = 4096
 	// bodyTimeout bounds the reading of a request's body.
@@ -165,6 +167,9 @@
 }
 
 func (s *Server) serve(x *exchange) error {
+	if err := x.checkHeader(); err != nil {
+		return err
+	}
 	if err := x.authenticate(); err != nil {
 		return err
 	}
--- a/pkg/peer/instance/control.go
+++ b/pkg/peer/instance/control.go
@@ -32,6 +32,7 @@
 
 func (n *Node) tick(now time.Time) {
 	n.sendAll(n.table.Tick(now))
+	n.updateMembers()
 	n.perform(n.spreader.Tick(now))
 	if n.ticks++; n.ticks%refreshTicks == 0 {
 		n.refresh()
@@ -40,28 +41,39 @@
 
 // handleEvents passes on what the member table has learned.
 func (n *Node) handleEvents(now time.Time) {
-	changed := false
 	for _, e := range n.table.Events() {
 		switch i := e.Item.(type) {
 		case nil:
-			changed = true
+			n.changed = true
 			n.logMember(e)
 		case membership.Version:
 			n.perform(n.spreader.Heard(e.From, i.Number, now))
 		case membership.Drain, membership.Quarantine:
-			changed = true
+			n.changed = true
 			n.notices.item(i)
 		}
 	}
-	if changed {
-		n.spreader.SetMembers(n.table.Members())
-		n.refresh()
-		n.notices.members(n.Members())
+}
+
+// updateMembers tells the spreader and readers of changes. It runs once a tick: thousands of members
+// change in one second when a region is cut off, and the list is sorted each time.
+func (n *Node) updateMembers() {
+	if !n.changed {
+		return
 	}
+	n.changed = false
+	n.spreader.SetMembers(n.table.Members())
+	n.refresh()
+	n.notices.members(n.Members())
 }
 
+// logMember logs deaths at a higher level than the rest, of which a starting instance sees thousands.
 func (n *Node) logMember(e membership.Event) {
-	n.logger.Info().Str("Instance", e.Member.Name).Str("Address", e.Member.Address.String()).
+	entry := n.logger.Debug()
+	if e.Member.State == membership.Dead {
+		entry = n.logger.Info()
+	}
+	entry.Str("Instance", e.Member.Name).Str("Address", e.Member.Address.String()).
 		Str("State", string(e.Member.State)).Uint64("Incarnation", e.Member.Incarnation).
 		Msg("instance changed state")
 }
@@ -71,7 +83,7 @@
 	n.view.Store(&View{
 		Self: n.table.Self(), Members: n.table.Members(), Gone: n.table.Gone(), Items: n.table.Items(),
 		Loads: n.table.Loads(), Version: n.spreader.Version(), Known: n.spreader.Known(),
-		Polls: n.spreader.Polls(), Health: n.table.Health(),
+		Polls: n.spreader.Polls(), Health: n.table.Health(), Refused: n.table.Refused(),
 	})
 }
 
--- a/pkg/peer/service/service.go
+++ b/pkg/peer/service/service.go
@@ -1,7 +1,8 @@
 // Package service sends requests to plain services, such as orders and stock.
 //
-// An idempotent request is sent to another target when one fails, within the retry budget. A request that may not be
-// repeated is claimed first, is dispatched at most once, and its first answer is stored and given to every repeat.
+// An idempotent request is sent to another target when one fails, within the retry budget. A request
+// that may not be repeated is claimed first, is dispatched at most once, and its first answer is stored
+// and given to every repeat.
 //
 // Usage:
 //
@@ -54,6 +55,7 @@
 	ContentType string
 	Body        []byte
 	Replayed    bool // Replayed marks the stored answer of an earlier request with the same key.
+	Omitted     bool // Omitted marks a replayed answer whose body was too large to store.
 }
 
 // Targets returns the targets of a service, from the snapshot in force.
@@ -85,6 +87,7 @@
 	ID     string
 	State  ClaimState
 	Answer Answer
+	Handle any // Handle is the claimer's own form of the ticket, which comes back to it in Finish and Abandon.
 }
 
 // Claimer decides which request with a key is dispatched. It is claim.Clerk behind an adapter.
--- a/pkg/standin/engine/server.go
+++ b/pkg/standin/engine/server.go
@@ -44,6 +44,7 @@
 	wake    chan struct{}
 	closed  chan struct{}
 	once    sync.Once
+	due     time.Time // due belongs to the goroutine that runs the batches.
 
 	mu         sync.Mutex
 	http       *http.Server
@@ -72,7 +73,7 @@
 		opt(&o)
 	}
 	s := &Server{options: o, wake: make(chan struct{}, 1), closed: make(chan struct{})}
-	s.address = netip.MustParseAddrPort("127.0.0.1:0")
+	s.address = o.address
 	s.held = holding{model: o.model, version: o.version, layers: o.layers, role: "Decode"}
 	if err := s.Restart(); err != nil {
 		return nil, err
--- a/pkg/stream/step.go
+++ b/pkg/stream/step.go
@@ -50,14 +50,15 @@
 }
 
 func (a *attempt) watch(frozen func()) *watch {
+	probe := func() { a.generation.answer.runner.probe(a.generation.stages[a.stage], a.times) }
 	if isPrefill(a.step) {
-		return newWatch(a.times, a.times.prefillDeadline(a.size), prefillCap(a.size), frozen)
+		return newWatch(a.times, a.times.prefillDeadline(a.size), prefillCap(a.size), probe, frozen)
 	}
-	return newWatch(a.times, a.times.decodeDeadline(), latency.Cap, frozen)
+	return newWatch(a.times, a.times.decodeDeadline(), latency.Cap, probe, frozen)
 }
 
-// observe adds the time of a step. A step that ran into its deadline counts with its deadline, so that a target that is slow but
-// alive gets a longer one.
+// observe adds the time of a step. A step that ran into its deadline counts with its deadline, so that
+// a target that is slow but alive gets a longer one.
 func (a *attempt) observe(now time.Time) {
 	if isPrefill(a.step) {
 		a.times.observePrefill(now.Sub(a.began), a.size)
@@ -92,8 +93,8 @@
 	if cause == errFrozen {
 		a.observe(now)
 		err = fmt.Errorf("no answer for %v, and none to other streams for %v: %w",
-			now.Sub(a.began), now.Sub(a.times.latestAnswer()), errFrozen)
-		return g.faultWith(a.stage, frozen, err, time.Since(a.times.latestAnswer()) >= latency.Floor)
+			now.Sub(a.began), now.Sub(a.times.latestSign()), errFrozen)
+		return g.faultWith(a.stage, frozen, err, time.Since(a.times.latestSign()) >= latency.Floor)
 	}
 	g.dead[a.stage] = true
 	if g.sent[a.stage] {
@@ -146,8 +147,8 @@
 	}
 }
 
-// check compares an answer with its step. A mismatch would mean a skipped or repeated layer or another caller's token, so the
-// check is always on and its violation ends the generation.
+// check compares an answer with its step. A mismatch would mean a skipped or repeated layer or another
+// caller's token, so the check is always on and its violation ends the generation.
 func (g *generation) check(stage int, step *enginepb.Step, r *enginepb.StepResult) error {
 	if mismatch := mismatchOf(step, r); mismatch != "" {
 		return g.violation(stage, mismatch, r)
