--- a/pkg/daemon/readiness.go
+++ b/pkg/daemon/readiness.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/decision/rollout"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -61,7 +62,7 @@
 	for _, w := range inForce.Workspaces {
 		for _, p := range w.Pipelines {
 			model, known := inForce.Model(p.Model)
-			if known && !reaches(held[p.Model], model.Layers) {
+			if known && !rollout.Covers(held[p.Model], model.Layers) {
 				return false
 			}
 		}
--- a/pkg/daemon/versions.go
+++ b/pkg/daemon/versions.go
@@ -18,7 +18,7 @@
 // versions holds the configuration in force and puts newer versions into force. It reads the
 // configuration log for the node and keeps the documents, so that peers can be given a snapshot.
 type versions struct {
-	log     *accepted
+	log     *acceptedLog
 	inForce atomic.Pointer[configuration.Configuration]
 
 	mu        sync.Mutex
@@ -31,7 +31,7 @@
 	Documents []configlog.Document `json:"Documents"`
 }
 
-func newVersions(l *accepted) *versions {
+func newVersions(l *acceptedLog) *versions {
 	v := &versions{log: l, documents: make(map[string]configlog.Document)}
 	v.inForce.Store(configuration.Compile(&configuration.Configuration{}))
 	return v
