--- a/pkg/decision/membership/items.go
+++ b/pkg/decision/membership/items.go
@@ -5,9 +5,13 @@
 	"time"
 )
 
-// broadcastInterval keeps the mean of broadcasts within the bytes a second that control may use in a
-// fleet of today, where 17 packets make 2 KB.
-const broadcastInterval = time.Second
+const (
+	// broadcastRate keeps the mean of broadcasts within the bytes a second that control may use in a
+	// fleet of today, where 17 packets make 2 KB.
+	broadcastRate = 1
+	// broadcastBurst lets the suspects of a crash and the verdict on them follow each other.
+	broadcastBurst = 4
+)
 
 // Publish sets an item of this instance, or one that an operator or a finding of this instance sets
 // for all. Versions below the present one are ignored. An item that does not win over the one in
@@ -36,7 +40,7 @@
 
 // Broadcast publishes items and sends them to every live member at once, for news that must arrive
 // before a caller can reach another instance. The items are gossiped as well, since packets get
-// lost. One broadcast a second is sent; 2,700 members make it about 300 KB.
+// lost. In the mean, one broadcast a second is sent; 2,700 members make it about 300 KB.
 func (t *Table) Broadcast(items []Item, now time.Time) ([]Packet, error) {
 	t.now = now
 	for _, i := range items {
@@ -44,10 +48,10 @@
 			return nil, err
 		}
 	}
-	if now.Sub(t.broadcast) < broadcastInterval {
+	if !t.broadcasts.allow(now, 1) {
 		return nil, nil
 	}
-	t.broadcast = now
+	t.broadcasts.spend(1)
 	for _, r := range t.live {
 		p := t.bare(Gossip, r.Address)
 		for _, i := range items {
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -44,9 +44,9 @@
 	digest   [Buckets]uint32
 	sorted   []Member // sorted caches Members and is nil after a change
 
-	news      queue
-	pushes    int       // pushes counts the packets to send with news before the next probe
-	broadcast time.Time // broadcast is when items were last sent to all members at once.
+	news       queue
+	pushes     int    // pushes counts the packets to send with news before the next probe
+	broadcasts budget // broadcasts counts the items sent to all members at once.
 	newsBudget,
 	syncBudget budget
 
@@ -81,6 +81,7 @@
 		verifier:   verifier{claims: map[netip.AddrPort]*claim{}},
 		news:       newQueue(),
 		newsBudget: budget{rate: newsRate, burst: newsBurst, left: newsBurst, at: now},
+		broadcasts: budget{rate: broadcastRate, burst: broadcastBurst, left: broadcastBurst},
 		syncBudget: budget{rate: syncRate, burst: syncBurst, left: syncBurst, at: now},
 		nextForget: now.Add(time.Second),
 	}
