--- a/pkg/daemon/accepted.go
+++ b/pkg/daemon/accepted.go
@@ -11,10 +11,10 @@
 // so more than a few means that this instance is far behind and takes a snapshot.
 const acceptedKept = 16
 
-// accepted is the configuration log of the operators' listener. It keeps the changes that were
+// acceptedLog is the configuration log of the operators' listener. It keeps the changes that were
 // accepted here, so that they spread from this instance even if the table fails right after it
 // took them.
-type accepted struct {
+type acceptedLog struct {
 	*configlog.Log
 	learned func(version uint64)
 
@@ -22,12 +22,12 @@
 	changes map[uint64]configlog.Change
 }
 
-func newAccepted(l *configlog.Log) *accepted {
-	return &accepted{Log: l, learned: func(uint64) {}, changes: make(map[uint64]configlog.Change)}
+func newAcceptedLog(l *configlog.Log) *acceptedLog {
+	return &acceptedLog{Log: l, learned: func(uint64) {}, changes: make(map[uint64]configlog.Change)}
 }
 
 // Apply implements journal.Log.
-func (a *accepted) Apply(ctx context.Context, c configlog.Change) (configlog.Head, error) {
+func (a *acceptedLog) Apply(ctx context.Context, c configlog.Change) (configlog.Head, error) {
 	head, err := a.Log.Apply(ctx, c)
 	if err == nil {
 		c.Version, c.At, c.By = head.Version, head.At, head.By
@@ -37,7 +37,7 @@
 }
 
 // Rollback implements journal.Log. The documents of a rollback are known to the table only, so they are read at once.
-func (a *accepted) Rollback(ctx context.Context, to, expected uint64, id, by string) (configlog.Head, error) {
+func (a *acceptedLog) Rollback(ctx context.Context, to, expected uint64, id, by string) (configlog.Head, error) {
 	head, err := a.Log.Rollback(ctx, to, expected, id, by)
 	if err != nil {
 		return head, err
@@ -50,7 +50,7 @@
 }
 
 // keep holds a change until the instance has fetched it, and has the instance fetch it.
-func (a *accepted) keep(c configlog.Change) {
+func (a *acceptedLog) keep(c configlog.Change) {
 	a.mu.Lock()
 	if len(a.changes) == acceptedKept {
 		clear(a.changes)
@@ -61,7 +61,7 @@
 }
 
 // after returns the accepted changes that follow a version without a gap, and forgets older ones.
-func (a *accepted) after(version uint64) []configlog.Change {
+func (a *acceptedLog) after(version uint64) []configlog.Change {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for v := range a.changes {
--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
+	"github.com/cuminroute/cuminroute/pkg/decision/rollout"
 	"github.com/cuminroute/cuminroute/pkg/decision/roster"
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -39,22 +41,26 @@
 	drains  map[string]membership.Drain
 	listed  atomic.Bool
 	routed  atomic.Bool // routed is set once the instance knows enough of the engines to serve.
-}
 
-// engineView is what is known of one engine besides its place in the roster.
-type engineView struct {
-	maxBatch    int
-	accelerator string
-	inPoll      bool
-	asked       bool // asked is set after the first poll, whether it was answered or not.
+	failing     map[string]bool // failing names the engines whose newest poll failed.
+	urgent      int             // urgent counts the polls, of which each second one may go to an urgent engine.
+	changing    map[string]bool // changing names the engines that get no new work because their layers change.
+	changed     map[string]bool // changed names the engines that got other layers and were not heard since.
+	eventBytes  eventBudget
+	wantsEvents bool // wantsEvents means that the present poll may ask for cache events.
+
+	placed atomic.Pointer[[]rollout.Target]
 }
 
 func newControl(d *Daemon) *control {
 	c := &control{
 		d: d, roster: roster.New(), events: make(chan func(time.Time), eventQueue),
 		engines: make(map[string]*engineView), drains: make(map[string]membership.Drain),
+		failing: make(map[string]bool), changing: make(map[string]bool), changed: make(map[string]bool),
+		eventBytes: eventBurst,
 	}
 	c.targets.Store(&[]target.Target{})
+	c.placed.Store(&[]rollout.Target{})
 	return c
 }
 
@@ -136,6 +142,13 @@
 // publish gives traffic goroutines the targets in force.
 func (c *control) publish() {
 	targets := c.roster.Targets()
+	c.forgetEngines(targets)
+	c.publishPlaced(targets)
+	for i := range targets {
+		if name := targets[i].Name; c.changing[name] || c.changed[name] {
+			targets[i].State = target.Leaving
+		}
+	}
 	c.targets.Store(&targets)
 	var routable []target.Target
 	var addresses []netip.AddrPort
@@ -145,9 +158,8 @@
 			routable = append(routable, t)
 		}
 	}
-	c.d.picker.SetTargets(routable)
+	c.d.picker.SetTargets(c.servingVersions(routable))
 	c.d.engines.Keep(addresses)
-	c.forgetEngines(targets)
 	c.setCapacity()
 }
 
@@ -167,6 +179,8 @@
 	for name := range c.engines {
 		if !known[name] {
 			delete(c.engines, name)
+			delete(c.failing, name)
+			delete(c.changed, name)
 		}
 	}
 }
@@ -191,17 +205,28 @@
 
 func (c *control) observeDrain(d membership.Drain, now time.Time) {
 	c.drains[d.Target] = d
+	if engine, changed := strings.CutPrefix(d.Target, placementDrain); changed && d.Cancelled && c.engines[engine] != nil {
+		// What this instance knows of the engine's layers is older than their change.
+		c.changed[engine] = true
+		c.engines[engine].polled = now.Add(-urgentInterval)
+		c.engines[engine].changedAt = now
+	}
 	c.refreshDrains(now)
 }
 
 // refreshDrains passes the drains that have not ended to the roster.
 func (c *control) refreshDrains(now time.Time) {
 	var names []string
+	clear(c.changing)
 	for name, drain := range c.drains {
 		if drain.Cancelled || drain.Expired(now) {
 			delete(c.drains, name)
 			continue
 		}
+		if engine, changing := strings.CutPrefix(name, placementDrain); changing {
+			c.changing[engine] = true
+			continue
+		}
 		names = append(names, name)
 	}
 	c.roster.SetDrained(names)
--- a/pkg/daemon/versions.go
+++ b/pkg/daemon/versions.go
@@ -18,7 +18,7 @@
 // versions holds the configuration in force and puts newer versions into force. It reads the
 // configuration log for the node and keeps the documents, so that peers can be given a snapshot.
 type versions struct {
-	log     *accepted
+	log     *acceptedLog
 	inForce atomic.Pointer[configuration.Configuration]
 
 	mu        sync.Mutex
@@ -31,7 +31,7 @@
 	Documents []configlog.Document `json:"Documents"`
 }
 
-func newVersions(l *accepted) *versions {
+func newVersions(l *acceptedLog) *versions {
 	v := &versions{log: l, documents: make(map[string]configlog.Document)}
 	v.inForce.Store(configuration.Compile(&configuration.Configuration{}))
 	return v
@@ -42,12 +42,14 @@
 	return v.inForce.Load()
 }
 
-// accepted returns the configuration in force, nil before the first version.
-func (v *versions) accepted() *configuration.Configuration {
-	if c := v.current(); c.Version > 0 {
-		return c
+// received returns the configuration in force, nil before the first version. Without the difference,
+// an instance that is not ready would tell every caller that its key is invalid.
+func (v *versions) received() *configuration.Configuration {
+	c := v.current()
+	if c.Version == 0 {
+		return nil
 	}
-	return nil
+	return c
 }
 
 // Head implements instance.Source.
--- a/pkg/proof/once_test.go
+++ b/pkg/proof/once_test.go
@@ -101,6 +101,10 @@
 		w.Platform.SetFaults(platform.Faults{})
 		c.Assert(w.Order(context.Background(), w.Entries()[2], id).Outcome, qt.Equals, outcome.Done)
 		c.Assert(w.Executed()[id], qt.Equals, 1)
+		for _, m := range w.Entries() {
+			healed := func() bool { return w.Order(context.Background(), m, "healed-"+id).Outcome == outcome.Done }
+			c.Assert(eventually(5*time.Second, healed), qt.IsTrue, qt.Commentf("%s refuses orders after the outage", m.Name))
+		}
 	}
 }
 
