Admit two streams for each place in a batch that routes can use

After the loss of most workers of one layer range, admission still counted the other ranges. Change: the capacity is twice the places that the layer with the fewest lets routes use.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -249,15 +249,8 @@
 	}
 }
 
-// setCapacity gives admission this instance's share of the streams that the engines can hold. A
-// stream occupies one stage at a time, so the streams in flight are the sum of the batches.
+// setCapacity gives admission this instance's share of the streams that the engines can bear.
 func (c *control) setCapacity() {
-	slots := 0
-	for _, t := range *c.targets.Load() {
-		if t.Kind == target.Engine && t.Accepting() && t.Layers.Valid() {
-			slots += max(c.engines[t.Name].maxBatch, 1)
-		}
-	}
 	instances := max(len(c.d.node.Members()), 1)
-	c.d.gate.admission.SetCapacity(time.Now(), float64(slots)*c.d.gate.meanCost()/float64(instances))
+	c.d.gate.admission.SetCapacity(time.Now(), c.streams()*c.d.gate.meanCost()/float64(instances))
 }
