Serve before the first configuration is in force

Cause: under load TestCacheEvents was refused with no_route at its start: while a model was not configured yet, no version of it covered its 0 layers, and every target was out of the choice until the next report.

--- a/pkg/daemon/events_test.go
+++ b/pkg/daemon/events_test.go
@@ -53,7 +53,7 @@
 		Address: f.Ready()[0].Callers(), Key: fleet.CallerKey(c.number % fleet.Workspaces), Pipeline: fleet.Pipeline,
 		Prompt: prompt, Earlier: c.earlier, Tokens: 4,
 	})
-	qt.Check(t, answer.Outcome, qt.Equals, outcome.Done)
+	qt.Check(t, answer.Outcome, qt.Equals, outcome.Done, qt.Commentf("%s: %v", answer.Code, answer.Err))
 	c.earlier = append(c.earlier, caller.Message{Role: "user", Content: prompt}, caller.Message{Role: "assistant", Content: answer.Text})
 }
 
--- a/pkg/daemon/placement.go
+++ b/pkg/daemon/placement.go
@@ -131,14 +131,21 @@
 // one that serves, so that no route is made of two versions.
 func (c *control) servingVersions(routable []target.Target) []target.Target {
 	held := map[string][]rollout.Held{}
+	layers := map[string]int{}
 	for _, t := range routable {
 		if t.Accepting() {
 			held[t.Model] = append(held[t.Model], rollout.Held{Version: c.versionOf(t), Layers: t.Layers})
+			layers[t.Model] = max(layers[t.Model], t.ModelLayers)
 		}
 	}
 	serving := map[string]string{}
 	for model, list := range held {
-		m, _ := c.d.versions.current().Model(model)
+		// Before the first configuration is in force, the engines' own reports say how many layers
+		// there are. Otherwise no target would serve until the next report.
+		m, known := c.d.versions.current().Model(model)
+		if !known {
+			m.Layers = layers[model]
+		}
 		serving[model] = rollout.Serving(list, m.Layers, m.Version)
 	}
 	for i, t := range routable {
