--- /dev/null
+++ b/pkg/daemon/events_test.go
@@ -0,0 +1,135 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/daemon"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/standin/caller"
+	"github.com/cuminroute/cuminroute/pkg/standin/engine"
+	"github.com/cuminroute/cuminroute/pkg/standin/entry"
+	"github.com/cuminroute/cuminroute/pkg/standin/fleet"
+)
+
+// Sizes of the run of conversations.
+const (
+	conversations = 16
+	turns         = 3
+	wordsOfTurn   = 120
+)
+
+// words draws a text of n words.
+func words(r *rand.Rand, n int) string {
+	list := make([]string, n)
+	for i := range list {
+		list[i] = fmt.Sprintf("word%d", r.IntN(1000))
+	}
+	return strings.Join(list, " ")
+}
+
+// conversation is one caller's, whose every turn repeats the ones before.
+type conversation struct {
+	number  int
+	random  *rand.Rand
+	earlier []caller.Message
+}
+
+func (c *conversation) turn(t *testing.T, f *fleet.Fleet, client *caller.Client) {
+	prompt := words(c.random, wordsOfTurn)
+	answer := client.Ask(context.Background(), caller.Question{
+		Address: f.Ready()[0].Callers(), Key: fleet.CallerKey(c.number % fleet.Workspaces), Pipeline: fleet.Pipeline,
+		Prompt: prompt, Earlier: c.earlier, Tokens: 4,
+	})
+	qt.Check(t, answer.Outcome, qt.Equals, outcome.Done)
+	c.earlier = append(c.earlier, caller.Message{Role: "user", Content: prompt}, caller.Message{Role: "assistant", Content: answer.Text})
+}
+
+// seenEvents returns how many cache events the first entry instance has taken in.
+func seenEvents(t *testing.T, f *fleet.Fleet) int {
+	response, err := http.Get("http://" + f.Entries()[0].Operators().String() + "/metrics")
+	qt.Assert(t, err, qt.IsNil)
+	defer response.Body.Close()
+	page, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	found := regexp.MustCompile(`(?m)^cuminroute_events_seen (\d+)`).FindSubmatch(page)
+	qt.Assert(t, found, qt.HasLen, 2)
+	seen, err := strconv.Atoi(string(found[1]))
+	qt.Assert(t, err, qt.IsNil)
+	return seen
+}
+
+// counted sums what the first stages computed.
+func counted(f *fleet.Fleet) engine.Prefilled {
+	var sum engine.Prefilled
+	for _, e := range f.Engines[:6] {
+		p := e.Prefilled()
+		sum.Positions += p.Positions
+		sum.Cached += p.Cached
+		sum.Events += p.Events
+	}
+	return sum
+}
+
+// prefilled runs all conversations on a fleet with many holders of the first layers, and returns
+// what the first stages computed. Turns follow when the events of the ones before are known.
+func prefilled(t *testing.T, options ...daemon.Option) engine.Prefilled {
+	var list []fleet.Worker
+	for i := range 8 {
+		layers := layer.Range{End: half}
+		if i >= 6 {
+			layers = layer.Range{First: half, End: fleet.Layers}
+		}
+		list = append(list, fleet.Worker{Name: fmt.Sprintf("w%d", i), Accelerator: engine.Accelerators[0], Layers: layers})
+	}
+	f := startFleet(t, fleet.Options{
+		Seed: 1, Entries: 1, Workers: list, Engine: []engine.Option{engine.WithEvents(time.Second, 0)},
+		Start: entry.StartWith(func(s fleet.Spec) []daemon.Option { return append(quick(s), options...) }),
+	})
+	client := caller.New()
+	defer client.Close()
+	var all []*conversation
+	for n := range conversations {
+		all = append(all, &conversation{number: n, random: rand.New(rand.NewPCG(7, uint64(n)))})
+	}
+	for range turns {
+		// One at a time: a target with more load than the mean is passed over, whatever it has cached.
+		for _, c := range all {
+			c.turn(t, f, client)
+		}
+		if len(options) == 0 {
+			eventually(t, 15*time.Second, "the cache events were not taken in", func() bool { return seenEvents(t, f) >= counted(f).Events })
+		}
+	}
+	return counted(f)
+}
+
+// TestCacheEvents guards against a prefix hash of the caller API that no cache event states, and
+// against events that do not reach the choice of targets: the next turn of a conversation then finds
+// its prefix cached only by chance.
+func TestCacheEvents(t *testing.T) {
+	t.Parallel()
+	var with, without engine.Prefilled
+	var wait sync.WaitGroup
+	wait.Go(func() { with = prefilled(t) })
+	wait.Go(func() { without = prefilled(t, daemon.WithoutCacheEvents()) })
+	wait.Wait()
+	share := func(p engine.Prefilled) float64 { return float64(p.Cached) / float64(p.Positions) }
+	t.Logf("cached with events: %d of %d (%.2f); without: %d of %d (%.2f)",
+		with.Cached, with.Positions, share(with), without.Cached, without.Positions, share(without))
+	// A turn's own text is new: of 1+2+3 texts, 1+2 can be cached. By chance, one of six targets has them.
+	qt.Assert(t, share(with) > 0.33, qt.IsTrue)
+	qt.Assert(t, share(without) < 0.25, qt.IsTrue)
+}
--- a/pkg/daemon/readiness.go
+++ b/pkg/daemon/readiness.go
@@ -1,7 +1,10 @@
 package daemon
 
 import (
+	"context"
+
 	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/decision/rollout"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -14,9 +17,22 @@
 // without it. A single lost poll on a busy machine must not make it ready without any engine.
 const startAttempts = 3
 
+// pollReports reads some more reports, of which a new instance needs many at once.
+func (c *control) pollReports(ctx context.Context) {
+	polls := 1
+	if !c.routed.Load() {
+		polls = startReports
+	}
+	for range polls {
+		c.pollNextReport(ctx)
+	}
+	c.learnRoutes()
+}
+
 // learnRoutes notes when the instance knows enough of the engines to serve: every model that is
-// offered has a route, or every listed engine has answered or was asked several times. It stays noted afterwards, since
-// the loss of engines is not a reason for the load balancer to leave all instances.
+// offered has a route, or every listed engine has answered or was asked several times. It stays
+// noted afterwards, since the loss of engines is not a reason for the load balancer to leave all
+// instances.
 func (c *control) learnRoutes() {
 	if c.routed.Load() || !c.listed.Load() || !c.d.node.View().Ready() {
 		return
@@ -28,7 +44,7 @@
 
 func (c *control) allAsked() bool {
 	for _, view := range c.engines {
-		if !view.answered && view.failures < startAttempts {
+		if view.asked.IsZero() && view.failures < startAttempts {
 			return false
 		}
 	}
@@ -46,7 +62,7 @@
 	for _, w := range inForce.Workspaces {
 		for _, p := range w.Pipelines {
 			model, known := inForce.Model(p.Model)
-			if known && !reaches(held[p.Model], model.Layers) {
+			if known && !rollout.Covers(held[p.Model], model.Layers) {
 				return false
 			}
 		}
--- a/pkg/daemon/versions.go
+++ b/pkg/daemon/versions.go
@@ -42,12 +42,14 @@
 	return v.inForce.Load()
 }
 
-// accepted returns the configuration in force, nil before the first version.
-func (v *versions) accepted() *configuration.Configuration {
-	if c := v.current(); c.Version > 0 {
-		return c
+// received returns the configuration in force, nil before the first version. Without the difference,
+// an instance that is not ready would tell every caller that its key is invalid.
+func (v *versions) received() *configuration.Configuration {
+	c := v.current()
+	if c.Version == 0 {
+		return nil
 	}
-	return nil
+	return c
 }
 
 // Head implements instance.Source.
--- a/pkg/decision/membership/item.go
+++ b/pkg/decision/membership/item.go
@@ -77,7 +77,8 @@
 // Quarantine tells every instance to refuse the requests with a fingerprint.
 type Quarantine struct {
 	Fingerprint uint64    `json:"Fingerprint"`
-	Until       time.Time `json:"Until"` // Until is when the quarantine ends; the later one wins.
+	Until       time.Time `json:"Until"`          // Until is when the quarantine ends; the later one wins.
+	Held        bool      `json:"Held,omitempty"` // Held content is not judged yet: the sender still examines it.
 }
 
 // Kind implements Item.
@@ -131,13 +132,13 @@
 
 // Check implements Item.
 func (d Drain) Check() error {
-	switch {
-	case d.Target == "" || len(d.Target) > MaxTargetBytes:
-		return Malformed.New("drain target has %d bytes, 1 to %d are accepted", len(d.Target), MaxTargetBytes)
-	case d.Expires.Sub(d.At) > MaxItemLife:
-		return Malformed.New("drain lasts %s, at most %s is accepted", d.Expires.Sub(d.At), MaxItemLife)
+	if d.Target == "" {
+		return Malformed.New("drain has no target")
 	}
-	return nil
+	if life := d.Expires.Sub(d.At); life > MaxItemLife {
+		return Malformed.New("drain lasts %s, at most %s is accepted", life, MaxItemLife)
+	}
+	return checkText("drain target", d.Target, MaxTargetBytes)
 }
 
 // Wins implements Item: the one set later wins, then the one that expires later, then the cancelled.
@@ -166,13 +167,17 @@
 // Kind implements Item.
 func (Quarantine) Kind() ItemKind { return QuarantineKind }
 
-// Key implements Item: each fingerprint has one quarantine.
+// Key implements Item: each fingerprint has one quarantine and one hold.
 func (q Quarantine) Key() string {
-	return string(binary.BigEndian.AppendUint64(nil, q.Fingerprint))
+	key := binary.BigEndian.AppendUint64(nil, q.Fingerprint)
+	if q.Held {
+		key = append(key, 'h')
+	}
+	return string(key)
 }
 
 // Size implements Item.
-func (Quarantine) Size() int { return 24 }
+func (Quarantine) Size() int { return 26 }
 
 // Check implements Item.
 func (Quarantine) Check() error { return nil }
--- a/pkg/decision/membership/table.go
+++ b/pkg/decision/membership/table.go
@@ -44,8 +44,9 @@
 	digest   [Buckets]uint32
 	sorted   []Member // sorted caches Members and is nil after a change
 
-	news   queue
-	pushes int // pushes counts the packets to send with news before the next probe
+	news       queue
+	pushes     int    // pushes counts the packets to send with news before the next probe
+	broadcasts budget // broadcasts counts the items sent to all members at once.
 	newsBudget,
 	syncBudget budget
 
@@ -71,8 +72,8 @@
 	if err := c.Self.Check(); err != nil {
 		return nil, err
 	}
-	if len(c.Fleet) > MaxNameBytes {
-		return nil, Malformed.New("fleet has %d bytes, at most %d are accepted", len(c.Fleet), MaxNameBytes)
+	if err := checkText("fleet", c.Fleet, MaxNameBytes); err != nil {
+		return nil, err
 	}
 	t := &Table{
 		fleet: c.Fleet, self: c.Self, hash: hashAddress(c.Self.Address), rand: r, now: now,
@@ -80,6 +81,7 @@
 		verifier:   verifier{claims: map[netip.AddrPort]*claim{}},
 		news:       newQueue(),
 		newsBudget: budget{rate: newsRate, burst: newsBurst, left: newsBurst, at: now},
+		broadcasts: budget{rate: broadcastRate, burst: broadcastBurst, left: broadcastBurst},
 		syncBudget: budget{rate: syncRate, burst: syncBurst, left: syncBurst, at: now},
 		nextForget: now.Add(time.Second),
 	}
