Expect a request to take longer beside more of them

Cause: admission expected a request to take as long as those before it, however many run beside it, so a burst at a full fleet was admitted and ended late: with three streams for each place, TestP3FullFleetRefusesAtOnce saw 33 of 100 questions run into their deadline.

--- a/pkg/decision/admission/order.go
+++ b/pkg/decision/admission/order.go
@@ -67,8 +67,9 @@
 		own = f.cost
 		drain = f.drain(own)
 	}
-	wait := max(drain, q.wait(q.ahead(c, t, own)))
-	return now.Add(wait).Add(q.pace.service(t.Cost))
+	ahead := q.ahead(c, t, own)
+	beside := min(q.capacity, q.running+ahead+t.Cost)
+	return now.Add(max(drain, q.wait(ahead))).Add(q.pace.service(t.Cost, beside))
 }
 
 // wait estimates how long a request with that much work ahead of it waits.
@@ -93,7 +94,7 @@
 	if t.Deadline.IsZero() {
 		return time.Time{}
 	}
-	return t.Deadline.Add(-q.pace.service(t.Cost))
+	return t.Deadline.Add(-q.pace.service(t.Cost, q.running))
 }
 
 // recheck refuses queued requests, from the end of each workspace's queue, that can no longer
--- a/pkg/decision/admission/queue.go
+++ b/pkg/decision/admission/queue.go
@@ -124,7 +124,7 @@
 	if !ok || it.state != running {
 		return
 	}
-	q.pace.observe(it.ticket.Cost, now.Sub(it.admitted))
+	q.pace.observe(it.ticket.Cost, now.Sub(it.admitted), q.running)
 	q.release(it)
 }
 
