--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -265,6 +265,7 @@
 	d.keeper = placing.New(d.table, placer{d}, placer{d}, d.settings.Instance,
 		append([]placing.Option{placing.WithLogger(d.logger), placing.WithMetrics(d.registry)}, d.placingOptions...)...)
 	go d.control.run(ctx)
+	go d.compact(ctx)
 	d.app = kratos.New(
 		kratos.Name("cuminrouted"), kratos.ID(d.settings.Instance), kratos.Context(ctx),
 		kratos.Server(d.callers, d.operators),
--- a/pkg/peer/instancelist/client.go
+++ b/pkg/peer/instancelist/client.go
@@ -19,7 +19,9 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -61,6 +63,10 @@
 	base    string
 	timeout time.Duration
 	http    *http.Client
+
+	mu   sync.Mutex
+	tag  string // tag is the ETag of the list read last, empty if the service gives none.
+	last []Instance
 }
 
 // Option changes a Client when it is made.
@@ -80,7 +86,8 @@
 	return c
 }
 
-// List returns the instances on the list.
+// List returns the instances on the list. Where the service gives an ETag, a list that has not
+// changed is not sent again: read each second, the list of a fleet of today would take 7 KB/s.
 func (c *Client) List(ctx context.Context) ([]Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -88,19 +95,39 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
+	known, tag := c.known()
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
+	switch {
+	case resp.StatusCode == http.StatusNotModified && tag != "":
+		return known, nil
+	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
 	}
 	var list []Instance
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxAnswer)).Decode(&list); err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
-	return list, nil
+	c.keep(list, resp.Header.Get("ETag"))
+	return slices.Clone(list), nil
+}
+
+func (c *Client) known() ([]Instance, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.last), c.tag
+}
+
+func (c *Client) keep(list []Instance, tag string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last, c.tag = list, tag
 }
 
 // Close closes idle connections.
--- a/pkg/standin/platform/server.go
+++ b/pkg/standin/platform/server.go
@@ -17,12 +17,15 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
 	"github.com/cuminroute/cuminroute/pkg/peer/table"
 )
@@ -79,8 +82,8 @@
 	mux.Handle("/v1/rows", s.faults.wrap(roleTable, http.HandlerFunc(s.table.serveScan)))
 	mux.Handle("/v1/rows/", s.faults.wrap(roleTable, http.HandlerFunc(s.table.serveGet)))
 	mux.Handle("/objects/", s.faults.wrap(roleObjects, s.objects))
-	mux.Handle("GET /v1/instances", s.faults.wrap(roleList, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		answer(w, s.list.get(s.Faults().List.Lag))
+	mux.Handle("GET /v1/instances", s.faults.wrap(roleList, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		serveList(w, r, s.list.get(s.Faults().List.Lag))
 	})))
 	mux.HandleFunc("PUT /v1/instances", s.setList)
 	mux.Handle("GET /weights/{model}/{version}/{layer}", s.faults.wrap(roleWeights, http.HandlerFunc(serveWeights)))
@@ -90,6 +93,23 @@
 	return mux
 }
 
+// serveList answers with the list, or with 304 where the reader has it already.
+func serveList(w http.ResponseWriter, r *http.Request, list []instancelist.Instance) {
+	body, err := json.Marshal(list)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := fmt.Sprintf(`"%016x"`, xxhash.Sum64(body))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(body)
+}
+
 // Addr returns the address that the server listens on.
 func (s *Server) Addr() netip.AddrPort {
 	return s.listener.Addr().(*net.TCPAddr).AddrPort()
