Tell the other instances of a verdict before its caller

Cause: TestCrashingRequestResentElsewhere ended with 503 request_held instead of 422 in about one run in ten: the verdict was broadcast by a tick up to 50 ms after the caller had its answer. Change: the ledger's adapter tells the others when a check first finds content quarantined. Conclusion: copies sent at several instances in the same moment remain open.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -87,7 +87,7 @@
 			c.pollReports(ctx)
 		case now := <-tick.C:
 			c.d.gate.admission.Tick(now)
-			c.publishQuarantine(now)
+			c.d.ledger.announce(now)
 		}
 	}
 }
@@ -232,13 +232,6 @@
 	c.publish()
 }
 
-// publishQuarantine tells the other instances of verdicts that time has brought.
-func (c *control) publishQuarantine(now time.Time) {
-	if items := c.d.ledger.fresh(now); len(items) > 0 {
-		c.d.tell(items)
-	}
-}
-
 func (c *control) publishLoad() {
 	share := membership.LoadShare{
 		Origin: c.d.node.Address(), At: time.Now(),
--- a/pkg/daemon/ledger.go
+++ b/pkg/daemon/ledger.go
@@ -60,9 +60,21 @@
 	return membership.Quarantine{Fingerprint: fingerprint, Until: now.Add(holdLife), Held: true}
 }
 
-// Check implements stream.Ledger.
+// Check implements stream.Ledger. The other instances are told of a new verdict before the caller
+// is, who may send the request again there.
 func (l *ledger) Check(fingerprint uint64, now time.Time) stream.Verdict {
-	return stream.Verdict(l.state.Check(fingerprint, now))
+	verdict := l.state.Check(fingerprint, now)
+	if verdict == quarantine.Quarantined {
+		l.announce(now)
+	}
+	return stream.Verdict(verdict)
+}
+
+// announce tells the other instances what they do not know yet.
+func (l *ledger) announce(now time.Time) {
+	if items := l.fresh(now); len(items) > 0 {
+		l.tell(items)
+	}
 }
 
 // Progress implements stream.Ledger.
