--- a/pkg/command/commands.go
+++ b/pkg/command/commands.go
@@ -18,6 +18,7 @@
 	newRollback,
 	newDrain,
 	stateQuery.constructor,
+	statesQuery.constructor,
 	instancesQuery.constructor,
 	pipelinesQuery.constructor,
 	planQuery.constructor,
--- a/pkg/command/queries.go
+++ b/pkg/command/queries.go
@@ -33,6 +33,21 @@
 	rows: stateRows,
 }
 
+var statesQuery = query[[]api.State]{
+	name:      "states",
+	shortHelp: "show the state of every live instance that answers",
+	fetch: func(ctx context.Context, c *operator.Client) ([]api.State, error) {
+		return c.States(ctx)
+	},
+	rows: func(states []api.State) [][]string {
+		var rows [][]string
+		for _, s := range states {
+			rows = append(rows, stateRows(s)...)
+		}
+		return rows
+	},
+}
+
 func stateRows(s api.State) [][]string {
 	rows := [][]string{
 		{"INSTANCE", s.Instance},
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -51,37 +51,68 @@
 	return json.Marshal(state)
 }
 
-// Instances implements operator.Fleet. It asks every live instance for its version.
-func (f fleet) Instances(ctx context.Context) ([]api.Instance, error) {
+// dumped is a live member and its state dump, nil if it did not answer in time.
+type dumped struct {
+	member membership.Member
+	state  *api.State
+}
+
+// dumps asks every live instance for its state.
+func (f fleet) dumps(ctx context.Context) []dumped {
 	bounded, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	members := f.d.node.Members()
-	listed := make([]api.Instance, len(members))
+	all := make([]dumped, len(members))
 	var wait sync.WaitGroup
 	for i, m := range members {
-		wait.Go(func() { listed[i] = f.instanceOf(bounded, m) })
+		wait.Go(func() { all[i] = dumped{member: m, state: f.stateOf(bounded, m)} })
 	}
 	wait.Wait()
-	return listed, nil
+	return all
 }
 
-func (f fleet) instanceOf(ctx context.Context, m membership.Member) api.Instance {
-	// A member that is not known to be dead but does not answer counts as live with an unknown version, so that
-	// an operator who waits for a version does not take it for done.
-	i := api.Instance{Name: m.Name, DataCentre: m.DataCentre, State: string(m.State), Live: m.State.Live()}
-	var state api.State
-	content, err := f.stateOf(ctx, m)
-	if err == nil {
-		err = json.Unmarshal(content, &state)
+// States implements operator.Fleet.
+func (f fleet) States(ctx context.Context) ([]api.State, error) {
+	var states []api.State
+	for _, d := range f.dumps(ctx) {
+		if d.state != nil {
+			states = append(states, *d.state)
+		}
+	}
+	return states, nil
+}
+
+// Instances implements operator.Fleet. A member that is not known to be dead but does not answer
+// counts as live with an unknown version, so that an operator who waits for a version does not take
+// it for done.
+func (f fleet) Instances(ctx context.Context) ([]api.Instance, error) {
+	all := f.dumps(ctx)
+	listed := make([]api.Instance, 0, len(all))
+	for _, d := range all {
+		m := d.member
+		i := api.Instance{Name: m.Name, DataCentre: m.DataCentre, State: string(m.State), Live: m.State.Live()}
+		if d.state != nil {
+			i.Version, i.Live = d.state.Version, true
+		}
+		listed = append(listed, i)
 	}
+	return listed, nil
+}
+
+// stateOf returns the state dump of a member, nil if there is none.
+func (f fleet) stateOf(ctx context.Context, m membership.Member) *api.State {
+	content, err := f.dumpOf(ctx, m)
 	if err != nil {
-		return i
+		return nil
+	}
+	var state api.State
+	if json.Unmarshal(content, &state) != nil {
+		return nil
 	}
-	i.Version, i.Live = state.Version, true
-	return i
+	return &state
 }
 
-func (f fleet) stateOf(ctx context.Context, m membership.Member) ([]byte, error) {
+func (f fleet) dumpOf(ctx context.Context, m membership.Member) ([]byte, error) {
 	if m.Address == f.d.node.Address() {
 		return f.dump(ctx)
 	}
--- a/pkg/peer/instance/control.go
+++ b/pkg/peer/instance/control.go
@@ -73,7 +73,7 @@
 	if e.Member.State == membership.Dead {
 		entry = n.logger.Info()
 	}
-	entry.Str("Instance", e.Member.Name).Str("Address", e.Member.Address.String()).
+	entry.Str("Member", e.Member.Name).Str("Address", e.Member.Address.String()).
 		Str("State", string(e.Member.State)).Uint64("Incarnation", e.Member.Incarnation).
 		Msg("instance changed state")
 }
--- a/pkg/peer/operator/api/api.go
+++ b/pkg/peer/operator/api/api.go
@@ -26,6 +26,7 @@
 	HistoryPath       = Prefix + "History"
 	RollbackPath      = Prefix + "Rollback"
 	StatePath         = Prefix + "State"
+	StatesPath        = Prefix + "States"
 	DrainPath         = Prefix + "Drain"
 	PipelinesPath     = Prefix + "Pipelines"
 	PlanPath          = Prefix + "Plan"
@@ -104,6 +105,11 @@
 	Details    map[string]any  `json:"Details,omitempty"` // Details holds what further components report, by component.
 }
 
+// States lists the state dumps of the live instances that answered.
+type States struct {
+	States []State `json:"States"`
+}
+
 // Quarantined is a request fingerprint that is refused.
 type Quarantined struct {
 	Fingerprint string    `json:"Fingerprint"`
--- a/pkg/peer/operator/backend.go
+++ b/pkg/peer/operator/backend.go
@@ -30,6 +30,8 @@
 // Fleet is what the answering instance knows of itself, its peers and the targets.
 type Fleet interface {
 	State(ctx context.Context) (api.State, error)
+	// States returns the state dumps of the live instances that answer in time.
+	States(ctx context.Context) ([]api.State, error)
 	Instances(ctx context.Context) ([]api.Instance, error)
 	Pipelines(ctx context.Context) ([]api.Pipeline, error)
 	Plan(ctx context.Context) (api.Plan, error)
--- a/pkg/peer/operator/client.go
+++ b/pkg/peer/operator/client.go
@@ -94,6 +94,12 @@
 	return send[api.State](ctx, c, http.MethodGet, api.StatePath, nil)
 }
 
+// States returns the state dumps of the live instances that answer in time.
+func (c *Client) States(ctx context.Context) ([]api.State, error) {
+	states, err := send[api.States](ctx, c, http.MethodGet, api.StatesPath, nil)
+	return states.States, err
+}
+
 // Instances returns the entry instances, each with the version in force.
 func (c *Client) Instances(ctx context.Context) ([]api.Instance, error) {
 	instances, err := send[api.Instances](ctx, c, http.MethodGet, api.InstancesPath, nil)
--- a/pkg/peer/operator/handlers.go
+++ b/pkg/peer/operator/handlers.go
@@ -97,6 +97,11 @@
 	return s.fleet.State(c.request.Context())
 }
 
+func (s *Server) getStates(c call) (any, error) {
+	states, err := s.fleet.States(c.request.Context())
+	return api.States{States: states}, err
+}
+
 func (s *Server) getInstances(c call) (any, error) {
 	instances, err := s.fleet.Instances(c.request.Context())
 	return api.Instances{Instances: instances}, err
--- a/pkg/peer/operator/server.go
+++ b/pkg/peer/operator/server.go
@@ -59,6 +59,7 @@
 	s.handle(http.MethodGet, api.HistoryPath, s.getHistory)
 	s.handle(http.MethodPost, api.RollbackPath, s.postRollback)
 	s.handle(http.MethodGet, api.StatePath, s.getState)
+	s.handle(http.MethodGet, api.StatesPath, s.getStates)
 	s.handle(http.MethodGet, api.DrainPath, s.getDrains)
 	s.handle(http.MethodPost, api.DrainPath, s.postDrain)
 	s.handle(http.MethodDelete, api.DrainPath, s.deleteDrain)
