Bound idle connections and headers of the daemon's listeners, take -answers

Cause: the daemon's listeners had no bound on headers but the library's and none on idle connections; generate took the answers file as an argument only. Change: 64 KiB of headers and 2 minutes idle; generate -answers FILE. Conclusion: none.

--- a/pkg/command/generate.go
+++ b/pkg/command/generate.go
@@ -18,6 +18,7 @@
 func newGenerate(e *Environment) *ffcli.Command {
 	set := e.flagSet("generate")
 	out := set.String("out", "configuration.yaml", "configuration file to write")
+	from := set.String("answers", "", "answers file, instead of the argument")
 	keys := set.String("keys", "", "file for the keys that are made; it must not exist")
 	asJSON := outputFlag(set)
 	return &ffcli.Command{
@@ -28,6 +29,9 @@
 		FlagSet:    set,
 		Options:    options(),
 		Exec: func(_ context.Context, args []string) error {
+			if *from != "" {
+				args = append(args, *from)
+			}
 			if len(args) != 1 {
 				return usage("generate needs one answers file")
 			}
--- a/pkg/daemon/listeners.go
+++ b/pkg/daemon/listeners.go
@@ -23,6 +23,10 @@
 	// operatorTimeout bounds reading one operator request; a whole configuration can be 32 MB.
 	operatorTimeout = time.Minute
 	headerTimeout   = 5 * time.Second
+	// idleTimeout exceeds the usual idle timeout of a load balancer, which should close first.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes is twice what the callers' API accepts, so that its refusal can be written as JSON.
+	maxHeaderBytes = 64 << 10
 )
 
 func (d *Daemon) assembleListeners() error {
@@ -67,6 +71,8 @@
 	}
 	s := khttp.NewServer(options...)
 	s.ReadHeaderTimeout = headerTimeout
+	s.IdleTimeout = idleTimeout
+	s.MaxHeaderBytes = maxHeaderBytes
 	s.ErrorLog = d.logger.Std("", 0)
 	return s
 }
