--- /dev/null
+++ b/pkg/connection/pool.go
@@ -0,0 +1,187 @@
+package connection
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the set-up of a connection. It is below the second after which the kernel repeats a lost
+	// opening packet, so that another target is tried first.
+	dialTimeout = 600 * time.Millisecond
+	// silenceTimeout is how long sent bytes may go unacknowledged before a connection counts as dead.
+	silenceTimeout = 1500 * time.Millisecond
+	// probeInterval and probeCount make the kernel notice a silent peer of an idle connection.
+	probeInterval = time.Second
+	probeCount    = 2
+	// defaultIdle is how long a connection is kept for reuse if its target names no time.
+	defaultIdle = 8 * time.Second
+	// idleMargin is taken off the time that a target keeps an idle connection open, for the way there.
+	idleMargin = 500 * time.Millisecond
+	// maxIdle bounds the idle connections to one target.
+	maxIdle = 32
+	// readBuffer is the size of a connection's read buffer in bytes: a response head or some events of a stream.
+	readBuffer = 4096
+)
+
+// Pool keeps idle connections by target address. It is safe for concurrent use.
+type Pool struct {
+	dialer net.Dialer
+
+	mu     sync.Mutex
+	idle   map[netip.AddrPort][]*Conn
+	swept  time.Time
+	dialed atomic.Int64
+	reused atomic.Int64
+}
+
+// Option changes a pool.
+type Option func(*Pool)
+
+// WithDialTimeout replaces the bound on the set-up of a connection.
+func WithDialTimeout(d time.Duration) Option {
+	return func(p *Pool) { p.dialer.Timeout = d }
+}
+
+// New returns a pool without connections.
+func New(options ...Option) *Pool {
+	p := &Pool{idle: make(map[netip.AddrPort][]*Conn)}
+	p.dialer = net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
+		Control:         limitSilence,
+	}
+	for _, o := range options {
+		o(p)
+	}
+	return p
+}
+
+// limitSilence sets how long the kernel waits for an acknowledgement.
+func limitSilence(_, _ string, raw syscall.RawConn) error {
+	var err error
+	control := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
+	})
+	if control != nil {
+		return control
+	}
+	return err
+}
+
+// Get returns an idle connection that was used no longer than maxAge ago, or a new one. An error means that
+// nothing was sent.
+func (p *Pool) Get(ctx context.Context, address netip.AddrPort, maxAge time.Duration) (*Conn, error) {
+	now := time.Now()
+	for {
+		c := p.pop(address)
+		if c == nil {
+			return p.dial(ctx, address)
+		}
+		if now.Sub(c.used) < min(maxAge, c.keep) && c.quiet() {
+			p.reused.Add(1)
+			c.reused = true
+			return c, nil
+		}
+		c.Close()
+	}
+}
+
+func (p *Pool) pop(address netip.AddrPort) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (*Conn, error) {
+	raw, err := p.dialer.DialContext(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, NotSent.Wrap(err, "no connection to %s", address)
+	}
+	p.dialed.Add(1)
+	return &Conn{address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), keep: defaultIdle}, nil
+}
+
+// Probe reports whether the address accepts connections. A connection made for it is kept for use.
+func (p *Pool) Probe(ctx context.Context, address netip.AddrPort) error {
+	c, err := p.dial(ctx, address)
+	if err != nil {
+		return err
+	}
+	c.used = time.Now()
+	p.Put(c)
+	return nil
+}
+
+// Put gives a connection back after a whole exchange. One that must not be used again is closed.
+func (p *Pool) Put(c *Conn) {
+	if c.spent || c.reader.Buffered() > 0 {
+		c.Close()
+		return
+	}
+	now := time.Now()
+	_ = c.raw.SetDeadline(time.Time{})
+	c.used = now
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sweep(now)
+	list := p.idle[c.address]
+	if len(list) >= maxIdle {
+		c.Close()
+		return
+	}
+	p.idle[c.address] = append(list, c)
+}
+
+// sweep closes connections that have been idle for too long, at most once a second.
+func (p *Pool) sweep(now time.Time) {
+	if now.Sub(p.swept) < time.Second {
+		return
+	}
+	p.swept = now
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if now.Sub(c.used) < c.keep {
+				kept = append(kept, c)
+				continue
+			}
+			c.Close()
+		}
+		clear(list[len(kept):])
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// Forget closes the idle connections to an address, whose target has left.
+func (p *Pool) Forget(address netip.AddrPort) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		c.Close()
+	}
+}
+
+// Counts returns how many connections were made and how many times one was used again.
+func (p *Pool) Counts() (dialed, reused int64) {
+	return p.dialed.Load(), p.reused.Load()
+}
--- /dev/null
+++ b/pkg/decision/usage/meter.go
@@ -0,0 +1,231 @@
+// Package usage keeps what an instance knows of the load and health of targets: the requests that it has sent
+// itself, the load that other instances tell of, and how requests ended.
+//
+// It answers two loads. Many instances share the same targets, each with a partial view: what the others tell is
+// added to what this instance sent. And a target may fail or crash while its health check is good: it is avoided
+// after failures, for a time that doubles with each further one, and used again with its first good answer.
+//
+// Usage:
+//
+//	meter := usage.New()
+//	release := meter.Reserve(path.Parts, tokens)
+//	defer release()
+//	meter.Failed("w1", now)
+//	if meter.Avoided("w1", now) { ... }
+package usage
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+)
+
+const (
+	// firstAvoidance is how long a target is avoided after one failure.
+	firstAvoidance = 250 * time.Millisecond
+	// maxAvoidance bounds the doubling.
+	maxAvoidance = 4 * time.Second
+	// remoteLife is how long the load that another instance told of is believed.
+	remoteLife = 3 * time.Second
+	// latencyWeight is the weight of a new answer in the smoothed latency.
+	latencyWeight = 0.1
+	// failureWeight is the weight of a new answer in the smoothed share of failures.
+	failureWeight = 0.15
+)
+
+// Load is what requests take of a target.
+type Load struct {
+	Cells   int64 // Cells is memory, in tokens times layers.
+	Streams int
+}
+
+// state is what is known of one target.
+type state struct {
+	load     Load
+	avoided  time.Time
+	failures int
+	failing  float64 // failing is the smoothed share of failed requests.
+	latency  time.Duration
+	alive    time.Time // alive is when the target last showed that it works.
+}
+
+// remote is the load of another instance.
+type remote struct {
+	at    time.Time
+	loads map[string]Load
+}
+
+// Meter is safe for concurrent use.
+type Meter struct {
+	mu      sync.Mutex
+	targets map[string]*state
+	remotes map[string]remote
+	others  map[string]Load // others sums the remotes.
+}
+
+// New returns a meter that knows nothing.
+func New() *Meter {
+	return &Meter{targets: make(map[string]*state), remotes: make(map[string]remote), others: make(map[string]Load)}
+}
+
+func (m *Meter) state(name string) *state {
+	s := m.targets[name]
+	if s == nil {
+		s = &state{}
+		m.targets[name] = s
+	}
+	return s
+}
+
+// Reserve counts a request on the targets of a path until the result is called.
+func (m *Meter) Reserve(parts path.Path, tokens int) (release func()) {
+	m.add(parts, tokens, 1)
+	return sync.OnceFunc(func() { m.add(parts, tokens, -1) })
+}
+
+func (m *Meter) add(parts path.Path, tokens, sign int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range parts {
+		s := m.state(p.Target.Name)
+		s.load.Cells += int64(sign * tokens * max(p.Layers.Len(), 0))
+		s.load.Streams += sign
+	}
+}
+
+// Own returns the load of this instance's requests on each target that has any.
+func (m *Meter) Own() map[string]Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	own := make(map[string]Load)
+	for name, s := range m.targets {
+		if s.load.Streams > 0 {
+			own[name] = s.load
+		}
+	}
+	return own
+}
+
+// Told takes in the load of another instance, which replaces what it told before.
+func (m *Meter) Told(instance string, loads map[string]Load, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.remotes[instance] = remote{at: now, loads: loads}
+	clear(m.others)
+	for name, r := range m.remotes {
+		if now.Sub(r.at) > remoteLife {
+			delete(m.remotes, name)
+			continue
+		}
+		for target, load := range r.loads {
+			sum := m.others[target]
+			sum.Cells += load.Cells
+			sum.Streams += load.Streams
+			m.others[target] = sum
+		}
+	}
+}
+
+// Load returns the load of all instances on a target.
+func (m *Meter) Load(name string) Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	load := m.others[name]
+	if s := m.targets[name]; s != nil {
+		load.Cells += s.load.Cells
+		load.Streams += s.load.Streams
+	}
+	return load
+}
+
+// Answered notes a good answer.
+func (m *Meter) Answered(name string, took time.Duration, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.state(name)
+	s.alive, s.failures, s.avoided = now, 0, time.Time{}
+	s.failing *= 1 - failureWeight
+	if s.latency == 0 {
+		s.latency = took
+	}
+	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
+}
+
+// Alive notes that the target took part in something that worked.
+func (m *Meter) Alive(name string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state(name).alive = now
+}
+
+// LastAlive returns when the target last showed that it works.
+func (m *Meter) LastAlive(name string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.targets[name]; s != nil {
+		return s.alive
+	}
+	return time.Time{}
+}
+
+// Failed notes a failed request: the target is avoided for a while.
+func (m *Meter) Failed(name string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.state(name)
+	s.failing += failureWeight * (1 - s.failing)
+	wait := firstAvoidance << min(s.failures, 8)
+	s.failures++
+	if until := now.Add(min(wait, maxAvoidance)); until.After(s.avoided) {
+		s.avoided = until
+	}
+}
+
+// Errored notes an answer that the target gave as its own failure. It raises the share of failures only: some
+// requests fail wherever they run.
+func (m *Meter) Errored(name string, now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.state(name)
+	s.alive = now
+	s.failing += failureWeight * (1 - s.failing)
+}
+
+// Avoid keeps the target out of use until then.
+func (m *Meter) Avoid(name string, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.state(name); until.After(s.avoided) {
+		s.avoided = until
+	}
+}
+
+// Avoided reports whether the target is out of use.
+func (m *Meter) Avoided(name string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.targets[name]
+	return s != nil && now.Before(s.avoided)
+}
+
+// Health returns the smoothed latency and share of failures of a target.
+func (m *Meter) Health(name string) (latency time.Duration, failing float64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.targets[name]; s != nil {
+		return s.latency, s.failing
+	}
+	return 0, 0
+}
+
+// Keep forgets all targets but these and those with requests.
+func (m *Meter) Keep(known func(name string) bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, s := range m.targets {
+		if s.load.Streams == 0 && !known(name) {
+			delete(m.targets, name)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/exchange/plain.go
@@ -0,0 +1,182 @@
+package exchange
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+const (
+	// bufferedAnswer bounds the answers that are read whole before they are passed on, so that a broken one can be
+	// asked for again. Longer ones are passed on as they come.
+	bufferedAnswer = 1 << 20
+	// onceReuse bounds the idle time of a connection used for a request that may not be repeated: a connection that
+	// has gone silent would leave its outcome unknown.
+	onceReuse = 1500 * time.Millisecond
+	// reuse bounds the idle time of a connection used for others.
+	reuse = 6 * time.Second
+	// elsewhere is added to the estimated time at a target in another data centre.
+	elsewhere = 3 * time.Millisecond
+)
+
+// plain serves a request to a plain service.
+func (r *request) plain(ctx context.Context, w http.ResponseWriter) error {
+	for {
+		t, ok := r.choose()
+		if !ok {
+			return r.refused("no_target", "no target takes requests", nil)
+		}
+		if err := r.confirmed(); err != nil {
+			return err
+		}
+		done, err := r.plainAttempt(ctx, w, t)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// choose returns the target with the least estimated time to an answer. Targets that are avoided are used only if
+// there is no other.
+func (r *request) choose() (target.Target, bool) {
+	now := time.Now()
+	var best target.Target
+	bestCost, found := 0.0, false
+	for _, avoided := range []bool{false, true} {
+		for _, t := range r.view.Targets[r.service.Name] {
+			if !t.Accepting() || r.avoided[t.Name] || r.server.meter.Avoided(t.Name, now) != avoided {
+				continue
+			}
+			cost := r.plainCost(t)
+			if !found || cost < bestCost {
+				best, bestCost, found = t, cost, true
+			}
+		}
+		if found {
+			break
+		}
+	}
+	return best, found
+}
+
+func (r *request) plainCost(t target.Target) float64 {
+	latency, failing := r.server.meter.Health(t.Name)
+	load := r.server.meter.Load(t.Name)
+	slots := float64(max(t.Slots, 1))
+	cost := max(latency, time.Millisecond).Seconds() * (1 + float64(load.Streams)/slots)
+	if t.DataCentre != r.server.dataCentre {
+		cost += elsewhere.Seconds()
+	}
+	return cost * (0.9 + 0.2*r.server.float()) / max(1-failing, 0.05)
+}
+
+// plainAttempt sends the request to a target. It reports whether the answer was written; without an error, the
+// request may be sent to another target.
+func (r *request) plainAttempt(ctx context.Context, w http.ResponseWriter, t target.Target) (done bool, err error) {
+	s := r.server
+	p := path.Path{{Target: t}}
+	release := s.meter.Reserve(p, 1)
+	defer release()
+	r.targets = append(r.targets, t.Name)
+	a := r.attempt(p)
+	a.Reuse = onceReuse
+	if r.route.Repeatable() {
+		a.Reuse = reuse
+	}
+	sent := time.Now()
+	answer, err := s.upstream.Open(ctx, a)
+	if err != nil {
+		return false, r.failed(err, p)
+	}
+	body, whole, err := readAnswer(answer)
+	if err != nil {
+		answer.Abort()
+		return false, r.failed(&Failure{Sent: true, Cause: err}, p)
+	}
+	if answer.Status >= http.StatusInternalServerError {
+		s.meter.Errored(t.Name, time.Now())
+		r.attempts++
+		if whole && r.mayRepeat() {
+			answer.Finish()
+			r.avoid1(t.Name)
+			return false, nil
+		}
+	} else {
+		s.meter.Answered(t.Name, time.Since(sent), time.Now())
+	}
+	return true, writeAnswer(w, answer, body, whole)
+}
+
+// avoid1 keeps the request from the target.
+func (r *request) avoid1(name string) {
+	if r.avoided == nil {
+		r.avoided = make(map[string]bool)
+	}
+	r.avoided[name] = true
+}
+
+// readAnswer reads the body up to the bound and reports whether that was all of it.
+func readAnswer(a *Answer) (body []byte, whole bool, err error) {
+	if a.Length > bufferedAnswer {
+		return nil, false, nil
+	}
+	body, err = io.ReadAll(io.LimitReader(a.Body, bufferedAnswer))
+	if err != nil {
+		return nil, false, err
+	}
+	return body, len(body) < bufferedAnswer, nil
+}
+
+// writeAnswer passes an answer on. The rest of a long one is copied as it comes.
+func writeAnswer(w http.ResponseWriter, a *Answer, body []byte, whole bool) error {
+	copyHeader(w.Header(), a.Header)
+	if whole {
+		a.Finish()
+		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+		w.WriteHeader(a.Status)
+		_, _ = w.Write(body) // A caller that has left ends its connection.
+		return nil
+	}
+	if a.Length >= 0 {
+		w.Header().Set("Content-Length", strconv.FormatInt(a.Length, 10))
+	}
+	w.WriteHeader(a.Status)
+	if _, err := w.Write(body); err != nil {
+		a.Abort()
+		return http.ErrAbortHandler
+	}
+	if _, err := io.Copy(w, a.Body); err != nil {
+		a.Abort()
+		return http.ErrAbortHandler
+	}
+	a.Finish()
+	return nil
+}
+
+// copyHeader replaces the header with the answer's own fields. A field without a value keeps the server from adding
+// it.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = slices.Clone(values)
+	}
+	if _, ok := from["Content-Type"]; !ok {
+		to["Content-Type"] = nil
+	}
+}
+
+// timedOut is the final answer of a request whose time has run out.
+func (r *request) timedOut(cause error) error {
+	if r.attempts == 0 && r.events == 0 && cause == nil {
+		return refusal.New(http.StatusServiceUnavailable, "timeout", outcome.NotRun, "no target had room in time").
+			After(r.server.comeBack(r.service))
+	}
+	return refusal.New(http.StatusGatewayTimeout, "timeout", outcome.Unknown, "no answer within the time").Because(cause)
+}
--- /dev/null
+++ b/pkg/exchange/server.go
@@ -0,0 +1,279 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/decision/retry"
+	"github.com/cuminroute/cuminroute/pkg/decision/usage"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+const (
+	// unknownYet is when a caller comes back to an instance that knows no configuration yet.
+	unknownYet = 500 * time.Millisecond
+	// unfresh is when a caller comes back if the configuration may be out of date. Another instance may serve it.
+	unfresh = 200 * time.Millisecond
+	// maxRefusals bounds the targets asked for one request that refuse without running it.
+	maxRefusals = 4
+)
+
+// Server serves requests. It is safe for concurrent use.
+type Server struct {
+	views      Views
+	upstream   Upstream
+	meter      *usage.Meter
+	budget     *retry.Budget
+	dataCentre string
+	logger     *log.Logger
+	counters   counters
+	watch      *watch
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// Option changes a server.
+type Option func(*Server)
+
+// WithBudget sets the retry budget.
+func WithBudget(b *retry.Budget) Option {
+	return func(s *Server) { s.budget = b }
+}
+
+// WithDataCentre sets where the instance stands.
+func WithDataCentre(name string) Option {
+	return func(s *Server) { s.dataCentre = name }
+}
+
+// WithLogger sets the logger of decisions.
+func WithLogger(l *log.Logger) Option {
+	return func(s *Server) { s.logger = l }
+}
+
+// WithRegistry sets the registry of the counters.
+func WithRegistry(r metrics.Registry) Option {
+	return func(s *Server) { s.counters = newCounters(r) }
+}
+
+// WithRumours sets who is told of targets that this instance finds dead.
+func WithRumours(tell func(t target.Target)) Option {
+	return func(s *Server) { s.watch.tell = tell }
+}
+
+// New returns a server.
+func New(views Views, upstream Upstream, meter *usage.Meter, options ...Option) *Server {
+	s := &Server{
+		views: views, upstream: upstream, meter: meter, budget: retry.New(), logger: &log.DefaultLogger,
+		counters: newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	s.watch = newWatch(s)
+	for _, o := range options {
+		o(s)
+	}
+	return s
+}
+
+// request is a call on its way through the server.
+type request struct {
+	*Call
+	server    *Server
+	view      *View
+	route     *catalogue.Route
+	service   *catalogue.Service
+	workspace string
+	rank      int
+	deadline  time.Time // deadline is when the final answer is due.
+	avoided   map[string]bool
+	refusals  int // refusals counts the attempts that provably did not run.
+	attempts  int // attempts counts those that may have run.
+	targets   []string
+	first     time.Duration // first is the time to the first event.
+	events    int
+	resumes   int
+	repaths   atomic.Int32
+}
+
+// Serve answers a call. An error is a *refusal.Error and means that nothing was written; http.ErrAbortHandler means
+// that the answer was begun and must be broken off.
+func (s *Server) Serve(ctx context.Context, c *Call, w http.ResponseWriter) error {
+	r := &request{Call: c, server: s}
+	err := r.admit()
+	if err == nil {
+		bounded, cancel := context.WithDeadline(ctx, r.deadline)
+		s.budget.Request(r.service.Name, c.Arrived)
+		if r.service.Engine != nil {
+			err = r.stream(bounded, w)
+		} else {
+			err = r.plain(bounded, w)
+		}
+		cancel()
+	}
+	r.record(ctx, err)
+	return err
+}
+
+// admit finds the route and checks the key.
+func (r *request) admit() error {
+	view := r.server.views.View()
+	if view == nil {
+		return refusal.New(http.StatusServiceUnavailable, "no_configuration", outcome.NotRun,
+			"this instance has no configuration yet").After(unknownYet)
+	}
+	r.view = view
+	fresh := r.server.views.Fresh()
+	route, ok := view.Catalogue.Route(r.Host, r.Path)
+	if !ok {
+		return r.unlessStale(fresh, refusal.New(http.StatusNotFound, "no_route", outcome.NotRun, "no route matches %s%s", r.Host, r.Path))
+	}
+	r.route, r.rank = route, route.Priority
+	if !route.Public {
+		workspace, ok := view.Catalogue.Workspace(r.Key)
+		if !ok {
+			return r.unlessStale(fresh, refusal.New(http.StatusUnauthorized, "unknown_key", outcome.NotRun, "the key is not known"))
+		}
+		if !fresh {
+			return r.stale()
+		}
+		r.workspace = workspace.Name
+		if workspace.Ranked {
+			r.rank = workspace.Priority
+		}
+	}
+	r.service = view.Catalogue.Service(route.Service(xxhash.Sum64String(r.ID)))
+	r.deadline = r.Arrived.Add(route.Timeout)
+	if !r.Deadline.IsZero() && r.Deadline.Before(r.deadline) {
+		r.deadline = r.Deadline
+	}
+	return nil
+}
+
+// unlessStale returns the refusal, or one that promises nothing if a newer configuration may say otherwise.
+func (r *request) unlessStale(fresh bool, e *refusal.Error) error {
+	if fresh {
+		return e
+	}
+	return r.stale()
+}
+
+func (r *request) stale() error {
+	return refusal.New(http.StatusServiceUnavailable, "stale_configuration", outcome.NotRun,
+		"this instance cannot confirm its configuration").After(unfresh)
+}
+
+// attempt returns an attempt on a path.
+func (r *request) attempt(p path.Path) Attempt {
+	return Attempt{Call: r.Call, Workspace: r.workspace, Path: p, Left: time.Until(r.deadline), After: r.After}
+}
+
+// confirmed refuses a request with a key whose configuration has become too old since it was admitted.
+func (r *request) confirmed() error {
+	if !r.route.Public && !r.server.views.Fresh() {
+		return r.stale()
+	}
+	return nil
+}
+
+// mayRepeat reports whether the request may be sent to another target after one that may have run it.
+func (r *request) mayRepeat() bool {
+	return r.route.Repeatable() && r.attempts < r.route.MaxAttempts && r.allowed()
+}
+
+// allowed takes a repeated sending out of the retry budget.
+func (r *request) allowed() bool {
+	if r.server.budget.Allow(r.service.Name, time.Now()) {
+		return true
+	}
+	r.server.counters.budget.Inc(1)
+	return false
+}
+
+// failed takes in an attempt without an answer. It returns the final refusal, or nil if the request may be sent again.
+func (r *request) failed(err error, p path.Path) error {
+	now := time.Now()
+	var f *Failure
+	if !errors.As(err, &f) {
+		f = &Failure{Sent: true, Cause: err}
+	}
+	r.blame(f, p, now)
+	if f.NotRun {
+		r.refusals++
+		if r.refusals < maxRefusals && time.Until(r.deadline) > 0 && r.allowed() {
+			return nil
+		}
+		return r.refused("targets_refused", "the targets have no room", f)
+	}
+	r.attempts++
+	if time.Until(r.deadline) <= 0 {
+		return refusal.New(http.StatusGatewayTimeout, "timeout", outcome.Unknown, "no answer within the time").Because(f)
+	}
+	if r.mayRepeat() {
+		return nil
+	}
+	return refusal.New(http.StatusBadGateway, "target_failed", outcome.Unknown, "the target gave no answer").Because(f)
+}
+
+// refused returns a refusal of a request that has not run, unless an earlier attempt may have.
+func (r *request) refused(code, message string, cause error) error {
+	if r.attempts > 0 && !r.route.Repeatable() {
+		return refusal.New(http.StatusBadGateway, code, outcome.Unknown, "%s", message).Because(cause)
+	}
+	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, "%s", message).Because(cause).After(r.server.comeBack(r.service))
+}
+
+// blame notes which target failed.
+func (r *request) blame(f *Failure, p path.Path, now time.Time) {
+	culprit := p[0].Target
+	if t, ok := p.At(f.Culprit); ok {
+		culprit = t
+	}
+	if r.avoided == nil {
+		r.avoided = make(map[string]bool)
+	}
+	r.avoided[culprit.Name] = true
+	r.server.meter.Failed(culprit.Name, now)
+	r.server.logger.Info().Str("Request", r.ID).Str("Target", culprit.Name).Str("Address", culprit.Address.String()).
+		Bool("NotRun", f.NotRun).Bool("Misdirected", f.Misdirected).Err(f.Cause).Msg("attempt failed")
+}
+
+// avoid reports whether the request must not use a target.
+func (r *request) avoid(name string) bool {
+	return r.avoided[name] || r.server.meter.Avoided(name, time.Now())
+}
+
+// comeBack is when a refused caller should return: early where a moment's load is at fault, spread so that callers do
+// not return together.
+func (s *Server) comeBack(service *catalogue.Service) time.Duration {
+	base := 400 * time.Millisecond
+	if service.Engine != nil {
+		base = 800 * time.Millisecond
+	}
+	return base + time.Duration(s.float()*float64(base))
+}
+
+// float returns a random number in [0, 1).
+func (s *Server) float() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.random.Float64()
+}
+
+// draw runs a function with the random source.
+func (s *Server) draw(f func(*rand.Rand)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.random)
+}
--- /dev/null
+++ b/pkg/exchange/stream.go
@@ -0,0 +1,264 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+)
+
+const (
+	// maxResumes bounds how often one stream goes on at other targets.
+	maxResumes = 6
+	// resumePause is the time between two tries to resume while a layer has no holder.
+	resumePause = 100 * time.Millisecond
+	// resumePatience bounds the time without an event in which a begun stream is resumed; its caller leaves soon
+	// after.
+	resumePatience = 1900 * time.Millisecond
+	// eventBuffer is the initial size in bytes of the buffer for events that are not whole yet.
+	eventBuffer = 2048
+	// maxEvent bounds one event in bytes.
+	maxEvent = 1 << 20
+)
+
+// errIncomplete reports a stream whose connection ended in the middle of an event.
+var errIncomplete = errors.New("the stream ended in the middle of an event")
+
+// stream serves a request to a model.
+func (r *request) stream(ctx context.Context, w http.ResponseWriter) error {
+	s := newSession(r, w)
+	defer s.end()
+	for {
+		answer, err := s.open(ctx)
+		if err != nil {
+			return s.give(err)
+		}
+		if answer.Status != http.StatusOK {
+			return s.passOn(answer)
+		}
+		err = s.relay(answer)
+		if err == nil {
+			answer.Finish()
+			return nil
+		}
+		answer.Abort()
+		if err := s.interrupted(ctx, err); err != nil {
+			return s.give(err)
+		}
+	}
+}
+
+// give ends the request with an error; one whose answer has begun is broken off.
+func (s *session) give(err error) error {
+	if !s.begun {
+		return err
+	}
+	s.server.logger.Info().Str("Request", s.ID).Str("After", s.After).Err(err).Msg("stream broken off")
+	return http.ErrAbortHandler
+}
+
+// passOn passes an answer on that is not a stream of events.
+func (s *session) passOn(answer *Answer) error {
+	if s.begun {
+		answer.Abort()
+		return s.give(errors.New("the target refused to go on"))
+	}
+	body, whole, err := readAnswer(answer)
+	if err != nil {
+		answer.Abort()
+		return refusal.New(http.StatusBadGateway, "target_failed", outcome.Unknown, "the target gave no answer").Because(err)
+	}
+	return writeAnswer(s.writer, answer, body, whole)
+}
+
+// open finds a path and sends the request along it, until a target answers.
+func (s *session) open(ctx context.Context) (*Answer, error) {
+	for {
+		if ctx.Err() != nil {
+			return nil, s.timedOut(ctx.Err())
+		}
+		p, err := s.find(path.Request{To: s.service.Engine.Layers})
+		if err != nil {
+			if s.wait(ctx) {
+				continue
+			}
+			return nil, s.refused("no_path", "no targets have room for the request on all layers", err)
+		}
+		if !p.Whole(s.service.Engine.Layers) {
+			s.server.logger.Error().Str("Request", s.ID).Interface("Path", p).Msg("invariant broken: a path does not run each layer once")
+			return nil, s.refused("no_path", "no path could be made", nil)
+		}
+		if err := s.confirmed(); err != nil && !s.begun {
+			return nil, err
+		}
+		answer, err := s.send(ctx, p)
+		if err == nil {
+			return answer, nil
+		}
+		if ctx.Err() != nil {
+			s.attempts++
+			return nil, s.timedOut(err)
+		}
+		if err := s.failed(err, p); err != nil && !s.begun {
+			return nil, err
+		}
+	}
+}
+
+// wait pauses before a begun stream is tried again, and reports whether it may be.
+func (s *session) wait(ctx context.Context) bool {
+	if !s.begun || time.Since(s.lastEvent()) > resumePatience {
+		return false
+	}
+	select {
+	case <-time.After(resumePause):
+		s.refresh()
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refresh takes in what the instance has learned since the request was admitted.
+func (r *request) refresh() {
+	if view := r.server.views.View(); view != nil && view.Catalogue.Service(r.service.Name) != nil {
+		r.view = view
+	}
+}
+
+// find returns a path for the whole request that leaves out the targets that failed it.
+func (s *session) find(q path.Request) (path.Path, error) {
+	q.Avoid = s.avoid
+	return s.server.find(s.view, s.request, q)
+}
+
+// find returns a path among the targets of the view.
+func (s *Server) find(v *View, r *request, q path.Request) (path.Path, error) {
+	q.Prompt, q.Answer, q.DataCentre = r.Work.Prompt, r.expected(), s.dataCentre
+	finder := s.finder(v, r.service)
+	var found path.Path
+	var err error
+	s.draw(func(random *rand.Rand) { found, err = finder.Find(random, q) })
+	return found, err
+}
+
+// expected is the number of answer tokens to plan for.
+func (r *request) expected() int {
+	switch {
+	case r.Work.Hint > 0 && r.Work.Answer > 0:
+		return min(r.Work.Hint, r.Work.Answer)
+	case r.Work.Hint > 0:
+		return r.Work.Hint
+	case r.Work.Answer > 0:
+		return min(r.Work.Answer, 2*max(r.service.Engine.UsualAnswer, 1))
+	default:
+		return r.service.Engine.UsualAnswer
+	}
+}
+
+// send opens the request on a path and reserves its memory there.
+func (s *session) send(ctx context.Context, p path.Path) (*Answer, error) {
+	s.take(p)
+	s.targets = append(s.targets, p[0].Target.Name)
+	a := s.attempt(p)
+	a.Reuse = reuse
+	opened, cancel := context.WithCancel(ctx)
+	s.opened(cancel)
+	answer, err := s.server.upstream.Open(opened, a)
+	if err != nil {
+		cancel()
+		return nil, err
+	}
+	finish, abort := answer.Finish, answer.Abort
+	answer.Finish = func() { finish(); cancel() }
+	answer.Abort = func() { abort(); cancel() }
+	return answer, nil
+}
+
+// interrupted decides whether a stream goes on after its target was lost.
+func (s *session) interrupted(ctx context.Context, cause error) error {
+	p := s.currentPath()
+	if ctx.Err() != nil {
+		return s.timedOut(cause)
+	}
+	s.resumes++
+	s.blame(&Failure{Sent: true, Cause: cause}, p, time.Now())
+	if !s.route.Resumable || s.resumes > maxResumes || !s.allowed() {
+		return refusal.New(http.StatusBadGateway, "stream_lost", outcome.Unknown, "the stream was interrupted").Because(cause)
+	}
+	s.server.counters.resumed.Inc(1)
+	s.refresh()
+	return nil
+}
+
+// relay passes events on until the stream ends. Only whole events are passed on.
+func (s *session) relay(a *Answer) error {
+	buffer := make([]byte, 0, eventBuffer)
+	for {
+		if len(buffer) == cap(buffer) {
+			if len(buffer) > maxEvent {
+				return errIncomplete
+			}
+			grown := make([]byte, len(buffer), 2*cap(buffer))
+			copy(grown, buffer)
+			buffer = grown
+		}
+		n, err := a.Body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if whole := wholeEvents(buffer); whole > 0 {
+			if err := s.forward(a, buffer[:whole]); err != nil {
+				return err
+			}
+			buffer = buffer[:copy(buffer, buffer[whole:])]
+		}
+		switch {
+		case err == nil:
+		case isEnd(err) && len(buffer) == 0:
+			return s.complete(a)
+		case isEnd(err):
+			return errIncomplete
+		default:
+			return err
+		}
+	}
+}
+
+// complete begins the answer of a stream without events.
+func (s *session) complete(a *Answer) error {
+	s.begin(a)
+	return nil
+}
+
+// begin writes the head of the answer: the first target's, also if others go on.
+func (s *session) begin(a *Answer) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	copyHeader(s.writer.Header(), a.Header)
+	s.writer.WriteHeader(a.Status)
+}
+
+// forward writes whole events to the caller.
+func (s *session) forward(a *Answer, events []byte) error {
+	s.begin(a)
+	now := time.Now()
+	if s.events == 0 {
+		s.first = now.Sub(s.Arrived)
+	}
+	s.events += bytes.Count(events, eventEnd)
+	if id, ok := lastEventID(events); ok {
+		s.After = id
+	}
+	s.progress(now)
+	if _, err := s.writer.Write(events); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
--- /dev/null
+++ b/pkg/exchange/watch.go
@@ -0,0 +1,263 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+const (
+	// probeTimeout bounds the question to a suspect. Machines accept connections within a millisecond or two.
+	probeTimeout = 60 * time.Millisecond
+	// probeLife is how long the answer to a question counts.
+	probeLife = 100 * time.Millisecond
+	// deadFor is how long a target found dead is avoided, if nothing else is heard of it.
+	deadFor = 3 * time.Second
+	// repathTimeout bounds the order to change a path.
+	repathTimeout = 250 * time.Millisecond
+	// maxRepaths bounds the tries to find another path for one loss.
+	maxRepaths = 3
+	// lookAgainAfter is when a stream is looked into again whose targets all answer.
+	lookAgainAfter = 150 * time.Millisecond
+)
+
+// watch finds the target at fault when streams fall silent, and moves the streams off it.
+//
+// The suspects of a silent stream are the targets of its path through which no other stream has had an event since.
+// A suspect whose machine does not accept a connection is dead: every stream of this instance that passes through it
+// changes its path, and the other instances are told.
+type watch struct {
+	server *Server
+	tell   func(t target.Target)
+
+	mu       sync.Mutex
+	sessions map[*session]struct{}
+	probes   map[string]*probe
+}
+
+// probe is a question to a target under way or answered.
+type probe struct {
+	at   time.Time
+	done chan struct{}
+	err  error
+}
+
+func newWatch(s *Server) *watch {
+	return &watch{server: s, tell: func(target.Target) {}, sessions: make(map[*session]struct{}), probes: make(map[string]*probe)}
+}
+
+func (w *watch) add(s *session) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sessions[s] = struct{}{}
+}
+
+func (w *watch) remove(s *session) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.sessions, s)
+}
+
+// silent looks into a stream without an event for longer than usual.
+func (w *watch) silent(s *session) {
+	dead := false
+	for _, t := range w.suspects(s) {
+		if w.dead(t) {
+			dead = true
+			w.lost(t, "Silence")
+		}
+	}
+	if !dead {
+		s.lookAgain(lookAgainAfter)
+	}
+}
+
+// suspects are the targets of the stream's path that no other stream shows alive since its last event.
+func (w *watch) suspects(s *session) []target.Target {
+	p, since := s.currentPath(), s.lastEvent()
+	alive := make(map[string]bool)
+	w.mu.Lock()
+	others := make([]*session, 0, len(w.sessions))
+	for o := range w.sessions {
+		if o != s {
+			others = append(others, o)
+		}
+	}
+	w.mu.Unlock()
+	for _, o := range others {
+		if !o.lastEvent().After(since.Add(minSilence / 2)) {
+			continue
+		}
+		for _, part := range o.currentPath() {
+			alive[part.Target.Name] = true
+		}
+	}
+	var suspects []target.Target
+	for _, part := range p {
+		if !alive[part.Target.Name] {
+			suspects = append(suspects, part.Target)
+		}
+	}
+	return suspects
+}
+
+// dead asks the target's machine whether it accepts connections. Questions at the same time share an answer.
+func (w *watch) dead(t target.Target) bool {
+	w.mu.Lock()
+	p := w.probes[t.Name]
+	if p == nil || time.Since(p.at) > probeLife {
+		p = &probe{at: time.Now(), done: make(chan struct{})}
+		w.probes[t.Name] = p
+		go w.ask(t, p)
+	}
+	w.mu.Unlock()
+	<-p.done
+	return p.err != nil
+}
+
+func (w *watch) ask(t target.Target, p *probe) {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	p.err = w.server.upstream.Probe(ctx, t)
+	close(p.done)
+}
+
+// lost moves all streams off a dead target and tells the other instances.
+func (w *watch) lost(t target.Target, reason string) {
+	now := time.Now()
+	if w.server.meter.Avoided(t.Name, now.Add(deadFor/2)) {
+		w.moveAll(t)
+		return
+	}
+	w.server.meter.Avoid(t.Name, now.Add(deadFor))
+	w.server.logger.Info().Str("Target", t.Name).Str("Address", t.Address.String()).Str("Reason", reason).Msg("target lost")
+	w.tell(t)
+	w.moveAll(t)
+}
+
+// Lost takes in that another instance found a target dead.
+func (s *Server) Lost(t target.Target) {
+	s.meter.Avoid(t.Name, time.Now().Add(deadFor))
+	s.watch.moveAll(t)
+}
+
+// moveAll moves the streams that pass through a target.
+func (w *watch) moveAll(t target.Target) {
+	w.mu.Lock()
+	var affected []*session
+	for s := range w.sessions {
+		affected = append(affected, s)
+	}
+	w.mu.Unlock()
+	for _, s := range affected {
+		if s.currentPath().Passes(t.Name) {
+			go w.move(s, t)
+		}
+	}
+}
+
+// move changes the path of a stream so that it leaves out a target. A stream that cannot change is resumed.
+func (w *watch) move(s *session, t target.Target) {
+	s.mu.Lock()
+	if s.moving || s.ended {
+		s.mu.Unlock()
+		return
+	}
+	s.moving = true
+	s.mu.Unlock()
+	err := w.repath(s)
+	s.mu.Lock()
+	s.moving = false
+	s.mu.Unlock()
+	if err == nil {
+		s.server.counters.repathed.Inc(1)
+		s.lookAgain(firstSilence)
+		return
+	}
+	w.server.logger.Info().Str("Request", s.ID).Str("Target", t.Name).Err(err).Msg("path not changed, the stream is resumed")
+	s.interrupt()
+}
+
+var errNoRepath = errors.New("the first target of the path is lost")
+
+// repath replaces the parts of the path whose targets are avoided.
+func (w *watch) repath(s *session) error {
+	var err error
+	for range maxRepaths {
+		p := s.currentPath()
+		if len(p) == 0 || w.server.meter.Avoided(p[0].Target.Name, time.Now()) {
+			return errNoRepath
+		}
+		var changed path.Path
+		changed, err = w.around(s, p)
+		if err != nil {
+			return err
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), repathTimeout)
+		err = w.server.upstream.Repath(ctx, s.ID, changed)
+		cancel()
+		if err == nil {
+			s.repaths.Add(1)
+			s.take(changed)
+			return nil
+		}
+		var f *Failure
+		if !errors.As(err, &f) || !f.Culprit.IsValid() {
+			return err
+		}
+		if t, ok := changed.At(f.Culprit); ok {
+			w.server.meter.Failed(t.Name, time.Now())
+		}
+	}
+	return err
+}
+
+// around returns the path with its avoided parts replaced.
+func (w *watch) around(s *session, p path.Path) (path.Path, error) {
+	now := time.Now()
+	var changed path.Path
+	for i := 0; i < len(p); {
+		if !w.server.meter.Avoided(p[i].Target.Name, now) {
+			changed = append(changed, p[i])
+			i++
+			continue
+		}
+		gap := p[i].Layers
+		for i++; i < len(p) && w.server.meter.Avoided(p[i].Target.Name, now); i++ {
+			gap.End = p[i].Layers.End
+		}
+		parts, err := w.fill(s, p, gap)
+		if err != nil {
+			return nil, err
+		}
+		changed = append(changed, parts...)
+	}
+	if !changed.Whole(s.service.Engine.Layers) {
+		return nil, errors.New("the changed path does not run each layer once")
+	}
+	return changed, nil
+}
+
+// fill finds targets for a gap in a path that are not on it already.
+func (w *watch) fill(s *session, p path.Path, gap layer.Range) (path.Path, error) {
+	now := time.Now()
+	avoid := func(name string) bool { return p.Passes(name) || w.server.meter.Avoided(name, now) }
+	return w.server.find(w.server.views.View(), s.request, path.Request{From: gap.First, To: gap.End, Avoid: avoid})
+}
+
+// finder returns the finder of a service's targets as they are loaded now.
+func (s *Server) finder(v *View, service *catalogue.Service) *path.Finder {
+	targets := v.Targets[service.Name]
+	holders := make([]path.Holder, 0, len(targets))
+	for _, t := range targets {
+		load := s.meter.Load(t.Name)
+		holders = append(holders, path.Holder{Target: t, Cells: load.Cells, Streams: load.Streams})
+	}
+	return path.New(service.Engine, holders)
+}
--- /dev/null
+++ b/pkg/station/knowledge.go
@@ -0,0 +1,211 @@
+package station
+
+import (
+	"bytes"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/exchange"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+const (
+	// outage is the time without an answer of the store after which entries that went missing are kept for a while:
+	// they may have lapsed only because their targets could not renew them either.
+	outage = 2500 * time.Millisecond
+	// returnGrace is how long such entries are kept after the store has answered again.
+	returnGrace = 2 * time.Second
+)
+
+// knowledge is what the instance has read of configuration and targets. Readers use the published view.
+type knowledge struct {
+	platform  Platform
+	logger    *log.Logger
+	proofLife time.Duration
+	view      atomic.Pointer[exchange.View]
+	proven    atomic.Int64 // proven is the boot time at which the configuration in force was the newest.
+
+	mu        sync.Mutex
+	catalogue *catalogue.Catalogue
+	revision  uint64 // revision is the store's, of the configuration in force.
+	content   []byte
+	targets   map[string]*listed
+	changed   func()
+}
+
+// listed is an entry of the list.
+type listed struct {
+	target   target.Target
+	content  []byte
+	revision uint64
+	missing  time.Time // missing is when an entry that is kept will be dropped; zero if it is there.
+	refused  bool      // refused entries cannot be decoded.
+}
+
+func newKnowledge(p Platform, logger *log.Logger, proofLife time.Duration) *knowledge {
+	return &knowledge{
+		platform: p, logger: logger, proofLife: proofLife,
+		targets: make(map[string]*listed), changed: func() {},
+	}
+}
+
+// View implements exchange.Views.
+func (k *knowledge) View() *exchange.View { return k.view.Load() }
+
+// Fresh implements exchange.Views.
+func (k *knowledge) Fresh() bool {
+	if k.proofLife == 0 {
+		return true
+	}
+	proven := k.proven.Load()
+	return proven > 0 && bootTime()-time.Duration(proven) < k.proofLife
+}
+
+// prove notes that the configuration in force was the newest at a boot time.
+func (k *knowledge) prove(at time.Duration) {
+	for {
+		old := k.proven.Load()
+		if int64(at) <= old || k.proven.CompareAndSwap(old, int64(at)) {
+			return
+		}
+	}
+}
+
+// version returns the version in force and its revision; 0 means none.
+func (k *knowledge) version() (version, revision uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.catalogue == nil {
+		return 0, 0
+	}
+	return k.catalogue.Version, k.revision
+}
+
+// configure puts a configuration in force, unless a newer one is.
+func (k *knowledge) configure(row Row) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if row.Revision <= k.revision || row.Removed {
+		return
+	}
+	c, err := k.platform.DecodeConfiguration(row.Value)
+	if err != nil {
+		k.logger.Error().Uint64("Revision", row.Revision).Err(err).Msg("configuration refused")
+		return
+	}
+	k.revision = row.Revision
+	if k.catalogue != nil && c.Version <= k.catalogue.Version {
+		return
+	}
+	k.catalogue, k.content = c, row.Value
+	k.logger.Info().Uint64("Version", c.Version).Uint64("Revision", row.Revision).Msg("configuration in force")
+	k.publish()
+}
+
+// list takes in changes of the list of targets. Silent is the time since the answer before.
+func (k *knowledge) list(c Change, silent time.Duration, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	changed := false
+	seen := make(map[string]bool, len(c.Rows))
+	for _, row := range c.Rows {
+		seen[row.Name] = true
+		if row.Removed {
+			changed = k.miss(row.Name, silent, now) || changed
+			continue
+		}
+		changed = k.take(row) || changed
+	}
+	if c.Whole {
+		for name := range k.targets {
+			if !seen[name] {
+				changed = k.miss(name, silent, now) || changed
+			}
+		}
+	}
+	if changed {
+		k.publish()
+	}
+}
+
+// take decodes an entry and reports whether it changed anything.
+func (k *knowledge) take(row Row) bool {
+	old := k.targets[row.Name]
+	if old != nil && row.Revision < old.revision {
+		return false
+	}
+	if old != nil && old.missing.IsZero() && bytes.Equal(old.content, row.Value) {
+		old.revision = row.Revision
+		return false
+	}
+	t, err := k.platform.DecodeTarget(row.Name, row.Value)
+	if err != nil {
+		if old == nil || !old.refused {
+			k.logger.Warn().Str("Target", row.Name).Uint64("Revision", row.Revision).Err(err).Msg("entry skipped")
+		}
+		k.targets[row.Name] = &listed{revision: row.Revision, content: row.Value, refused: true}
+		return old != nil && !old.refused
+	}
+	k.targets[row.Name] = &listed{target: t, revision: row.Revision, content: row.Value}
+	if old == nil || old.refused || old.target != t {
+		k.logger.Info().Str("Target", t.Name).Str("Address", t.Address.String()).Str("Service", t.Service).
+			Str("State", string(t.State)).Str("Layers", t.Layers.String()).Uint64("Orders", t.Orders).Msg("target listed")
+		return true
+	}
+	return false
+}
+
+// miss drops an entry, at once or, after an outage of the store, some time later.
+func (k *knowledge) miss(name string, silent time.Duration, now time.Time) bool {
+	old := k.targets[name]
+	switch {
+	case old == nil:
+		return false
+	case old.missing.IsZero() && silent > outage && !old.refused:
+		old.missing = now.Add(returnGrace)
+		return false
+	case !old.missing.IsZero() && now.Before(old.missing):
+		return false
+	}
+	delete(k.targets, name)
+	k.logger.Info().Str("Target", name).Msg("target gone")
+	return true
+}
+
+// expire drops the missing entries whose time has come.
+func (k *knowledge) expire(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	changed := false
+	for name, l := range k.targets {
+		if !l.missing.IsZero() && !now.Before(l.missing) {
+			delete(k.targets, name)
+			k.logger.Info().Str("Target", name).Msg("target gone, its entry did not return")
+			changed = true
+		}
+	}
+	if changed {
+		k.publish()
+	}
+}
+
+// publish replaces the view. The lock must be held.
+func (k *knowledge) publish() {
+	if k.catalogue == nil {
+		return
+	}
+	v := &exchange.View{Catalogue: k.catalogue, Targets: make(map[string][]target.Target)}
+	for _, l := range k.targets {
+		if l.refused {
+			continue
+		}
+		t := l.target
+		v.Targets[t.Service] = append(v.Targets[t.Service], t)
+	}
+	k.view.Store(v)
+	k.changed()
+}
--- /dev/null
+++ b/pkg/station/leader.go
@@ -0,0 +1,221 @@
+package station
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/layout"
+	"github.com/cuminroute/cuminroute/pkg/decision/lease"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+const (
+	// leaseName is the row of the lease for orders.
+	leaseName = "leases/orders"
+	// leaseLife is how long the holder may act after a renewal.
+	leaseLife = 3 * time.Second
+	// orderLimit bounds the time of one order.
+	orderLimit = 500 * time.Millisecond
+	// leaseMargin covers differences between clock rates and scheduling delays.
+	leaseMargin = 250 * time.Millisecond
+	// leaderTick is how often the lease and the plan are looked at.
+	leaderTick = 200 * time.Millisecond
+	// leaseReading is how often an instance without the lease reads it.
+	leaseReading = time.Second
+	// pendingMargin is how long after the expected end of a load its target's entry may still be without it.
+	pendingMargin = 4 * time.Second
+	// doubtLife is how long what a target said after a failed order goes before its entry.
+	doubtLife = time.Second
+)
+
+// leader holds the lease for orders and carries out the plan.
+type leader struct {
+	station *Station
+	holder  *lease.Holder
+	read    time.Time
+
+	mu      sync.Mutex
+	pending map[string]pending
+	counts  map[string]count
+}
+
+// pending is an order that its target's entry does not show yet.
+type pending struct {
+	layers  layer.Range
+	started time.Time // started is the target's start.
+	until   time.Time
+}
+
+// count is how many orders a target has accepted since its start, as last heard.
+type count struct {
+	started time.Time
+	orders  uint64
+}
+
+func newLeader(s *Station, incarnation string) *leader {
+	return &leader{
+		station: s, pending: make(map[string]pending), counts: make(map[string]count),
+		holder: lease.New(leaseName, s.settings.Instance, incarnation, lease.WithTimes(leaseLife, orderLimit, leaseMargin)),
+	}
+}
+
+// run looks after the lease and the plan until the context ends.
+func (l *leader) run(ctx context.Context) {
+	ticker := time.NewTicker(leaderTick)
+	defer ticker.Stop()
+	for {
+		l.lease(ctx)
+		if fence, ok := l.holder.MayOrder(time.Now()); ok {
+			l.plan(ctx, fence)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if l.station.stopping.Load() {
+			l.release(ctx)
+		}
+	}
+}
+
+// lease reads, takes or renews the lease.
+func (l *leader) lease(ctx context.Context) {
+	now := time.Now()
+	if !l.holder.Holds() && now.Sub(l.read) >= leaseReading {
+		l.read = now
+		row, err := l.station.platform.Store.Own(ctx, leaseName)
+		l.station.dependency("Lease", err)
+		if err != nil {
+			return
+		}
+		l.holder.Observe(time.Now(), lease.Row{Revision: row.Revision, Value: row.Value})
+	}
+	if t, ok := l.holder.Acquire(time.Now()); ok && !l.station.stopping.Load() {
+		l.swap(ctx, t)
+	}
+	if t, ok := l.holder.Renew(time.Now()); ok {
+		l.swap(ctx, t)
+	}
+}
+
+func (l *leader) swap(ctx context.Context, t lease.Transaction) {
+	held := l.holder.Holds()
+	row, done, err := l.station.platform.Store.Swap(ctx, Row{Name: t.Key, Value: t.Value, Revision: t.Revision})
+	l.station.dependency("Lease", err)
+	switch {
+	case err != nil:
+		l.read = time.Time{} // The write may have taken effect: read the row back.
+		l.readBack(ctx)
+	case done:
+		l.holder.Committed(time.Now(), t, row.Revision)
+	default:
+		l.holder.Observe(time.Now(), lease.Row{Revision: row.Revision, Value: row.Value})
+	}
+	if holds := l.holder.Holds(); holds != held {
+		l.station.logger.Info().Bool("Held", holds).Uint64("Revision", row.Revision).Msg("lease changed hands")
+	}
+}
+
+func (l *leader) readBack(ctx context.Context) {
+	row, err := l.station.platform.Store.Own(ctx, leaseName)
+	if err != nil {
+		return // The next turn reads again.
+	}
+	l.holder.Observe(time.Now(), lease.Row{Revision: row.Revision, Value: row.Value})
+}
+
+// release gives up the lease for a planned stop.
+func (l *leader) release(ctx context.Context) {
+	if t, ok := l.holder.Release(time.Now()); ok {
+		l.swap(ctx, t)
+	}
+}
+
+// plan gives the orders that are due.
+func (l *leader) plan(ctx context.Context, fence uint64) {
+	view := l.station.knowledge.View()
+	if view == nil || !l.station.listed.Load() {
+		return
+	}
+	for _, service := range view.Catalogue.Services() {
+		if service.Engine == nil || service.Engine.Layers == 0 {
+			continue
+		}
+		targets := l.overlay(view.Targets[service.Name], time.Now())
+		var group sync.WaitGroup
+		for _, o := range layout.New(service.Engine).Plan(targets) {
+			group.Go(func() { l.order(ctx, service.Engine, o, fence) })
+		}
+		group.Wait()
+	}
+}
+
+// overlay returns the targets with the layers that they were last ordered to hold.
+func (l *leader) overlay(targets []target.Target, now time.Time) []target.Target {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	planned := make([]target.Target, 0, len(targets))
+	for _, t := range targets {
+		if p, ok := l.pending[t.Name]; ok {
+			if now.After(p.until) || !p.started.Equal(t.Started) || t.Layers == p.layers {
+				delete(l.pending, t.Name)
+			} else {
+				t.Layers = p.layers
+			}
+		}
+		if c := l.counts[t.Name]; c.started.Equal(t.Started) {
+			t.Orders = c.orders
+		}
+		planned = append(planned, t)
+	}
+	return planned
+}
+
+// order gives one order and notes that it is under way.
+func (l *leader) order(ctx context.Context, e *catalogue.Engine, o layout.Order, fence uint64) {
+	share := float64(o.Layers.Len()) / float64(e.Layers)
+	load := time.Duration(float64(e.LoadTime) * share)
+	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	err := l.station.platform.Orders.Place(ctx, Order{Target: o.Target, Layers: o.Layers, Fence: fence})
+	l.station.logger.Info().Str("Target", o.Target.Name).Str("Layers", o.Layers.String()).Uint64("Fence", fence).
+		Uint64("Orders", o.Target.Orders).Err(err).Msg("layers ordered")
+	if err != nil {
+		l.doubt(o, err)
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[o.Target.Name] = count{started: o.Target.Started, orders: o.Target.Orders + 1}
+	l.pending[o.Target.Name] = pending{layers: o.Layers, started: o.Target.Started, until: time.Now().Add(2*load + pendingMargin)}
+}
+
+// doubt asks a target what became of an order that it did not confirm.
+func (l *leader) doubt(o layout.Order, err error) {
+	if errors.Is(err, ErrFenced) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
+	defer cancel()
+	report, err := l.station.platform.Orders.Report(ctx, o.Target)
+	p := pending{layers: o.Target.Layers, started: o.Target.Started, until: time.Now().Add(doubtLife)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil:
+		l.station.logger.Info().Str("Target", o.Target.Name).Err(err).Msg("no report after an order without an answer")
+	case report.Busy:
+		p.layers = o.Layers
+	case report.Layers.Valid():
+		p.layers = report.Layers
+	}
+	if err == nil {
+		l.counts[o.Target.Name] = count{started: o.Target.Started, orders: report.Orders}
+	}
+	l.pending[o.Target.Name] = p
+}
--- /dev/null
+++ b/pkg/station/platform.go
@@ -0,0 +1,95 @@
+package station
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/exchange"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+var (
+	namespace = errorx.NewNamespace("station")
+	// Unavailable is the type of errors of a store that gave no answer.
+	Unavailable = namespace.NewType("unavailable")
+	// ErrHistory reports that the changes after a revision are not kept any more.
+	ErrHistory = namespace.NewType("history").New("the changes asked for are not kept any more")
+	// ErrOrder is the type of errors of orders that a target refused.
+	ErrOrder = namespace.NewType("order")
+	// ErrFenced reports that a target has seen a higher fencing number.
+	ErrFenced = namespace.NewType("fenced").New("a target has seen a higher fencing number")
+	errListen = namespace.NewType("listen")
+)
+
+// Row is one row of the store.
+type Row struct {
+	Name     string
+	Value    []byte
+	Revision uint64
+	Removed  bool
+}
+
+// Change is what has changed in a table up to a revision. Whole means that Rows are all there are.
+type Change struct {
+	Rows     []Row
+	Revision uint64
+	Whole    bool
+}
+
+// Store is the platform's store. Watch calls return after the wait if nothing changed. They return ErrHistory if the
+// changes after the revision are not kept any more.
+type Store interface {
+	Configuration(ctx context.Context) (Change, error)
+	WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (Change, error)
+	Targets(ctx context.Context) (Change, error)
+	WatchTargets(ctx context.Context, after uint64, wait time.Duration) (Change, error)
+	// Own returns one of the product's own rows.
+	Own(ctx context.Context, name string) (Row, error)
+	// Swap writes one of them if it still has the revision, and returns the row as it is then.
+	Swap(ctx context.Context, row Row) (Row, bool, error)
+}
+
+// Order tells an engine which layers to hold.
+type Order struct {
+	Target target.Target // Target.Orders is how many orders it must have accepted before.
+	Layers layer.Range
+	Fence  uint64
+}
+
+// Report is what an engine says of itself.
+type Report struct {
+	Orders uint64
+	Busy   bool // Busy means that an order is being carried out.
+	Layers layer.Range
+	Cells  int64   // Cells is the memory in use, in tokens times layers.
+	Slow   float64 // Slow is above 1 if the engine is slower than usual.
+}
+
+// Orders asks and orders engines.
+type Orders interface {
+	Place(ctx context.Context, o Order) error
+	Report(ctx context.Context, t target.Target) (Report, error)
+}
+
+// Platform is how an instance speaks to what is around it.
+type Platform struct {
+	Store    Store
+	Orders   Orders
+	Upstream exchange.Upstream
+	// ConfigurationName is the row of the configuration.
+	ConfigurationName   string
+	DecodeConfiguration func(content []byte) (*catalogue.Catalogue, error)
+	DecodeTarget        func(name string, content []byte) (target.Target, error)
+	// Door returns the handler of the callers' address. Limit is the largest body in bytes; enter counts a request
+	// in and reports whether its connection must be closed after the answer.
+	Door func(server *exchange.Server, limit func() int64, enter func() (end func(), closing bool)) http.Handler
+	// ReadyPath is the path of the question for readiness.
+	ReadyPath string
+	// Reload reads the settings again.
+	Reload func() (Settings, error)
+}
--- /dev/null
+++ b/pkg/station/station.go
@@ -0,0 +1,224 @@
+package station
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/go-kratos/kratos/v2"
+	klog "github.com/go-kratos/kratos/v2/log"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/retry"
+	"github.com/cuminroute/cuminroute/pkg/decision/usage"
+	"github.com/cuminroute/cuminroute/pkg/exchange"
+	"github.com/cuminroute/cuminroute/pkg/listener"
+	"github.com/cuminroute/cuminroute/pkg/metricspage"
+)
+
+const (
+	// memoryShare is the part of the memory limit that the runtime keeps to. The rest covers what it does not count:
+	// sockets' buffers and unread bytes.
+	memoryShare = 0.6
+	// noticeTime is how long a stopping instance goes on accepting connections: the load balancer notices after two
+	// questions, one a second.
+	noticeTime = 3 * time.Second
+	// lastStream is when a stopping instance refuses requests to models, which may not end before the kill.
+	lastStream = 3500 * time.Millisecond
+	// killMargin is the time before the kill by which a stopping instance has ended.
+	killMargin = 600 * time.Millisecond
+	// logQueue bounds the log lines that wait to be written; more are dropped.
+	logQueue = 1024
+)
+
+// Station is one running entry instance.
+type Station struct {
+	settings Settings
+	platform Platform
+	logger   *log.Logger
+	registry metrics.Registry
+	output   io.Writer
+
+	knowledge *knowledge
+	meter     *usage.Meter
+	budget    *retry.Budget
+	server    *exchange.Server
+	leader    *leader
+
+	callersAt, readyAt net.Listener
+	app                *kratos.App
+	listed             atomic.Bool
+	stopping           atomic.Bool
+	stopAt             atomic.Int64 // stopAt is when the order to stop came, in Unix nanoseconds.
+	running            atomic.Int64 // running counts the requests in flight.
+	done               chan struct{}
+	err                error
+
+	mu   sync.Mutex
+	lost map[string]bool
+}
+
+// Option changes a station.
+type Option func(*Station)
+
+// WithLogOutput sends the log to w instead of standard output.
+func WithLogOutput(w io.Writer) Option {
+	return func(s *Station) { s.output = w }
+}
+
+// New starts an instance. It listens at once, and is ready when a configuration and the list of targets are known.
+func New(ctx context.Context, settings Settings, platform Platform, options ...Option) (*Station, error) {
+	s := &Station{
+		settings: settings, platform: platform, registry: metrics.NewRegistry(), output: os.Stdout,
+		meter: usage.New(), done: make(chan struct{}), lost: make(map[string]bool),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
+	s.logger = newLogger(settings, s.output)
+	s.knowledge = newKnowledge(platform, s.logger, settings.ProofLife)
+	s.budget = retry.New()
+	s.server = exchange.New(s.knowledge, platform.Upstream, s.meter, exchange.WithBudget(s.budget),
+		exchange.WithDataCentre(settings.DataCentre), exchange.WithLogger(s.logger), exchange.WithRegistry(s.registry))
+	s.leader = newLeader(s, fmt.Sprintf("%s/%08x", settings.Instance, rand.Uint32()))
+	if err := s.listen(); err != nil {
+		return nil, err
+	}
+	s.start(ctx)
+	return s, nil
+}
+
+// newLogger returns a logger that never blocks: lines beyond the queue are dropped.
+func newLogger(s Settings, output io.Writer) *log.Logger {
+	logger := &log.Logger{Level: log.InfoLevel, TimeField: "Time", TimeFormat: time.RFC3339Nano}
+	logger.Context = log.NewContext(nil).Str("Instance", s.Instance).Str("DataCentre", s.DataCentre).Value()
+	logger.Writer = &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: output}}
+	return logger
+}
+
+func (s *Station) listen() error {
+	var err error
+	if s.callersAt, err = net.Listen("tcp4", s.settings.Callers.String()); err != nil {
+		return errListen.Wrap(err, "the callers' address cannot be used")
+	}
+	if s.readyAt, err = net.Listen("tcp4", s.settings.Ready.String()); err != nil {
+		_ = s.callersAt.Close()
+		return errListen.Wrap(err, "the address for readiness cannot be used")
+	}
+	return nil
+}
+
+// frameworkLogger sets the framework's logger once: it is global.
+var frameworkLogger sync.Once
+
+func (s *Station) start(ctx context.Context) {
+	frameworkLogger.Do(func() { klog.SetLogger(klog.NewStdLogger(io.Discard)) })
+	run, cancel := context.WithCancel(ctx)
+	callers := newListener(s.callersAt)
+	callers.Handler = s.platform.Door(s.server, s.bodyLimit, s.enter)
+	ready := newListener(s.readyAt)
+	ready.Handler = s.inquiries()
+	go s.followConfiguration(run)
+	go s.followTargets(run)
+	go s.leader.run(run)
+	go s.reload(run)
+	s.app = kratos.New(
+		kratos.Name("cuminrouted"), kratos.ID(s.settings.Instance), kratos.Context(ctx), kratos.Server(callers, ready),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT), kratos.BeforeStop(s.drain),
+	)
+	s.logger.Info().Str("Callers", s.settings.Callers.String()).Str("Ready", s.settings.Ready.String()).Msg("started")
+	go func() {
+		defer close(s.done)
+		s.err = s.app.Run()
+		cancel()
+		s.logger.Info().Err(s.err).Msg("stopped")
+	}()
+}
+
+// newListener returns a server whose endpoint is given: finding one would list the machine's network interfaces.
+func newListener(l net.Listener) *khttp.Server {
+	return listener.New(khttp.Listener(l), khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
+}
+
+// inquiries answers the load balancer and the operators.
+func (s *Station) inquiries() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(s.platform.ReadyPath, s.serveReady)
+	mux.Handle("/metrics", metricspage.New(s.registry))
+	return mux
+}
+
+// Ready reports whether callers may be sent here.
+func (s *Station) Ready() bool {
+	return !s.stopping.Load() && s.knowledge.View() != nil && s.listed.Load() && s.knowledge.Fresh()
+}
+
+func (s *Station) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// bodyLimit is the largest body of a request in bytes.
+func (s *Station) bodyLimit() int64 {
+	if v := s.knowledge.View(); v != nil {
+		return v.Catalogue.Limits.BodyBytes
+	}
+	return 0
+}
+
+// enter counts a request in and reports whether its connection is to be closed after the answer.
+func (s *Station) enter() (end func(), closing bool) {
+	s.running.Add(1)
+	return func() { s.running.Add(-1) }, s.stopping.Load()
+}
+
+// drain is a planned stop: not ready, then no new connections, then the end of the running requests.
+func (s *Station) drain(ctx context.Context) error {
+	started := time.Now()
+	s.stopAt.Store(started.UnixNano())
+	s.stopping.Store(true)
+	s.logger.Info().Int64("Running", s.running.Load()).Msg("stopping")
+	last := started.Add(s.settings.Grace - killMargin)
+	sleep(ctx, noticeTime)
+	for s.running.Load() > 0 && time.Now().Before(last) && ctx.Err() == nil {
+		sleep(ctx, 20*time.Millisecond)
+	}
+	return nil
+}
+
+// reload takes in changed settings. The addresses of a running process stay as they are.
+func (s *Station) reload(ctx context.Context) {
+	changed := make(chan os.Signal, 1)
+	signal.Notify(changed, syscall.SIGHUP)
+	defer signal.Stop(changed)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		_, err := s.platform.Reload()
+		s.logger.Info().Err(err).Msg("settings read again")
+	}
+}
+
+// Wait returns when the instance has ended.
+func (s *Station) Wait() error {
+	<-s.done
+	return s.err
+}
--- a/pkg/target/target.go
+++ b/pkg/target/target.go
@@ -8,6 +8,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/layer"
 )
@@ -43,7 +44,10 @@
 	Model       string         `json:"Model,omitempty"`       // Model is the model that an engine holds.
 	ModelLayers int            `json:"ModelLayers,omitempty"` // ModelLayers is the layer count of the whole model.
 	Layers      layer.Range    `json:"Layers,omitzero"`       // Layers is the range that an engine holds.
-	Service     string         `json:"Service,omitempty"`     // Service is the name of a plain service.
+	Service     string         `json:"Service,omitempty"`     // Service is the name of the service that the target belongs to.
+	Slots       int            `json:"Slots,omitempty"`       // Slots is the number of requests that the target runs at once.
+	Orders      uint64         `json:"Orders,omitempty"`      // Orders counts the orders that the target has accepted since its start.
+	Started     time.Time      `json:"Started,omitzero"`      // Started is when the target's process started.
 }
 
 // Accepting reports whether the target may be given new work.
