Plan layers only once the list has settled, keep paths within a data centre, and tell full targets from failing ones

Change: the first plan waits until the list no longer grows; the path's cost counts the time that the shared pipe is taken; a refusal makes a target look slow for 150 ms; each data centre that can hold a whole replica is restored by moving a target whose layers are held twice there; dead targets do not count in the plan; no streams late in a stop.

--- a/pkg/catalogue/engine.go
+++ b/pkg/catalogue/engine.go
@@ -24,6 +24,10 @@
 	PerContext time.Duration
 	// ReadRate is the prompt tokens read in a second over all layers.
 	ReadRate float64
+	// ActivationBytes is what one token carries from one target to the next.
+	ActivationBytes int64
+	// PipeRate is the bytes per second of the pipe between two data centres, which all requests share.
+	PipeRate float64
 	// LoadTime is how long a target takes to load all layers.
 	LoadTime     time.Duration
 	ReportLag    time.Duration // ReportLag is the age of a target's report.
@@ -49,6 +53,14 @@
 	return e.Delays[[2]string{to, from}]
 }
 
+// TransferTime is how long the pipe between two data centres is taken by the activations of the tokens.
+func (e *Engine) TransferTime(tokens int) time.Duration {
+	if e.PipeRate <= 0 {
+		return 0
+	}
+	return time.Duration(float64(tokens) * float64(e.ActivationBytes) / e.PipeRate * float64(time.Second))
+}
+
 // Cells is the memory left for requests on a target that holds the layers, in tokens times layers.
 func (e *Engine) Cells(accelerator string, layers int) int64 {
 	free := e.Accelerators[accelerator].Bytes - int64(layers)*e.LayerBytes
--- a/pkg/decision/layout/layout.go
+++ b/pkg/decision/layout/layout.go
@@ -16,6 +16,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
@@ -115,30 +117,70 @@
 		cover.add(t.DataCentre, layers, 1)
 		orders = append(orders, Order{Target: t, Layers: layers})
 	}
-	if move, ok := p.restore(targets, sizes, cover); ok {
-		orders = append(orders, move)
+	return append(orders, p.restore(targets, sizes, cover)...)
+}
+
+// restore moves targets to layers without a holder: one for a layer that no target holds anywhere, and one in each
+// data centre that could hold all layers and does not. Only targets whose layers others hold as well are moved, first
+// those in the same data centre.
+func (p *Planner) restore(targets []target.Target, sizes map[string]int, cover *coverage) []Order {
+	var orders []Order
+	moved := make(map[string]bool)
+	for _, centre := range cover.names() {
+		home := cover.centres[centre]
+		hole, open := firstHole(home)
+		if !open || p.within(targets, sizes, centre) < p.engine.Layers {
+			continue
+		}
+		if o, ok := p.move(targets, sizes, hole, moved, func(t target.Target) int {
+			if t.DataCentre != centre {
+				return 0
+			}
+			return spare(home, t.Layers)
+		}); ok {
+			cover.add(centre, o.Target.Layers, -1)
+			cover.add(centre, o.Layers, 1)
+			orders = append(orders, o)
+		}
+	}
+	if hole, open := firstHole(cover.all); open {
+		o, ok := p.move(targets, sizes, hole, moved, func(t target.Target) int { return spare(cover.all, t.Layers) })
+		if ok {
+			orders = append(orders, o)
+		}
 	}
 	return orders
 }
 
-// restore moves one target whose layers are all held elsewhere to a layer without a holder.
-func (p *Planner) restore(targets []target.Target, sizes map[string]int, cover *coverage) (Order, bool) {
-	hole, ok := cover.hole()
-	if !ok {
-		return Order{}, false
+// within is the number of layers that the targets of a data centre hold together.
+func (p *Planner) within(targets []target.Target, sizes map[string]int, centre string) int {
+	total := 0
+	for _, t := range targets {
+		if t.Accepting() && t.DataCentre == centre {
+			total += sizes[t.Accelerator]
+		}
 	}
+	return total
+}
+
+// move returns the order that moves the most dispensable target to a hole. The function tells how dispensable one is;
+// 0 means that it must stay.
+func (p *Planner) move(targets []target.Target, sizes map[string]int, hole int, moved map[string]bool, spare func(target.Target) int) (Order, bool) {
 	var best Order
 	bestSpare := 0
 	for _, t := range targets {
 		size := sizes[t.Accelerator]
-		if !t.Accepting() || !t.Layers.Valid() || size == 0 {
+		if !t.Accepting() || !t.Layers.Valid() || size == 0 || moved[t.Name] {
 			continue
 		}
-		if spare := cover.spare(t.Layers); spare > bestSpare {
+		if n := spare(t); n > bestSpare {
 			first := min(hole, p.engine.Layers-size)
-			best, bestSpare = Order{Target: t, Layers: layer.Range{First: first, End: first + size}}, spare
+			best, bestSpare = Order{Target: t, Layers: layer.Range{First: first, End: first + size}}, n
 		}
 	}
+	if bestSpare > 0 {
+		moved[best.Target.Name] = true
+	}
 	return best, bestSpare > 0
 }
 
@@ -190,9 +232,14 @@
 	return layer.Range{First: best, End: best + size}
 }
 
-// hole returns the first layer that no target holds.
-func (c *coverage) hole() (int, bool) {
-	for l, n := range c.all {
+// names returns the data centres in order.
+func (c *coverage) names() []string {
+	return slices.Sorted(maps.Keys(c.centres))
+}
+
+// firstHole returns the first layer without a holder.
+func firstHole(counts []int) (int, bool) {
+	for l, n := range counts {
 		if n == 0 {
 			return l, true
 		}
@@ -201,10 +248,10 @@
 }
 
 // spare is the least number of other holders of any of the layers.
-func (c *coverage) spare(r layer.Range) int {
-	least := len(c.all) * len(c.all)
-	for l := r.First; l < min(r.End, len(c.all)); l++ {
-		least = min(least, c.all[l]-1)
+func spare(counts []int, r layer.Range) int {
+	least := math.MaxInt
+	for l := r.First; l < min(r.End, len(counts)); l++ {
+		least = min(least, counts[l]-1)
 	}
 	return least
 }
--- a/pkg/decision/path/path.go
+++ b/pkg/decision/path/path.go
@@ -18,7 +18,6 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
-	"time"
 
 	"github.com/joomcode/errorx"
 
@@ -36,8 +35,9 @@
 )
 
 const (
-	// crossing is added for each change of data centre, as the price of the bytes moved between them.
-	crossing = 150 * time.Millisecond
+	// pipeWeight multiplies the time that a request takes the pipe between two data centres. All requests share it,
+	// one after another, so that each waits for those before it.
+	pipeWeight = 60
 	// spreadFactor is how far the random factor of a target lies from 1.
 	spreadFactor = 0.15
 	// fullShare is the share of a target's memory up to which it takes requests. The rest covers requests of other
@@ -211,19 +211,20 @@
 	}
 	cost := f.cost(i, layer.Range{First: l, End: end}, q)*factors[i] + rest
 	for from := range centres {
-		total := cost + f.way(from, f.centre[i], q.Answer)
+		total := cost + f.way(from, f.centre[i], q)
 		if at := &best[l*centres+from]; total < at.cost {
 			*at = step{cost: total, holder: i}
 		}
 	}
 }
 
-// way is the cost of the way between two data centres, for all tokens of the answer.
-func (f *Finder) way(from, to, tokens int) float64 {
+// way is the cost of the way between two data centres, for all tokens of the request.
+func (f *Finder) way(from, to int, q Request) float64 {
 	if from == to {
 		return 0
 	}
-	return crossing.Seconds() + f.engine.Delay(f.centres[from], f.centres[to]).Seconds()*float64(tokens)
+	pipe := f.engine.TransferTime(q.Prompt + q.Answer).Seconds()
+	return pipeWeight*pipe + f.engine.Delay(f.centres[from], f.centres[to]).Seconds()*float64(q.Answer)
 }
 
 // cost estimates the time, in seconds, that a request spends on a holder's layers.
--- a/pkg/decision/usage/meter.go
+++ b/pkg/decision/usage/meter.go
@@ -1,9 +1,10 @@
 // Package usage keeps what an instance knows of the load and health of targets: the requests that it has sent
 // itself, the load that other instances tell of, and how requests ended.
 //
-// It answers two loads. Many instances share the same targets, each with a partial view: what the others tell is
+// It answers three loads. Many instances share the same targets, each with a partial view: what the others tell is
 // added to what this instance sent. And a target may fail or crash while its health check is good: it is avoided
-// after failures, for a time that doubles with each further one, and used again with its first good answer.
+// after failures, for a time that doubles with each further one, and used again with its first good answer. And a
+// full target refuses: it is not failing, and is only made to look slow for a moment.
 //
 // Usage:
 //
@@ -28,6 +29,8 @@
 	maxAvoidance = 4 * time.Second
 	// remoteLife is how long the load that another instance told of is believed.
 	remoteLife = 3 * time.Second
+	// fullTime is how long a target that had no room counts as full.
+	fullTime = 150 * time.Millisecond
 	// latencyWeight is the weight of a new answer in the smoothed latency.
 	latencyWeight = 0.1
 	// failureWeight is the weight of a new answer in the smoothed share of failures.
@@ -44,6 +47,8 @@
 type state struct {
 	load     Load
 	avoided  time.Time
+	full     time.Time // full is until when the target counts as full.
+	dead     time.Time // dead is until when the target counts as dead.
 	failures int
 	failing  float64 // failing is the smoothed share of failed requests.
 	latency  time.Duration
@@ -144,7 +149,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.state(name)
-	s.alive, s.failures, s.avoided = now, 0, time.Time{}
+	s.alive, s.failures, s.avoided, s.dead = now, 0, time.Time{}, time.Time{}
 	s.failing *= 1 - failureWeight
 	if s.latency == 0 {
 		s.latency = took
@@ -192,15 +197,39 @@
 	s.failing += failureWeight * (1 - s.failing)
 }
 
-// Avoid keeps the target out of use until then.
-func (m *Meter) Avoid(name string, until time.Time) {
+// Refused notes that the target had no room.
+func (m *Meter) Refused(name string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if s := m.state(name); until.After(s.avoided) {
-		s.avoided = until
+	s := m.state(name)
+	s.alive, s.full = now, now.Add(fullTime)
+}
+
+// Full reports whether the target had no room a moment ago.
+func (m *Meter) Full(name string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.targets[name]
+	return s != nil && now.Before(s.full)
+}
+
+// Dead keeps the target out of use until then.
+func (m *Meter) Dead(name string, until time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s := m.state(name); until.After(s.dead) {
+		s.dead = until
 	}
 }
 
+// IsDead reports whether the target was found dead.
+func (m *Meter) IsDead(name string, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.targets[name]
+	return s != nil && now.Before(s.dead)
+}
+
 // Avoided reports whether the target is out of use.
 func (m *Meter) Avoided(name string, now time.Time) bool {
 	m.mu.Lock()
--- a/pkg/exchange/server.go
+++ b/pkg/exchange/server.go
@@ -27,6 +27,8 @@
 	unknownYet = 500 * time.Millisecond
 	// unfresh is when a caller comes back if the configuration may be out of date. Another instance may serve it.
 	unfresh = 200 * time.Millisecond
+	// stoppingAfter is when a caller comes back that a stopping instance refuses: another instance takes it at once.
+	stoppingAfter = 50 * time.Millisecond
 	// maxRefusals bounds the targets asked for one request that refuse without running it.
 	maxRefusals = 4
 )
@@ -41,6 +43,7 @@
 	logger     *log.Logger
 	counters   counters
 	watch      *watch
+	stopsSoon  func() bool
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -69,6 +72,11 @@
 	return func(s *Server) { s.counters = newCounters(r) }
 }
 
+// WithStop sets what reports that this instance stops soon, so that it takes no more requests that run for long.
+func WithStop(soon func() bool) Option {
+	return func(s *Server) { s.stopsSoon = soon }
+}
+
 // WithRumours sets who is told of targets that this instance finds dead.
 func WithRumours(tell func(t target.Target)) Option {
 	return func(s *Server) { s.watch.tell = tell }
@@ -78,7 +86,8 @@
 func New(views Views, upstream Upstream, meter *usage.Meter, options ...Option) *Server {
 	s := &Server{
 		views: views, upstream: upstream, meter: meter, budget: retry.New(), logger: &log.DefaultLogger,
-		counters: newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		stopsSoon: func() bool { return false },
+		counters:  newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.watch = newWatch(s)
 	for _, o := range options {
@@ -154,6 +163,9 @@
 		}
 	}
 	r.service = view.Catalogue.Service(route.Service(xxhash.Sum64String(r.ID)))
+	if r.service.Engine != nil && r.server.stopsSoon() {
+		return refusal.New(http.StatusServiceUnavailable, "stopping", outcome.NotRun, "this instance stops soon").After(stoppingAfter)
+	}
 	r.deadline = r.Arrived.Add(route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(r.deadline) {
 		r.deadline = r.Deadline
@@ -244,14 +256,24 @@
 		r.avoided = make(map[string]bool)
 	}
 	r.avoided[culprit.Name] = true
-	r.server.meter.Failed(culprit.Name, now)
+	if f.Refused && !f.Misdirected {
+		r.server.meter.Refused(culprit.Name, now)
+	} else {
+		r.server.meter.Failed(culprit.Name, now)
+	}
 	r.server.logger.Info().Str("Request", r.ID).Str("Target", culprit.Name).Str("Address", culprit.Address.String()).
 		Bool("NotRun", f.NotRun).Bool("Misdirected", f.Misdirected).Err(f.Cause).Msg("attempt failed")
 }
 
-// avoid reports whether the request must not use a target.
+// avoid reports whether the request had better not use a target.
 func (r *request) avoid(name string) bool {
-	return r.avoided[name] || r.server.meter.Avoided(name, time.Now())
+	now := time.Now()
+	return r.avoided[name] || r.server.meter.Avoided(name, now) || r.server.meter.IsDead(name, now)
+}
+
+// dead reports whether a target is known not to answer.
+func (s *Server) dead(name string) bool {
+	return s.meter.IsDead(name, time.Now())
 }
 
 // comeBack is when a refused caller should return: early where a moment's load is at fault, spread so that callers do
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -132,9 +132,15 @@
 	}
 }
 
-// find returns a path for the whole request that leaves out the targets that failed it.
+// find returns a path for the whole request that leaves out the targets that failed it. If there is none, it may pass
+// through all but the dead ones.
 func (s *session) find(q path.Request) (path.Path, error) {
 	q.Avoid = s.avoid
+	p, err := s.server.find(s.view, s.request, q)
+	if err == nil {
+		return p, nil
+	}
+	q.Avoid = s.server.dead
 	return s.server.find(s.view, s.request, q)
 }
 
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -23,6 +23,8 @@
 	repathTimeout = 250 * time.Millisecond
 	// maxRepaths bounds the tries to find another path for one loss.
 	maxRepaths = 3
+	// fullFactor makes a target that had no room a moment ago look slower.
+	fullFactor = 6
 	// lookAgainAfter is when a stream is looked into again whose targets all answer.
 	lookAgainAfter = 150 * time.Millisecond
 )
@@ -131,11 +133,12 @@
 // lost moves all streams off a dead target and tells the other instances.
 func (w *watch) lost(t target.Target, reason string) {
 	now := time.Now()
-	if w.server.meter.Avoided(t.Name, now.Add(deadFor/2)) {
+	known := w.server.meter.IsDead(t.Name, now)
+	w.server.meter.Dead(t.Name, now.Add(deadFor))
+	if known {
 		w.moveAll(t)
 		return
 	}
-	w.server.meter.Avoid(t.Name, now.Add(deadFor))
 	w.server.logger.Info().Str("Target", t.Name).Str("Address", t.Address.String()).Str("Reason", reason).Msg("target lost")
 	w.tell(t)
 	w.moveAll(t)
@@ -143,7 +146,7 @@
 
 // Lost takes in that another instance found a target dead.
 func (s *Server) Lost(t target.Target) {
-	s.meter.Avoid(t.Name, time.Now().Add(deadFor))
+	s.meter.Dead(t.Name, time.Now().Add(deadFor))
 	s.watch.moveAll(t)
 }
 
@@ -191,7 +194,7 @@
 	var err error
 	for range maxRepaths {
 		p := s.currentPath()
-		if len(p) == 0 || w.server.meter.Avoided(p[0].Target.Name, time.Now()) {
+		if len(p) == 0 || w.server.dead(p[0].Target.Name) {
 			return errNoRepath
 		}
 		var changed path.Path
@@ -212,7 +215,7 @@
 			return err
 		}
 		if t, ok := changed.At(f.Culprit); ok {
-			w.server.meter.Failed(t.Name, time.Now())
+			w.server.meter.Refused(t.Name, time.Now())
 		}
 	}
 	return err
@@ -220,16 +223,15 @@
 
 // around returns the path with its avoided parts replaced.
 func (w *watch) around(s *session, p path.Path) (path.Path, error) {
-	now := time.Now()
 	var changed path.Path
 	for i := 0; i < len(p); {
-		if !w.server.meter.Avoided(p[i].Target.Name, now) {
+		if !w.server.dead(p[i].Target.Name) {
 			changed = append(changed, p[i])
 			i++
 			continue
 		}
 		gap := p[i].Layers
-		for i++; i < len(p) && w.server.meter.Avoided(p[i].Target.Name, now); i++ {
+		for i++; i < len(p) && w.server.dead(p[i].Target.Name); i++ {
 			gap.End = p[i].Layers.End
 		}
 		parts, err := w.fill(s, p, gap)
@@ -246,8 +248,9 @@
 
 // fill finds targets for a gap in a path that are not on it already.
 func (w *watch) fill(s *session, p path.Path, gap layer.Range) (path.Path, error) {
-	now := time.Now()
-	avoid := func(name string) bool { return p.Passes(name) || w.server.meter.Avoided(name, now) }
+	avoid := func(name string) bool {
+		return p.Passes(name) || w.server.dead(name) || w.server.meter.Full(name, time.Now())
+	}
 	return w.server.find(w.server.views.View(), s.request, path.Request{From: gap.First, To: gap.End, Avoid: avoid})
 }
 
@@ -255,9 +258,14 @@
 func (s *Server) finder(v *View, service *catalogue.Service) *path.Finder {
 	targets := v.Targets[service.Name]
 	holders := make([]path.Holder, 0, len(targets))
+	now := time.Now()
 	for _, t := range targets {
 		load := s.meter.Load(t.Name)
-		holders = append(holders, path.Holder{Target: t, Cells: load.Cells, Streams: load.Streams})
+		h := path.Holder{Target: t, Cells: load.Cells, Streams: load.Streams}
+		if s.meter.Full(t.Name, now) {
+			h.Slow = fullFactor
+		}
+		holders = append(holders, h)
 	}
 	return path.New(service.Engine, holders)
 }
--- a/pkg/station/leader.go
+++ b/pkg/station/leader.go
@@ -17,17 +17,20 @@
 	// leaseName is the row of the lease for orders.
 	leaseName = "leases/orders"
 	// leaseLife is how long the holder may act after a renewal.
-	leaseLife = 3 * time.Second
+	leaseLife = 2 * time.Second
 	// orderLimit bounds the time of one order.
-	orderLimit = 500 * time.Millisecond
+	orderLimit = 400 * time.Millisecond
 	// leaseMargin covers differences between clock rates and scheduling delays.
-	leaseMargin = 250 * time.Millisecond
+	leaseMargin = 200 * time.Millisecond
 	// leaderTick is how often the lease and the plan are looked at.
 	leaderTick = 200 * time.Millisecond
 	// leaseReading is how often an instance without the lease reads it.
-	leaseReading = time.Second
+	leaseReading = 800 * time.Millisecond
 	// pendingMargin is how long after the expected end of a load its target's entry may still be without it.
 	pendingMargin = 4 * time.Second
+	// settleTime is how long the list must not have grown before the first plan, at most maxSettleTime.
+	settleTime    = 1500 * time.Millisecond
+	maxSettleTime = 4 * time.Second
 	// doubtLife is how long what a target said after a failed order goes before its entry.
 	doubtLife = time.Second
 )
@@ -41,6 +44,13 @@
 	mu      sync.Mutex
 	pending map[string]pending
 	counts  map[string]count
+	growing map[string]growth // growing is how the list of a service without layers grew.
+}
+
+// growth is when targets of a service were first and last added.
+type growth struct {
+	count       int
+	first, last time.Time
 }
 
 // pending is an order that its target's entry does not show yet.
@@ -58,7 +68,7 @@
 
 func newLeader(s *Station, incarnation string) *leader {
 	return &leader{
-		station: s, pending: make(map[string]pending), counts: make(map[string]count),
+		station: s, pending: make(map[string]pending), counts: make(map[string]count), growing: make(map[string]growth),
 		holder: lease.New(leaseName, s.settings.Instance, incarnation, lease.WithTimes(leaseLife, orderLimit, leaseMargin)),
 	}
 }
@@ -147,6 +157,9 @@
 			continue
 		}
 		targets := l.overlay(view.Targets[service.Name], time.Now())
+		if !l.settled(service.Name, targets, time.Now()) {
+			continue
+		}
 		var group sync.WaitGroup
 		for _, o := range layout.New(service.Engine).Plan(targets) {
 			group.Go(func() { l.order(ctx, service.Engine, o, fence) })
@@ -155,12 +168,35 @@
 	}
 }
 
+// settled reports whether the plan of a service may be made. While no target holds layers, it waits until the list no
+// longer grows: a plan for half of a fleet would leave too little room for requests.
+func (l *leader) settled(service string, targets []target.Target, now time.Time) bool {
+	for _, t := range targets {
+		if t.Layers.Valid() {
+			return true
+		}
+	}
+	seen := l.growing[service]
+	if seen.count != len(targets) {
+		first := seen.first
+		if first.IsZero() {
+			first = now
+		}
+		seen = growth{count: len(targets), first: first, last: now}
+		l.growing[service] = seen
+	}
+	return len(targets) > 0 && (now.Sub(seen.last) >= settleTime || now.Sub(seen.first) >= maxSettleTime)
+}
+
 // overlay returns the targets with the layers that they were last ordered to hold.
 func (l *leader) overlay(targets []target.Target, now time.Time) []target.Target {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	planned := make([]target.Target, 0, len(targets))
 	for _, t := range targets {
+		if l.station.meter.IsDead(t.Name, now) {
+			continue
+		}
 		if p, ok := l.pending[t.Name]; ok {
 			if now.After(p.until) || !p.started.Equal(t.Started) || t.Layers == p.layers {
 				delete(l.pending, t.Name)
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -37,7 +37,7 @@
 	// questions, one a second.
 	noticeTime = 3 * time.Second
 	// lastStream is when a stopping instance refuses requests to models, which may not end before the kill.
-	lastStream = 3500 * time.Millisecond
+	lastStream = 2800 * time.Millisecond
 	// killMargin is the time before the kill by which a stopping instance has ended.
 	killMargin = 600 * time.Millisecond
 	// logQueue bounds the log lines that wait to be written; more are dropped.
@@ -93,7 +93,8 @@
 	s.knowledge = newKnowledge(platform, s.logger, settings.ProofLife)
 	s.budget = retry.New()
 	s.server = exchange.New(s.knowledge, platform.Upstream, s.meter, exchange.WithBudget(s.budget),
-		exchange.WithDataCentre(settings.DataCentre), exchange.WithLogger(s.logger), exchange.WithRegistry(s.registry))
+		exchange.WithDataCentre(settings.DataCentre), exchange.WithLogger(s.logger), exchange.WithRegistry(s.registry),
+		exchange.WithStop(s.stopsSoon))
 	s.leader = newLeader(s, fmt.Sprintf("%s/%08x", settings.Instance, rand.Uint32()))
 	if err := s.listen(); err != nil {
 		return nil, err
@@ -187,6 +188,11 @@
 	return func() { s.running.Add(-1) }, s.stopping.Load()
 }
 
+// stopsSoon reports whether a long request that comes now might not end before the kill.
+func (s *Station) stopsSoon() bool {
+	return s.stopping.Load() && time.Since(time.Unix(0, s.stopAt.Load())) > lastStream
+}
+
 // drain is a planned stop: not ready, then no new connections, then the end of the running requests.
 func (s *Station) drain(ctx context.Context) error {
 	started := time.Now()
