Tell the other instances of load, dead targets and the list by datagrams

Cause: each instance saw a twelfth of the memory that requests take of the targets, so that paths filled targets that others had filled; and each polled the store for list, configuration and lease. Change: the membership of the product joins the instances; bulletins carry loads, dead targets, changed entries with a digest, the lease's row and the age of the proof of the configuration. One reader in each data centre asks the store; the others ask it when a reader is silent, differs, or cannot prove the configuration.

--- a/pkg/decision/path/path.go
+++ b/pkg/decision/path/path.go
@@ -18,6 +18,7 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 
 	"github.com/joomcode/errorx"
 
@@ -72,6 +73,26 @@
 	return next == layers
 }
 
+// String returns the parts with their data centres, such as "w1@lj-a[0,16) w2@lj-a[16,80)".
+func (p Path) String() string {
+	parts := make([]string, len(p))
+	for i, part := range p {
+		parts[i] = part.Target.Name + "@" + part.Target.DataCentre + part.Layers.String()
+	}
+	return strings.Join(parts, " ")
+}
+
+// Crossings counts the changes of data centre on the way.
+func (p Path) Crossings() int {
+	n := 0
+	for i := 1; i < len(p); i++ {
+		if p[i].Target.DataCentre != p[i-1].Target.DataCentre {
+			n++
+		}
+	}
+	return n
+}
+
 // Passes reports whether the path passes through the target.
 func (p Path) Passes(name string) bool {
 	for _, part := range p {
--- a/pkg/decision/retry/retry.go
+++ b/pkg/decision/retry/retry.go
@@ -22,14 +22,14 @@
 )
 
 const (
-	// ratio is the number of retries that one request pays for.
-	ratio = 0.1
-	// minimumRate is the number of retries per second that a key may always make.
-	minimumRate = 3.0
-	// burst bounds the retries saved up, so that a long quiet time does not pay for a storm.
-	burst = 10.0
-	// initial is what a new key has: one second of the minimum rate.
-	initial = minimumRate
+	// defaultRatio is the number of retries that one request pays for.
+	defaultRatio = 0.1
+	// defaultRate is the number of retries per second that a key may always make.
+	defaultRate = 3.0
+	// minimumBurst bounds the retries saved up, so that a long quiet time does not pay for a storm. A higher rate
+	// saves up what it allows in burstTime.
+	minimumBurst = 10.0
+	burstTime    = 4 * time.Second
 	// idle is the time after which an unused key is forgotten; its bucket is full by then.
 	idle = time.Minute
 
@@ -50,11 +50,42 @@
 	mu      sync.Mutex
 	buckets map[string]*bucket
 	swept   time.Time
+	ratio   float64
+	rate    float64
+}
+
+// Option changes a budget.
+type Option func(*Budget)
+
+// WithRatio sets the number of retries that one request pays for.
+func WithRatio(ratio float64) Option {
+	return func(b *Budget) { b.ratio = ratio }
+}
+
+// WithRate sets the number of retries per second that a key may always make.
+func WithRate(perSecond float64) Option {
+	return func(b *Budget) { b.rate = perSecond }
 }
 
 // New returns a budget without keys.
-func New() *Budget {
-	return &Budget{buckets: map[string]*bucket{}}
+func New(options ...Option) *Budget {
+	b := &Budget{buckets: map[string]*bucket{}, ratio: defaultRatio, rate: defaultRate}
+	for _, o := range options {
+		o(b)
+	}
+	return b
+}
+
+// SetRate changes the number of retries per second that a key may always make.
+func (b *Budget) SetRate(perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rate = perSecond
+}
+
+// burst bounds the retries saved up.
+func (b *Budget) burst() float64 {
+	return max(minimumBurst, b.rate*burstTime.Seconds())
 }
 
 // Request notes a first attempt, which pays for a tenth of a retry.
@@ -62,7 +93,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(key, now)
-	k.tokens = min(burst, k.tokens+ratio)
+	k.tokens = min(b.burst(), k.tokens+b.ratio)
 }
 
 // Allow reports whether the key may make a retry now, and takes it out of the budget if so.
@@ -98,11 +129,11 @@
 	b.sweep(now)
 	k, ok := b.buckets[key]
 	if !ok {
-		k = &bucket{tokens: initial, filled: now}
+		k = &bucket{tokens: b.rate, filled: now} // One second of the rate.
 		b.buckets[key] = k
 	}
 	if passed := now.Sub(k.filled); passed > 0 {
-		k.tokens = min(burst, k.tokens+passed.Seconds()*minimumRate)
+		k.tokens = min(b.burst(), k.tokens+passed.Seconds()*b.rate)
 		k.filled = now
 	}
 	return k
--- a/pkg/decision/usage/meter.go
+++ b/pkg/decision/usage/meter.go
@@ -19,6 +19,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 )
 
@@ -58,7 +60,7 @@
 // remote is the load of another instance.
 type remote struct {
 	at    time.Time
-	loads map[string]Load
+	loads map[uint64]Load
 }
 
 // Meter is safe for concurrent use.
@@ -66,12 +68,14 @@
 	mu      sync.Mutex
 	targets map[string]*state
 	remotes map[string]remote
-	others  map[string]Load // others sums the remotes.
+	others  map[uint64]Load // others sums the remotes.
+	scale   float64         // scale extends the remotes to the instances that were not heard.
+	members int             // members is the number of live instances, this one included.
 }
 
 // New returns a meter that knows nothing.
 func New() *Meter {
-	return &Meter{targets: make(map[string]*state), remotes: make(map[string]remote), others: make(map[string]Load)}
+	return &Meter{targets: make(map[string]*state), remotes: make(map[string]remote), others: make(map[uint64]Load), scale: 1}
 }
 
 func (m *Meter) state(name string) *state {
@@ -112,8 +116,19 @@
 	return own
 }
 
-// Told takes in the load of another instance, which replaces what it told before.
-func (m *Meter) Told(instance string, loads map[string]Load, now time.Time) {
+// Key names a target in the loads of other instances.
+func Key(name string) uint64 { return xxhash.Sum64String(name) }
+
+// SetMembers sets the number of live instances, this one included. Those that told nothing are taken to have the mean
+// load of those that did.
+func (m *Meter) SetMembers(n int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.members = n
+}
+
+// Told takes in the load of another instance, by the keys of the targets. It replaces what it told before.
+func (m *Meter) Told(instance string, loads map[uint64]Load, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.remotes[instance] = remote{at: now, loads: loads}
@@ -130,13 +145,19 @@
 			m.others[target] = sum
 		}
 	}
+	m.scale = 1
+	if heard := len(m.remotes); heard > 0 && m.members-1 > heard {
+		m.scale = float64(m.members-1) / float64(heard)
+	}
 }
 
 // Load returns the load of all instances on a target.
 func (m *Meter) Load(name string) Load {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	load := m.others[name]
+	load := m.others[Key(name)]
+	load.Cells = int64(m.scale * float64(load.Cells))
+	load.Streams = int(m.scale * float64(load.Streams))
 	if s := m.targets[name]; s != nil {
 		load.Cells += s.load.Cells
 		load.Streams += s.load.Streams
--- a/pkg/exchange/record.go
+++ b/pkg/exchange/record.go
@@ -47,11 +47,11 @@
 		entry = entry.Str("Route", r.route.Name).Str("Workspace", r.workspace).Int("Attempts", r.attempts).Int("Refusals", r.refusals)
 	}
 	if len(r.targets) > 0 {
-		entry = entry.Str("Targets", strings.Join(r.targets, " "))
+		entry = entry.Str("Targets", strings.Join(r.targets, "; "))
 	}
 	if r.events > 0 {
 		s.counters.first.Update(r.first)
-		entry = entry.Dur("First", r.first).Int("Events", r.events).Int("Resumes", r.resumes).Int32("Repaths", r.repaths.Load())
+		entry = entry.Dur("First", r.first).Int("Events", r.events).Int("Crossings", r.crossings).Int("Resumes", r.resumes).Int32("Repaths", r.repaths.Load())
 	}
 	var refused *refusal.Error
 	switch {
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -171,7 +171,8 @@
 // send opens the request on a path and reserves its memory there.
 func (s *session) send(ctx context.Context, p path.Path) (*Answer, error) {
 	s.take(p)
-	s.targets = append(s.targets, p[0].Target.Name)
+	s.targets = append(s.targets, p.String())
+	s.crossings = p.Crossings()
 	a := s.attempt(p)
 	a.Reuse = reuse
 	opened, cancel := context.WithCancel(ctx)
--- a/pkg/peer/instance/config.go
+++ b/pkg/peer/instance/config.go
@@ -7,6 +7,8 @@
 	"github.com/joomcode/errorx"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
 )
 
 // Config is what a node must know to start.
@@ -91,6 +93,17 @@
 	return func(n *Node) { n.counters = newCounters(r) }
 }
 
+// WithBulletins sets who takes the bulletins of other instances. It is called from the goroutine that reads them and
+// must not block.
+func WithBulletins(f func(from netip.AddrPort, b *instancepb.Bulletin)) Option {
+	return func(n *Node) { n.bulletins = f }
+}
+
+// WithoutConfiguration leaves the spread of configuration to others: the node is used for its members and bulletins.
+func WithoutConfiguration() Option {
+	return func(n *Node) { n.quiet = true }
+}
+
 // WithState sets who makes the state dump that State hands out, as JSON.
 func WithState(f func(context.Context) ([]byte, error)) Option {
 	return func(n *Node) { n.state = f }
--- a/pkg/peer/instance/control.go
+++ b/pkg/peer/instance/control.go
@@ -33,7 +33,9 @@
 func (n *Node) tick(now time.Time) {
 	n.sendAll(n.table.Tick(now))
 	n.updateMembers()
-	n.perform(n.spreader.Tick(now))
+	if !n.quiet {
+		n.perform(n.spreader.Tick(now))
+	}
 	if n.ticks++; n.ticks%refreshTicks == 0 {
 		n.refresh()
 	}
@@ -115,6 +117,10 @@
 		}
 		n.counters.packetsIn.Inc(1)
 		n.counters.bytesIn.Inc(int64(size))
+		if size > 0 && buffer[0] == bulletinMark {
+			n.readBulletin(netip.AddrPortFrom(from.Addr().Unmap(), from.Port()), buffer[1:size])
+			continue
+		}
 		p, err := Decode(buffer[:size])
 		if err != nil {
 			n.counters.refused.Inc(1)
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/spread"
+	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
 )
 
 // View is an immutable snapshot of what a node knows.
@@ -43,6 +44,9 @@
 	logger   *log.Logger
 	counters counters
 	state    func(context.Context) ([]byte, error)
+	// bulletins takes the bulletins of others, if it is set.
+	bulletins func(netip.AddrPort, *instancepb.Bulletin)
+	quiet     bool // quiet means that the node does not spread configuration.
 
 	udp     *net.UDPConn
 	tcp     *net.TCPListener
--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -14,6 +14,13 @@
 	targetsWait = 5 * time.Second
 	// targetsPace is the time between two answers about the targets: each heartbeat of each target changes the list.
 	targetsPace = 800 * time.Millisecond
+	// proofTick is how often an instance that is no reader looks at the age of its proof. It asks readers for a newer
+	// one after proofRefresh, and the store itself after proofOverdue.
+	proofTick    = 400 * time.Millisecond
+	proofRefresh = 900 * time.Millisecond
+	proofOverdue = 2800 * time.Millisecond
+	// toldTick is how often an instance that is no reader looks whether a reader still tells it of the targets.
+	toldTick = 300 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a call without an answer.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -41,11 +48,15 @@
 	}
 }
 
-// followConfiguration keeps the configuration in force up to date.
+// followConfiguration keeps the configuration in force up to date. A reader waits at the store for changes; the others
+// hear of them from readers, and ask readers how old their proof is.
 func (s *Station) followConfiguration(ctx context.Context) {
 	var revision uint64
 	var pause backoff
 	for ctx.Err() == nil {
+		if !s.configurationDue(ctx) {
+			continue
+		}
 		started := bootTime()
 		change, err := s.configurationAfter(ctx, revision)
 		s.dependency("Configuration", err)
@@ -58,36 +69,72 @@
 			continue
 		}
 		pause.reset()
+		before, _ := s.knowledge.version()
 		for _, row := range change.Rows {
 			if row.Name == s.platform.ConfigurationName {
 				s.knowledge.configure(row)
 			}
 		}
 		revision = change.Revision
-		if version, _ := s.knowledge.version(); version > 0 {
-			s.knowledge.prove(started)
-		} else {
+		version, _ := s.knowledge.version()
+		if version == 0 {
 			pause.wait(ctx) // No configuration has been written yet.
+			continue
+		}
+		s.knowledge.prove(started)
+		if version != before {
+			s.peers.tellRevision()
 		}
 	}
 }
 
+// configurationDue waits until the store is to be asked for the configuration, and reports whether it is.
+func (s *Station) configurationDue(ctx context.Context) bool {
+	age, proven := s.knowledge.age()
+	if !proven || s.peers.reads() || age > proofOverdue {
+		return true
+	}
+	select {
+	case <-s.peers.wake:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-time.After(proofTick):
+	}
+	if age, _ = s.knowledge.age(); age > proofRefresh {
+		s.peers.ask()
+	}
+	return false
+}
+
+// configurationAfter reads the configuration. Only a reader waits for a change.
 func (s *Station) configurationAfter(ctx context.Context, revision uint64) (Change, error) {
-	if revision == 0 {
+	switch {
+	case revision == 0:
 		return s.platform.Store.Configuration(ctx)
+	case s.peers.reads():
+		return s.platform.Store.WatchConfiguration(ctx, revision, configurationWait)
+	default:
+		return s.platform.Store.WatchConfiguration(ctx, revision, 0)
 	}
-	return s.platform.Store.WatchConfiguration(ctx, revision, configurationWait)
 }
 
-// followTargets keeps the list of targets up to date.
+// followTargets keeps the list of targets up to date. A reader reads it from the store and tells the others.
 func (s *Station) followTargets(ctx context.Context) {
 	var revision uint64
 	var pause backoff
 	answered := time.Now()
 	for ctx.Err() == nil {
+		now := time.Now()
+		if s.listed.Load() && s.peers.told(now) {
+			s.knowledge.expire(now)
+			revision, answered = 0, now
+			sleep(ctx, toldTick)
+			continue
+		}
 		change, err := s.targetsAfter(ctx, revision)
 		s.dependency("Targets", err)
-		now := time.Now()
+		now = time.Now()
 		s.knowledge.expire(now)
 		if errors.Is(err, ErrHistory) {
 			revision = 0
--- a/pkg/station/knowledge.go
+++ b/pkg/station/knowledge.go
@@ -6,9 +6,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -34,7 +36,9 @@
 	revision  uint64 // revision is the store's, of the configuration in force.
 	content   []byte
 	targets   map[string]*listed
-	changed   func()
+	gone      map[string]uint64 // gone holds the revisions at which entries were removed.
+	digest    atomic.Uint64     // digest is a hash of the targets in the view.
+	news      func(rows []Row)  // news takes the entries that changed something.
 }
 
 // listed is an entry of the list.
@@ -49,7 +53,7 @@
 func newKnowledge(p Platform, logger *log.Logger, proofLife time.Duration) *knowledge {
 	return &knowledge{
 		platform: p, logger: logger, proofLife: proofLife,
-		targets: make(map[string]*listed), changed: func() {},
+		targets: make(map[string]*listed), gone: make(map[string]uint64), news: func([]Row) {},
 	}
 }
 
@@ -75,6 +79,12 @@
 	}
 }
 
+// age returns how long ago the configuration in force was the newest.
+func (k *knowledge) age() (time.Duration, bool) {
+	proven := k.proven.Load()
+	return bootTime() - time.Duration(proven), proven > 0
+}
+
 // version returns the version in force and its revision; 0 means none.
 func (k *knowledge) version() (version, revision uint64) {
 	k.mu.Lock()
@@ -110,34 +120,35 @@
 func (k *knowledge) list(c Change, silent time.Duration, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	changed := false
+	var news []Row
 	seen := make(map[string]bool, len(c.Rows))
 	for _, row := range c.Rows {
 		seen[row.Name] = true
-		if row.Removed {
-			changed = k.miss(row.Name, silent, now) || changed
-			continue
+		if row.Removed && k.miss(row, silent, now) || !row.Removed && k.take(row) {
+			news = append(news, row)
 		}
-		changed = k.take(row) || changed
 	}
 	if c.Whole {
 		for name := range k.targets {
-			if !seen[name] {
-				changed = k.miss(name, silent, now) || changed
+			row := Row{Name: name, Revision: c.Revision, Removed: true}
+			if !seen[name] && k.miss(row, silent, now) {
+				news = append(news, row)
 			}
 		}
 	}
-	if changed {
+	if len(news) > 0 {
 		k.publish()
+		k.news(news)
 	}
 }
 
 // take decodes an entry and reports whether it changed anything.
 func (k *knowledge) take(row Row) bool {
 	old := k.targets[row.Name]
-	if old != nil && row.Revision < old.revision {
+	if old != nil && row.Revision < old.revision || row.Revision < k.gone[row.Name] {
 		return false
 	}
+	delete(k.gone, row.Name)
 	if old != nil && old.missing.IsZero() && bytes.Equal(old.content, row.Value) {
 		old.revision = row.Revision
 		return false
@@ -160,10 +171,10 @@
 }
 
 // miss drops an entry, at once or, after an outage of the store, some time later.
-func (k *knowledge) miss(name string, silent time.Duration, now time.Time) bool {
-	old := k.targets[name]
+func (k *knowledge) miss(row Row, silent time.Duration, now time.Time) bool {
+	old := k.targets[row.Name]
 	switch {
-	case old == nil:
+	case old == nil || row.Revision < old.revision:
 		return false
 	case old.missing.IsZero() && silent > outage && !old.refused:
 		old.missing = now.Add(returnGrace)
@@ -171,11 +182,22 @@
 	case !old.missing.IsZero() && now.Before(old.missing):
 		return false
 	}
-	delete(k.targets, name)
-	k.logger.Info().Str("Target", name).Msg("target gone")
+	k.drop(row.Name, row.Revision)
+	k.logger.Info().Str("Target", row.Name).Msg("target gone")
 	return true
 }
 
+// maxGone bounds the removed entries remembered. An older one that arrives late could return until the next digest.
+const maxGone = 4096
+
+func (k *knowledge) drop(name string, revision uint64) {
+	if len(k.gone) >= maxGone {
+		clear(k.gone)
+	}
+	delete(k.targets, name)
+	k.gone[name] = revision
+}
+
 // expire drops the missing entries whose time has come.
 func (k *knowledge) expire(now time.Time) {
 	k.mu.Lock()
@@ -183,7 +205,7 @@
 	changed := false
 	for name, l := range k.targets {
 		if !l.missing.IsZero() && !now.Before(l.missing) {
-			delete(k.targets, name)
+			k.drop(name, l.revision)
 			k.logger.Info().Str("Target", name).Msg("target gone, its entry did not return")
 			changed = true
 		}
@@ -199,13 +221,35 @@
 		return
 	}
 	v := &exchange.View{Catalogue: k.catalogue, Targets: make(map[string][]target.Target)}
+	digest := uint64(0)
 	for _, l := range k.targets {
 		if l.refused {
 			continue
 		}
 		t := l.target
 		v.Targets[t.Service] = append(v.Targets[t.Service], t)
+		digest ^= digestOf(t)
 	}
+	k.digest.Store(digest)
 	k.view.Store(v)
-	k.changed()
+}
+
+// digestOf is a hash of what other instances must know of a target.
+func digestOf(t target.Target) uint64 {
+	return xxhash.Sum64String(t.Name + " " + t.Address.String() + " " + string(t.State) + " " + t.Layers.String() + " " + t.Service)
+}
+
+// byKey returns the targets of all services by their keys.
+func (k *knowledge) byKey() map[uint64]target.Target {
+	view := k.View()
+	if view == nil {
+		return nil
+	}
+	all := make(map[uint64]target.Target)
+	for _, list := range view.Targets {
+		for _, t := range list {
+			all[usage.Key(t.Name)] = t
+		}
+	}
+	return all
 }
--- a/pkg/station/leader.go
+++ b/pkg/station/leader.go
@@ -41,9 +41,10 @@
 	holder  *lease.Holder
 	read    time.Time
 
-	mu      sync.Mutex
+	mu      sync.Mutex // mu guards the following, and the holder.
 	pending map[string]pending
 	counts  map[string]count
+	written Row               // written is the row of the lease as last written here.
 	growing map[string]growth // growing is how the list of a service without layers grew.
 }
 
@@ -79,7 +80,7 @@
 	defer ticker.Stop()
 	for {
 		l.lease(ctx)
-		if fence, ok := l.holder.MayOrder(time.Now()); ok {
+		if fence, ok := l.mayOrder(); ok {
 			l.plan(ctx, fence)
 		}
 		select {
@@ -96,37 +97,75 @@
 // lease reads, takes or renews the lease.
 func (l *leader) lease(ctx context.Context) {
 	now := time.Now()
-	if !l.holder.Holds() && now.Sub(l.read) >= leaseReading {
+	if !l.holds() && now.Sub(l.read) >= leaseReading && !l.station.peers.leaseHeard(now) {
 		l.read = now
 		row, err := l.station.platform.Store.Own(ctx, leaseName)
 		l.station.dependency("Lease", err)
 		if err != nil {
 			return
 		}
-		l.holder.Observe(time.Now(), lease.Row{Revision: row.Revision, Value: row.Value})
+		l.observe(lease.Row{Revision: row.Revision, Value: row.Value})
 	}
-	if t, ok := l.holder.Acquire(time.Now()); ok && !l.station.stopping.Load() {
+	if t, ok := l.due(); ok {
 		l.swap(ctx, t)
 	}
+}
+
+// due returns the transaction that takes or renews the lease, if one is due.
+func (l *leader) due() (lease.Transaction, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	if t, ok := l.holder.Renew(time.Now()); ok {
-		l.swap(ctx, t)
+		return t, true
+	}
+	if l.station.stopping.Load() {
+		return lease.Transaction{}, false
 	}
+	return l.holder.Acquire(time.Now())
+}
+
+func (l *leader) holds() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder.Holds()
+}
+
+func (l *leader) mayOrder() (fence uint64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder.MayOrder(time.Now())
+}
+
+// observe takes in the row of the lease.
+func (l *leader) observe(row lease.Row) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holder.Observe(time.Now(), row)
+}
+
+// row returns the row of the lease if this instance holds it.
+func (l *leader) row() (Row, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.written, l.holder.Holds() && l.written.Revision > 0
 }
 
 func (l *leader) swap(ctx context.Context, t lease.Transaction) {
-	held := l.holder.Holds()
+	held := l.holds()
 	row, done, err := l.station.platform.Store.Swap(ctx, Row{Name: t.Key, Value: t.Value, Revision: t.Revision})
 	l.station.dependency("Lease", err)
 	switch {
 	case err != nil:
-		l.read = time.Time{} // The write may have taken effect: read the row back.
-		l.readBack(ctx)
+		l.readBack(ctx) // The write may have taken effect.
 	case done:
+		l.mu.Lock()
 		l.holder.Committed(time.Now(), t, row.Revision)
+		l.written = row
+		l.mu.Unlock()
 	default:
-		l.holder.Observe(time.Now(), lease.Row{Revision: row.Revision, Value: row.Value})
+		l.observe(lease.Row{Revision: row.Revision, Value: row.Value})
 	}
-	if holds := l.holder.Holds(); holds != held {
+	if holds := l.holds(); holds != held {
 		l.station.logger.Info().Bool("Held", holds).Uint64("Revision", row.Revision).Msg("lease changed hands")
 	}
 }
@@ -136,12 +175,15 @@
 	if err != nil {
 		return // The next turn reads again.
 	}
-	l.holder.Observe(time.Now(), lease.Row{Revision: row.Revision, Value: row.Value})
+	l.observe(lease.Row{Revision: row.Revision, Value: row.Value})
 }
 
 // release gives up the lease for a planned stop.
 func (l *leader) release(ctx context.Context) {
-	if t, ok := l.holder.Release(time.Now()); ok {
+	l.mu.Lock()
+	t, ok := l.holder.Release(time.Now())
+	l.mu.Unlock()
+	if ok {
 		l.swap(ctx, t)
 	}
 }
--- /dev/null
+++ b/pkg/station/peers.go
@@ -0,0 +1,308 @@
+package station
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/lease"
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/usage"
+	"github.com/cuminroute/cuminroute/pkg/peer/instance"
+	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+const (
+	// fleetName keeps the instances of one deployment together.
+	fleetName = "platform"
+	// bulletinInterval is how often an instance tells others of its load.
+	bulletinInterval = 300 * time.Millisecond
+	// bulletinReach bounds the instances that are told of the load each time. Among more, each hears a sample.
+	bulletinReach = 24
+	// maxLoads bounds the targets in one bulletin, so that it fits a datagram.
+	maxLoads = 48
+	// maxNews is the number of entries of the list in one bulletin.
+	maxNews = 2
+	// maxNewsBytes bounds an entry that is told in a bulletin. Longer ones are read from the store.
+	maxNewsBytes = 450
+	// readerLife is how long an instance counts as a reader of the list after it last told of it.
+	readerLife = 1200 * time.Millisecond
+	// digestPatience is how long the list may differ from a reader's before it is read again.
+	digestPatience = 900 * time.Millisecond
+)
+
+// peers is the exchange with the other instances.
+type peers struct {
+	station *Station
+	node    *instance.Node
+
+	mu      sync.Mutex
+	heard   time.Time // heard is when a reader last told of the list.
+	differs time.Time // differs is since when the list differs from the reader's; zero if it does not.
+	newest  uint64    // newest is the highest revision of the configuration heard of.
+	lease   time.Time // lease is when the holder of the lease last told of it.
+	wake    chan struct{}
+}
+
+func newPeers(s *Station) *peers {
+	return &peers{station: s, wake: make(chan struct{}, 1)}
+}
+
+// start joins the other instances.
+func (p *peers) start(ctx context.Context) error {
+	settings := p.station.settings
+	node, err := instance.New(ctx, instance.Config{
+		Fleet: fleetName, Name: settings.Instance, DataCentre: settings.DataCentre, Address: settings.Peers, Seeds: settings.Seeds,
+	}, instance.WithBulletins(p.receive), instance.WithoutConfiguration(), instance.WithLogger(p.station.logger),
+		instance.WithMetrics(p.station.registry))
+	if err != nil {
+		return errListen.Wrap(err, "the address for other instances cannot be used")
+	}
+	p.node = node
+	p.station.knowledge.news = p.tellNews
+	return nil
+}
+
+// run tells of the load until the context ends.
+func (p *peers) run(ctx context.Context) {
+	ticker := time.NewTicker(bulletinInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			p.tellLoad()
+		}
+	}
+}
+
+// others returns the live instances but this one.
+func (p *peers) others() []membership.Member {
+	self := p.node.Address()
+	members := p.node.Members()
+	others := make([]membership.Member, 0, len(members))
+	for _, m := range members {
+		if m.Address != self {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+func addressesOf(members []membership.Member) []netip.AddrPort {
+	addresses := make([]netip.AddrPort, len(members))
+	for i, m := range members {
+		addresses[i] = m.Address
+	}
+	return addresses
+}
+
+// tellLoad tells others of the load of this instance's requests, and of what it knows.
+func (p *peers) tellLoad() {
+	others := addressesOf(p.others())
+	p.station.meter.SetMembers(len(others) + 1)
+	p.station.shareBudget(len(others) + 1)
+	if len(others) > bulletinReach {
+		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		others = others[:bulletinReach]
+	}
+	b := p.bulletin()
+	b.HasLoads = true
+	for name, load := range p.station.meter.Own() {
+		if len(b.GetLoads()) == maxLoads {
+			break
+		}
+		b.Loads = append(b.Loads, &instancepb.TargetLoad{Target: usage.Key(name), Cells: load.Cells, Streams: uint32(load.Streams)})
+	}
+	p.send(others, b)
+}
+
+// bulletin returns what every bulletin says.
+func (p *peers) bulletin() *instancepb.Bulletin {
+	_, revision := p.station.knowledge.version()
+	b := &instancepb.Bulletin{Revision: revision}
+	if p.reads() && p.station.listed.Load() {
+		b.Digest = p.station.knowledge.digest.Load()
+	}
+	if row, ok := p.station.leader.row(); ok {
+		b.Lease = &instancepb.Row{Name: row.Name, Value: row.Value, Revision: row.Revision}
+	}
+	return b
+}
+
+func (p *peers) send(to []netip.AddrPort, b *instancepb.Bulletin) {
+	if len(to) == 0 {
+		return
+	}
+	if err := p.node.Tell(to, b); err != nil {
+		p.station.logger.Error().Err(err).Msg("bulletin could not be sent")
+	}
+}
+
+// tellLost tells all instances that a target is dead.
+func (p *peers) tellLost(t target.Target) {
+	p.send(addressesOf(p.others()), &instancepb.Bulletin{Lost: []string{t.Name}})
+}
+
+// tellNews tells all instances of entries that changed, if this one reads the list.
+func (p *peers) tellNews(rows []Row) {
+	if !p.reads() {
+		return
+	}
+	others := addressesOf(p.others())
+	for some := range slices.Chunk(rows, maxNews) {
+		b := &instancepb.Bulletin{}
+		for _, r := range some {
+			if len(r.Value) <= maxNewsBytes {
+				b.Targets = append(b.Targets, &instancepb.Row{Name: r.Name, Value: r.Value, Revision: r.Revision, Removed: r.Removed})
+			}
+		}
+		p.send(others, b)
+	}
+}
+
+// tellRevision tells all instances of a new configuration.
+func (p *peers) tellRevision() {
+	p.send(addressesOf(p.others()), p.bulletin())
+}
+
+// reads reports whether this instance reads the list of targets and the configuration for its data centre: it has the
+// lowest address there.
+func (p *peers) reads() bool {
+	reader, ok := p.reader(p.station.settings.DataCentre)
+	return !ok || reader == p.node.Address()
+}
+
+func (p *peers) reader(dataCentre string) (netip.AddrPort, bool) {
+	var lowest netip.AddrPort
+	found := false
+	for _, m := range p.node.Members() {
+		if m.DataCentre == dataCentre && (!found || m.Address.Compare(lowest) < 0) {
+			lowest, found = m.Address, true
+		}
+	}
+	return lowest, found
+}
+
+// receive takes in a bulletin.
+func (p *peers) receive(from netip.AddrPort, b *instancepb.Bulletin) {
+	s := p.station
+	now := time.Now()
+	if b.GetHasLoads() {
+		loads := make(map[uint64]usage.Load, len(b.GetLoads()))
+		for _, l := range b.GetLoads() {
+			loads[l.GetTarget()] = usage.Load{Cells: l.GetCells(), Streams: int(l.GetStreams())}
+		}
+		s.meter.Told(from.String(), loads, now)
+	}
+	for _, name := range b.GetLost() {
+		p.receiveLost(name)
+	}
+	if rows := b.GetTargets(); len(rows) > 0 && s.listed.Load() {
+		var c Change
+		for _, r := range rows {
+			c.Rows = append(c.Rows, Row{Name: r.GetName(), Value: r.GetValue(), Revision: r.GetRevision(), Removed: r.GetRemoved()})
+		}
+		s.knowledge.list(c, 0, now)
+	}
+	if l := b.GetLease(); l != nil {
+		p.mu.Lock()
+		p.lease = now
+		p.mu.Unlock()
+		s.leader.observe(lease.Row{Revision: l.GetRevision(), Value: l.GetValue()})
+	}
+	if d := b.GetDigest(); d != 0 {
+		p.compare(from, d, now)
+	}
+	p.receiveProof(from, b)
+}
+
+func (p *peers) receiveLost(name string) {
+	if t, ok := p.station.knowledge.byKey()[usage.Key(name)]; ok {
+		p.station.server.Lost(t)
+	}
+}
+
+// compare notes whether the list is the same as a reader's.
+func (p *peers) compare(from netip.AddrPort, digest uint64, now time.Time) {
+	if reader, ok := p.reader(p.station.settings.DataCentre); !ok || reader != from {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heard = now
+	switch {
+	case digest == p.station.knowledge.digest.Load():
+		p.differs = time.Time{}
+	case p.differs.IsZero():
+		p.differs = now
+	}
+}
+
+// told reports whether a reader keeps the list up to date here.
+func (p *peers) told(now time.Time) bool {
+	if p.reads() {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.differs.IsZero() && now.Sub(p.differs) > digestPatience {
+		p.differs = time.Time{}
+		return false
+	}
+	return now.Sub(p.heard) < readerLife
+}
+
+// leaseHeard reports whether the holder of the lease has told of it lately.
+func (p *peers) leaseHeard(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.lease) < 2*bulletinInterval
+}
+
+// receiveProof answers a question for the proof of the configuration, and takes in an answer.
+func (p *peers) receiveProof(from netip.AddrPort, b *instancepb.Bulletin) {
+	k := p.station.knowledge
+	_, revision := k.version()
+	if b.GetQuestion() != 0 {
+		if age, ok := k.age(); ok {
+			p.send([]netip.AddrPort{from}, &instancepb.Bulletin{Answer: b.GetQuestion(), AgeNs: int64(age), Revision: revision})
+		}
+	}
+	if b.GetAnswer() != 0 && b.GetRevision() == revision && b.GetAgeNs() >= 0 {
+		// The proof was the age old after the question was sent.
+		k.prove(time.Duration(b.GetAnswer()) - time.Duration(b.GetAgeNs()))
+	}
+	if b.GetRevision() > revision {
+		p.mu.Lock()
+		p.newest = max(p.newest, b.GetRevision())
+		p.mu.Unlock()
+		notify(p.wake)
+	}
+}
+
+// ask asks the reader of this data centre and one other instance for the age of their proof.
+func (p *peers) ask() {
+	others := p.others()
+	if len(others) == 0 {
+		return
+	}
+	asked := []netip.AddrPort{others[rand.IntN(len(others))].Address}
+	if reader, ok := p.reader(p.station.settings.DataCentre); ok && reader != p.node.Address() && reader != asked[0] {
+		asked = append(asked, reader)
+	}
+	p.send(asked, &instancepb.Bulletin{Question: int64(bootTime())})
+}
+
+// notify wakes the reader of a channel, if it is not awake already.
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -27,6 +27,7 @@
 	"github.com/cuminroute/cuminroute/pkg/exchange"
 	"github.com/cuminroute/cuminroute/pkg/listener"
 	"github.com/cuminroute/cuminroute/pkg/metricspage"
+	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
 const (
@@ -57,6 +58,7 @@
 	budget    *retry.Budget
 	server    *exchange.Server
 	leader    *leader
+	peers     *peers
 
 	callersAt, readyAt net.Listener
 	app                *kratos.App
@@ -91,15 +93,18 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
 	s.logger = newLogger(settings, s.output)
 	s.knowledge = newKnowledge(platform, s.logger, settings.ProofLife)
-	s.budget = retry.New()
+	s.budget = retry.New(retry.WithRatio(settings.Retries.Ratio/2), retry.WithRate(settings.Retries.Slack/60))
 	s.server = exchange.New(s.knowledge, platform.Upstream, s.meter, exchange.WithBudget(s.budget),
 		exchange.WithDataCentre(settings.DataCentre), exchange.WithLogger(s.logger), exchange.WithRegistry(s.registry),
-		exchange.WithStop(s.stopsSoon))
+		exchange.WithStop(s.stopsSoon), exchange.WithRumours(func(t target.Target) { s.peers.tellLost(t) }))
+	s.peers = newPeers(s)
 	s.leader = newLeader(s, fmt.Sprintf("%s/%08x", settings.Instance, rand.Uint32()))
 	if err := s.listen(); err != nil {
 		return nil, err
 	}
-	s.start(ctx)
+	if err := s.start(ctx); err != nil {
+		return nil, err
+	}
 	return s, nil
 }
 
@@ -126,9 +131,13 @@
 // frameworkLogger sets the framework's logger once: it is global.
 var frameworkLogger sync.Once
 
-func (s *Station) start(ctx context.Context) {
+func (s *Station) start(ctx context.Context) error {
 	frameworkLogger.Do(func() { klog.SetLogger(klog.NewStdLogger(io.Discard)) })
 	run, cancel := context.WithCancel(ctx)
+	if err := s.peers.start(run); err != nil {
+		cancel()
+		return err
+	}
 	callers := newListener(s.callersAt)
 	callers.Handler = s.platform.Door(s.server, s.bodyLimit, s.enter)
 	ready := newListener(s.readyAt)
@@ -136,6 +145,7 @@
 	go s.followConfiguration(run)
 	go s.followTargets(run)
 	go s.leader.run(run)
+	go s.peers.run(run)
 	go s.reload(run)
 	s.app = kratos.New(
 		kratos.Name("cuminrouted"), kratos.ID(s.settings.Instance), kratos.Context(ctx), kratos.Server(callers, ready),
@@ -148,6 +158,16 @@
 		cancel()
 		s.logger.Info().Err(s.err).Msg("stopped")
 	}()
+	return nil
+}
+
+// shareBudget gives this instance its part of the retries of all.
+func (s *Station) shareBudget(instances int) {
+	r := s.settings.Retries
+	if r.Window <= 0 {
+		return
+	}
+	s.budget.SetRate(r.Slack / r.Window.Seconds() / float64(instances) / 2)
 }
 
 // newListener returns a server whose endpoint is given: finding one would list the machine's network interfaces.
