Take a long wait for a change of the list as no outage of the store

Change: only calls without an answer count as an outage; entries dropped later are told to the other instances.

--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -12,8 +12,8 @@
 	configurationWait = 2500 * time.Millisecond
 	// targetsWait is the same for the list of targets.
 	targetsWait = 5 * time.Second
-	// targetsPace is the time between two answers about the targets: each heartbeat of each target changes the list.
-	targetsPace = 800 * time.Millisecond
+	// targetsPace is the time between two answers about the targets, so that changes in quick succession are read together.
+	targetsPace = 400 * time.Millisecond
 	// proofTick is how often an instance that is no reader looks at the age of its proof. It asks readers for a newer
 	// one after proofRefresh, and the store itself after proofOverdue.
 	proofTick    = 400 * time.Millisecond
@@ -123,15 +123,16 @@
 func (s *Station) followTargets(ctx context.Context) {
 	var revision uint64
 	var pause backoff
-	answered := time.Now()
+	var failing time.Time // failing is since when calls have had no answer; zero after an answer.
 	for ctx.Err() == nil {
 		now := time.Now()
 		if s.listed.Load() && s.peers.told(now) {
 			s.knowledge.expire(now)
-			revision, answered = 0, now
+			revision, failing = 0, time.Time{}
 			sleep(ctx, toldTick)
 			continue
 		}
+		started := now
 		change, err := s.targetsAfter(ctx, revision)
 		s.dependency("Targets", err)
 		now = time.Now()
@@ -141,13 +142,20 @@
 			continue
 		}
 		if err != nil {
+			if failing.IsZero() {
+				failing = started
+			}
 			pause.wait(ctx)
 			continue
 		}
 		pause.reset()
-		s.knowledge.list(change, now.Sub(answered), now)
+		silent := time.Duration(0)
+		if !failing.IsZero() {
+			silent = now.Sub(failing)
+		}
+		s.knowledge.list(change, silent, now)
 		s.listed.Store(true)
-		answered, revision = now, change.Revision
+		failing, revision = time.Time{}, change.Revision
 		sleep(ctx, targetsPace)
 	}
 }
--- a/pkg/station/knowledge.go
+++ b/pkg/station/knowledge.go
@@ -116,7 +116,7 @@
 	k.publish()
 }
 
-// list takes in changes of the list of targets. Silent is the time since the answer before.
+// list takes in changes of the list of targets. Silent is how long the store had not answered before.
 func (k *knowledge) list(c Change, silent time.Duration, now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -202,16 +202,17 @@
 func (k *knowledge) expire(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	changed := false
+	var news []Row
 	for name, l := range k.targets {
 		if !l.missing.IsZero() && !now.Before(l.missing) {
 			k.drop(name, l.revision)
 			k.logger.Info().Str("Target", name).Msg("target gone, its entry did not return")
-			changed = true
+			news = append(news, Row{Name: name, Revision: l.revision, Removed: true})
 		}
 	}
-	if changed {
+	if len(news) > 0 {
 		k.publish()
+		k.news(news)
 	}
 }
 
