Keep list and configuration up to date when the store refuses the readers

Change: only an instance that has just read the list itself tells of it; any such instance counts; one that the store refuses asks others for their proof and fetches a newer configuration from them; shorter waits at the store.

--- a/pkg/peer/instance/config.go
+++ b/pkg/peer/instance/config.go
@@ -99,6 +99,11 @@
 	return func(n *Node) { n.bulletins = f }
 }
 
+// WithSnapshots sets who gives the configuration in force to peers that ask for it, in place of the Applier.
+func WithSnapshots(f func(ctx context.Context) (Snapshot, error)) Option {
+	return func(n *Node) { n.snapshots = f }
+}
+
 // WithoutConfiguration leaves the spread of configuration to others: the node is used for its members and bulletins.
 func WithoutConfiguration() Option {
 	return func(n *Node) { n.quiet = true }
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -46,6 +46,7 @@
 	state    func(context.Context) ([]byte, error)
 	// bulletins takes the bulletins of others, if it is set.
 	bulletins func(netip.AddrPort, *instancepb.Bulletin)
+	snapshots func(context.Context) (Snapshot, error)
 	quiet     bool // quiet means that the node does not spread configuration.
 
 	udp     *net.UDPConn
--- a/pkg/peer/instance/server.go
+++ b/pkg/peer/instance/server.go
@@ -91,12 +91,25 @@
 	return answer, err
 }
 
+// snapshotSource returns who gives the configuration in force, or nil if there is none.
+func (n *Node) snapshotSource() func(context.Context) (Snapshot, error) {
+	switch {
+	case n.snapshots != nil:
+		return n.snapshots
+	case n.applier != nil && n.View().Ready():
+		return n.applier.Snapshot
+	default:
+		return nil
+	}
+}
+
 // FetchSnapshot implements instancepb.DRPCInstancesServer.
 func (s *service) FetchSnapshot(r *instancepb.FetchSnapshotRequest, stream instancepb.DRPCInstances_FetchSnapshotStream) error {
 	if err := s.check(r.GetFleet()); err != nil {
 		return err
 	}
-	if s.node.applier == nil || !s.node.View().Ready() {
+	source := s.node.snapshotSource()
+	if source == nil {
 		return Unavailable.New("no configuration is in force here")
 	}
 	select {
@@ -105,7 +118,7 @@
 	default:
 		return Unavailable.New("%d snapshots are handed out already", maxSnapshots)
 	}
-	whole, err := s.node.applier.Snapshot(stream.Context())
+	whole, err := source(stream.Context())
 	if err != nil {
 		return err
 	}
--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -9,18 +9,21 @@
 const (
 	// configurationWait is how long a call waits for a change of the configuration. Its start proves what is in
 	// force, so that the proof is never much older.
-	configurationWait = 2500 * time.Millisecond
-	// targetsWait is the same for the list of targets.
-	targetsWait = 5 * time.Second
+	configurationWait = 1800 * time.Millisecond
+	// targetsWait is the same for the list of targets. It is well below the time in which a leaving target must get no
+	// more work, so that others notice in time that a reader has lost the store.
+	targetsWait = time.Second
 	// targetsPace is the time between two answers about the targets, so that changes in quick succession are read together.
-	targetsPace = 400 * time.Millisecond
+	targetsPace = 200 * time.Millisecond
 	// proofTick is how often an instance that is no reader looks at the age of its proof. It asks readers for a newer
 	// one after proofRefresh, and the store itself after proofOverdue.
 	proofTick    = 400 * time.Millisecond
 	proofRefresh = 900 * time.Millisecond
-	proofOverdue = 2800 * time.Millisecond
+	proofOverdue = 3600 * time.Millisecond
 	// toldTick is how often an instance that is no reader looks whether a reader still tells it of the targets.
 	toldTick = 300 * time.Millisecond
+	// storePatience is how long an answer of the store may take beyond the wait.
+	storePatience = 350 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a call without an answer.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -65,6 +68,8 @@
 			continue
 		}
 		if err != nil {
+			s.peers.ask()
+			s.peers.fetch(ctx)
 			pause.wait(ctx)
 			continue
 		}
@@ -129,6 +134,7 @@
 		if s.listed.Load() && s.peers.told(now) {
 			s.knowledge.expire(now)
 			revision, failing = 0, time.Time{}
+			s.polledAt.Store(0)
 			sleep(ctx, toldTick)
 			continue
 		}
@@ -145,6 +151,7 @@
 			if failing.IsZero() {
 				failing = started
 			}
+			s.polledAt.Store(0)
 			pause.wait(ctx)
 			continue
 		}
@@ -155,11 +162,18 @@
 		}
 		s.knowledge.list(change, silent, now)
 		s.listed.Store(true)
+		s.polledAt.Store(now.UnixNano())
 		failing, revision = time.Time{}, change.Revision
 		sleep(ctx, targetsPace)
 	}
 }
 
+// polled reports whether this instance has the list from the store itself, not from others.
+func (s *Station) polled(now time.Time) bool {
+	at := s.polledAt.Load()
+	return at > 0 && now.Sub(time.Unix(0, at)) < targetsPace+targetsWait+storePatience
+}
+
 func (s *Station) targetsAfter(ctx context.Context, revision uint64) (Change, error) {
 	if revision == 0 {
 		return s.platform.Store.Targets(ctx)
--- a/pkg/station/knowledge.go
+++ b/pkg/station/knowledge.go
@@ -95,6 +95,13 @@
 	return k.catalogue.Version, k.revision
 }
 
+// document returns the configuration in force as it was read, and its revision.
+func (k *knowledge) document() (content []byte, revision uint64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.content, k.revision
+}
+
 // configure puts a configuration in force, unless a newer one is.
 func (k *knowledge) configure(row Row) {
 	k.mu.Lock()
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -30,7 +30,9 @@
 	// maxNewsBytes bounds an entry that is told in a bulletin. Longer ones are read from the store.
 	maxNewsBytes = 450
 	// readerLife is how long an instance counts as a reader of the list after it last told of it.
-	readerLife = 1200 * time.Millisecond
+	readerLife = 750 * time.Millisecond
+	// fetchTimeout bounds the reading of the configuration from another instance.
+	fetchTimeout = time.Second
 	// digestPatience is how long the list may differ from a reader's before it is read again.
 	digestPatience = 900 * time.Millisecond
 )
@@ -41,10 +43,11 @@
 	node    *instance.Node
 
 	mu      sync.Mutex
-	heard   time.Time // heard is when a reader last told of the list.
-	differs time.Time // differs is since when the list differs from the reader's; zero if it does not.
-	newest  uint64    // newest is the highest revision of the configuration heard of.
-	lease   time.Time // lease is when the holder of the lease last told of it.
+	heard   time.Time      // heard is when a reader last told of the list.
+	differs time.Time      // differs is since when the list differs from the reader's; zero if it does not.
+	newest  uint64         // newest is the highest revision of the configuration heard of.
+	lease   time.Time      // lease is when the holder of the lease last told of it.
+	holder  netip.AddrPort // holder told of it.
 	wake    chan struct{}
 }
 
@@ -57,7 +60,7 @@
 	settings := p.station.settings
 	node, err := instance.New(ctx, instance.Config{
 		Fleet: fleetName, Name: settings.Instance, DataCentre: settings.DataCentre, Address: settings.Peers, Seeds: settings.Seeds,
-	}, instance.WithBulletins(p.receive), instance.WithoutConfiguration(), instance.WithLogger(p.station.logger),
+	}, instance.WithBulletins(p.receive), instance.WithSnapshots(p.snapshot), instance.WithoutConfiguration(), instance.WithLogger(p.station.logger),
 		instance.WithMetrics(p.station.registry))
 	if err != nil {
 		return errListen.Wrap(err, "the address for other instances cannot be used")
@@ -126,7 +129,7 @@
 func (p *peers) bulletin() *instancepb.Bulletin {
 	_, revision := p.station.knowledge.version()
 	b := &instancepb.Bulletin{Revision: revision}
-	if p.reads() && p.station.listed.Load() {
+	if p.station.polled(time.Now()) {
 		b.Digest = p.station.knowledge.digest.Load()
 	}
 	if row, ok := p.station.leader.row(); ok {
@@ -149,9 +152,9 @@
 	p.send(addressesOf(p.others()), &instancepb.Bulletin{Lost: []string{t.Name}})
 }
 
-// tellNews tells all instances of entries that changed, if this one reads the list.
+// tellNews tells all instances of entries that changed, if this one reads the list from the store.
 func (p *peers) tellNews(rows []Row) {
-	if !p.reads() {
+	if !p.station.polled(time.Now()) {
 		return
 	}
 	others := addressesOf(p.others())
@@ -217,7 +220,7 @@
 		s.leader.observe(lease.Row{Revision: l.GetRevision(), Value: l.GetValue()})
 	}
 	if d := b.GetDigest(); d != 0 {
-		p.compare(from, d, now)
+		p.compare(d, now)
 	}
 	p.receiveProof(from, b)
 }
@@ -228,11 +231,8 @@
 	}
 }
 
-// compare notes whether the list is the same as a reader's.
-func (p *peers) compare(from netip.AddrPort, digest uint64, now time.Time) {
-	if reader, ok := p.reader(p.station.settings.DataCentre); !ok || reader != from {
-		return
-	}
+// compare notes whether the list is the same as that of an instance that reads it from the store.
+func (p *peers) compare(digest uint64, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heard = now
@@ -280,12 +280,41 @@
 	}
 	if b.GetRevision() > revision {
 		p.mu.Lock()
-		p.newest = max(p.newest, b.GetRevision())
+		if b.GetRevision() >= p.newest {
+			p.newest, p.holder = b.GetRevision(), from
+		}
 		p.mu.Unlock()
 		notify(p.wake)
 	}
 }
 
+// fetch reads a newer configuration from the instance that told of it, for one that the store refuses.
+func (p *peers) fetch(ctx context.Context) {
+	p.mu.Lock()
+	newest, holder := p.newest, p.holder
+	p.mu.Unlock()
+	if _, revision := p.station.knowledge.version(); newest <= revision {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	s, err := p.node.FetchSnapshot(ctx, holder)
+	if err != nil {
+		p.station.logger.Warn().Str("Peer", holder.String()).Err(err).Msg("configuration not fetched")
+		return
+	}
+	p.station.knowledge.configure(Row{Name: p.station.platform.ConfigurationName, Value: s.Content, Revision: s.Version})
+}
+
+// snapshot gives the configuration in force to other instances.
+func (p *peers) snapshot(context.Context) (instance.Snapshot, error) {
+	content, revision := p.station.knowledge.document()
+	if revision == 0 {
+		return instance.Snapshot{}, instance.Unavailable.New("no configuration is in force here")
+	}
+	return instance.Snapshot{Version: revision, Content: content}, nil
+}
+
 // ask asks the reader of this data centre and one other instance for the age of their proof.
 func (p *peers) ask() {
 	others := p.others()
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -63,6 +63,7 @@
 	callersAt, readyAt net.Listener
 	app                *kratos.App
 	listed             atomic.Bool
+	polledAt           atomic.Int64 // polledAt is when the list was last read from the store, 0 if others tell of it.
 	stopping           atomic.Bool
 	stopAt             atomic.Int64 // stopAt is when the order to stop came, in Unix nanoseconds.
 	running            atomic.Int64 // running counts the requests in flight.
