Deal the layers of a data centre without gaps, and hear of loaded layers from the target itself

Change: empty targets fill the first hole of their data centre; holes without a returning target are closed by moving a dispensable target or dealing the layers out anew; the holder of the lease asks a target for its report after a load and tells all instances.

--- a/pkg/decision/layout/layout.go
+++ b/pkg/decision/layout/layout.go
@@ -28,6 +28,8 @@
 const (
 	// roomSteps is the number of shares of the engine's capacity that are tried as memory for requests.
 	roomSteps = 9
+	// leastRoom is the fewest steps of room for which a data centre takes more layers than others to hold them all.
+	leastRoom = 4
 	// roomUnit is the difference between two of them.
 	roomUnit = 0.1
 	// homeWeight is how much more a replica in the same data centre counts than one elsewhere.
@@ -94,94 +96,190 @@
 }
 
 // Plan returns the orders that bring the targets closer to the plan. The layers of a target are those that it holds
-// or was last ordered to hold.
-func (p *Planner) Plan(targets []target.Target) []Order {
-	sizes := p.Sizes(targets)
+// or was last ordered to hold. Returning counts the targets of each data centre that were lost a moment ago and may
+// come back: layers are not dealt out anew there, since the returning target takes its old place.
+func (p *Planner) Plan(targets []target.Target, returning map[string]int) []Order {
+	global := p.Sizes(targets)
 	cover := newCoverage(p.engine.Layers)
-	var empty []target.Target
+	centres := make(map[string]*centre)
 	for _, t := range targets {
-		switch {
-		case !t.Accepting():
-		case t.Layers.Valid():
+		if !t.Accepting() {
+			continue
+		}
+		c := centres[t.DataCentre]
+		if c == nil {
+			c = &centre{name: t.DataCentre, home: cover.home(t.DataCentre)}
+			centres[t.DataCentre] = c
+		}
+		if t.Layers.Valid() {
 			cover.add(t.DataCentre, t.Layers, 1)
-		case sizes[t.Accelerator] > 0:
-			empty = append(empty, t)
+			c.placed = append(c.placed, t)
+		} else {
+			c.empty = append(c.empty, t)
 		}
 	}
-	slices.SortFunc(empty, func(a, b target.Target) int {
-		return cmp.Or(cmp.Compare(sizes[b.Accelerator], sizes[a.Accelerator]), cmp.Compare(a.Name, b.Name))
-	})
 	var orders []Order
-	for _, t := range empty {
-		layers := cover.weakest(t.DataCentre, sizes[t.Accelerator])
-		cover.add(t.DataCentre, layers, 1)
-		orders = append(orders, Order{Target: t, Layers: layers})
+	for _, name := range slices.Sorted(maps.Keys(centres)) {
+		c := centres[name]
+		c.sizes = p.centreSizes(c, global)
+		c.whole = c.capacity() >= p.engine.Layers
+		orders = append(orders, p.fill(c, cover)...)
 	}
-	return append(orders, p.restore(targets, sizes, cover)...)
-}
-
-// restore moves targets to layers without a holder: one for a layer that no target holds anywhere, and one in each
-// data centre that could hold all layers and does not. Only targets whose layers others hold as well are moved, first
-// those in the same data centre.
-func (p *Planner) restore(targets []target.Target, sizes map[string]int, cover *coverage) []Order {
-	var orders []Order
-	moved := make(map[string]bool)
-	for _, centre := range cover.names() {
-		home := cover.centres[centre]
-		hole, open := firstHole(home)
-		if !open || p.within(targets, sizes, centre) < p.engine.Layers {
+	for _, name := range slices.Sorted(maps.Keys(centres)) {
+		c := centres[name]
+		if _, open := firstHole(c.home); !open || !c.whole {
 			continue
 		}
-		if o, ok := p.move(targets, sizes, hole, moved, func(t target.Target) int {
-			if t.DataCentre != centre {
-				return 0
-			}
-			return spare(home, t.Layers)
-		}); ok {
-			cover.add(centre, o.Target.Layers, -1)
-			cover.add(centre, o.Layers, 1)
-			orders = append(orders, o)
+		moved := p.move(c, cover)
+		if len(moved) == 0 && returning[name] == 0 {
+			moved = p.deal(c)
 		}
+		orders = append(orders, moved...)
 	}
-	if hole, open := firstHole(cover.all); open {
-		o, ok := p.move(targets, sizes, hole, moved, func(t target.Target) int { return spare(cover.all, t.Layers) })
-		if ok {
-			orders = append(orders, o)
-		}
+	if len(orders) == 0 {
+		orders = p.rescue(centres, cover)
 	}
 	return orders
 }
 
-// within is the number of layers that the targets of a data centre hold together.
-func (p *Planner) within(targets []target.Target, sizes map[string]int, centre string) int {
+// centre is what is known of a data centre's targets.
+type centre struct {
+	name   string
+	placed []target.Target
+	empty  []target.Target
+	sizes  map[string]int // sizes are the layers of a target, by accelerator.
+	whole  bool           // whole means that the targets can hold all layers together.
+	home   []int          // home counts the holders of each layer.
+}
+
+// capacity is the number of layers that the targets hold together.
+func (c *centre) capacity() int {
 	total := 0
-	for _, t := range targets {
-		if t.Accepting() && t.DataCentre == centre {
-			total += sizes[t.Accelerator]
+	for _, list := range [][]target.Target{c.placed, c.empty} {
+		for _, t := range list {
+			total += c.sizes[t.Accelerator]
 		}
 	}
 	return total
 }
 
-// move returns the order that moves the most dispensable target to a hole. The function tells how dispensable one is;
-// 0 means that it must stay.
-func (p *Planner) move(targets []target.Target, sizes map[string]int, hole int, moved map[string]bool, spare func(target.Target) int) (Order, bool) {
-	var best Order
+// centreSizes returns the sizes of a data centre: those of the fleet, or larger ones where these would let it hold all
+// layers.
+func (p *Planner) centreSizes(c *centre, global map[string]int) map[string]int {
+	c.sizes = global
+	if c.capacity() >= p.engine.Layers {
+		return global
+	}
+	counts := make(map[string]int)
+	for _, list := range [][]target.Target{c.placed, c.empty} {
+		for _, t := range list {
+			counts[t.Accelerator]++
+		}
+	}
+	for step := roomSteps; step >= leastRoom; step-- {
+		sizes := p.sizesAt(counts, float64(step)*roomUnit)
+		if c.sizes = sizes; c.capacity() >= p.engine.Layers {
+			return sizes
+		}
+	}
+	return global
+}
+
+// fill places the targets without layers: the larger ones first, each at the first layer that its data centre lacks.
+func (p *Planner) fill(c *centre, cover *coverage) []Order {
+	slices.SortFunc(c.empty, func(a, b target.Target) int {
+		return cmp.Or(cmp.Compare(c.sizes[b.Accelerator], c.sizes[a.Accelerator]), cmp.Compare(a.Name, b.Name))
+	})
+	var orders []Order
+	for _, t := range c.empty {
+		size := c.sizes[t.Accelerator]
+		if size == 0 {
+			continue
+		}
+		layers := cover.weakest(c.name, size)
+		if hole, open := firstHole(c.home); open && c.whole {
+			layers = cover.over(c.home, hole, size)
+		}
+		cover.add(c.name, layers, 1)
+		orders = append(orders, Order{Target: t, Layers: layers})
+	}
+	return orders
+}
+
+// move closes the first hole of a data centre with a target whose layers others there hold as well.
+func (p *Planner) move(c *centre, cover *coverage) []Order {
+	hole, _ := firstHole(c.home)
+	best, found := p.dispensable(c.placed, c.home)
+	if !found {
+		return nil
+	}
+	layers := cover.over(c.home, hole, c.sizes[best.Accelerator])
+	cover.add(c.name, best.Layers, -1)
+	cover.add(c.name, layers, 1)
+	return []Order{{Target: best, Layers: layers}}
+}
+
+// dispensable returns the target whose layers have most other holders.
+func (p *Planner) dispensable(targets []target.Target, counts []int) (target.Target, bool) {
+	var best target.Target
 	bestSpare := 0
 	for _, t := range targets {
-		size := sizes[t.Accelerator]
-		if !t.Accepting() || !t.Layers.Valid() || size == 0 || moved[t.Name] {
+		if n := spare(counts, t.Layers); n > bestSpare {
+			best, bestSpare = t, n
+		}
+	}
+	return best, bestSpare > 0
+}
+
+// deal closes the holes of a data centre by dealing its layers out anew, in the order in which its targets hold them,
+// so that each gives up and loads as little as possible.
+func (p *Planner) deal(c *centre) []Order {
+	placed := slices.Clone(c.placed)
+	slices.SortFunc(placed, func(a, b target.Target) int {
+		return cmp.Or(cmp.Compare(a.Layers.First, b.Layers.First), cmp.Compare(a.Layers.End, b.Layers.End), cmp.Compare(a.Name, b.Name))
+	})
+	spareLayers := -p.engine.Layers
+	for _, t := range placed {
+		spareLayers += c.sizes[t.Accelerator]
+	}
+	var orders []Order
+	next := 0
+	for _, t := range placed {
+		size := c.sizes[t.Accelerator]
+		if size == 0 {
 			continue
 		}
-		if n := spare(t); n > bestSpare {
-			first := min(hole, p.engine.Layers-size)
-			best, bestSpare = Order{Target: t, Layers: layer.Range{First: first, End: first + size}}, n
+		first := max(min(next, p.engine.Layers-size), 0)
+		if overlap := min(t.Layers.First, first); next-overlap <= spareLayers && overlap < first && t.Layers.End-overlap <= size {
+			// What overlaps the one before costs nothing while there are layers to spare.
+			first = overlap
+			spareLayers -= next - overlap
+		}
+		layers := layer.Range{First: first, End: first + size}
+		next = max(next, layers.End)
+		if layers != t.Layers {
+			orders = append(orders, Order{Target: t, Layers: layers})
 		}
 	}
-	if bestSpare > 0 {
-		moved[best.Target.Name] = true
+	return orders
+}
+
+// rescue moves one target, from any data centre, to a layer that no target holds at all.
+func (p *Planner) rescue(centres map[string]*centre, cover *coverage) []Order {
+	hole, open := firstHole(cover.all)
+	if !open {
+		return nil
 	}
-	return best, bestSpare > 0
+	var placed []target.Target
+	for _, name := range slices.Sorted(maps.Keys(centres)) {
+		placed = append(placed, centres[name].placed...)
+	}
+	best, found := p.dispensable(placed, cover.all)
+	if !found {
+		return nil
+	}
+	size := centres[best.DataCentre].sizes[best.Accelerator]
+	return []Order{{Target: best, Layers: cover.over(cover.all, hole, size)}}
 }
 
 // coverage counts the holders of each layer.
@@ -232,9 +330,19 @@
 	return layer.Range{First: best, End: best + size}
 }
 
-// names returns the data centres in order.
-func (c *coverage) names() []string {
-	return slices.Sorted(maps.Keys(c.centres))
+// over returns the range of that size that covers a hole from its first layer on. What is left beyond the hole lies on
+// the side that is held less.
+func (c *coverage) over(counts []int, hole, size int) layer.Range {
+	end := hole
+	for end < len(counts) && counts[end] == 0 {
+		end++
+	}
+	first := min(hole, len(counts)-size)
+	if end-hole < size && end < len(counts) && hole > 0 && counts[hole-1] < counts[end] {
+		first = max(end-size, 0)
+	}
+	first = max(first, 0)
+	return layer.Range{First: first, End: min(first+size, len(counts))}
 }
 
 // firstHole returns the first layer without a holder.
--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -9,7 +9,7 @@
 const (
 	// configurationWait is how long a call waits for a change of the configuration. Its start proves what is in
 	// force, so that the proof is never much older.
-	configurationWait = 1800 * time.Millisecond
+	configurationWait = 2500 * time.Millisecond
 	// targetsWait is the same for the list of targets. It is well below the time in which a leaving target must get no
 	// more work, so that others notice in time that a reader has lost the store.
 	targetsWait = time.Second
@@ -19,7 +19,7 @@
 	// one after proofRefresh, and the store itself after proofOverdue.
 	proofTick    = 400 * time.Millisecond
 	proofRefresh = 900 * time.Millisecond
-	proofOverdue = 3600 * time.Millisecond
+	proofOverdue = 4200 * time.Millisecond
 	// toldTick is how often an instance that is no reader looks whether a reader still tells it of the targets.
 	toldTick = 300 * time.Millisecond
 	// storePatience is how long an answer of the store may take beyond the wait.
--- a/pkg/station/knowledge.go
+++ b/pkg/station/knowledge.go
@@ -12,6 +12,7 @@
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
+	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -37,10 +38,39 @@
 	content   []byte
 	targets   map[string]*listed
 	gone      map[string]uint64 // gone holds the revisions at which entries were removed.
+	heard     map[string]heard  // heard holds the layers that targets reported before their entries.
 	digest    atomic.Uint64     // digest is a hash of the targets in the view.
 	news      func(rows []Row)  // news takes the entries that changed something.
 }
 
+// heard is what a target reported.
+type heard struct {
+	layers layer.Range
+	until  time.Time
+}
+
+// heardLife is how long a report goes before the target's entry.
+const heardLife = 8 * time.Second
+
+// hear takes in that a target reported its layers.
+func (k *knowledge) hear(name string, layers layer.Range, now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l := k.targets[name]
+	if l == nil || l.target.Layers == layers {
+		return
+	}
+	k.heard[name] = heard{layers: layers, until: now.Add(heardLife)}
+	k.logger.Info().Str("Target", name).Str("Layers", layers.String()).Msg("target reported its layers")
+	k.publish()
+}
+
+// target returns what is known of a target.
+func (k *knowledge) target(name string) (target.Target, bool) {
+	t, ok := k.byKey()[usage.Key(name)]
+	return t, ok
+}
+
 // listed is an entry of the list.
 type listed struct {
 	target   target.Target
@@ -53,7 +83,7 @@
 func newKnowledge(p Platform, logger *log.Logger, proofLife time.Duration) *knowledge {
 	return &knowledge{
 		platform: p, logger: logger, proofLife: proofLife,
-		targets: make(map[string]*listed), gone: make(map[string]uint64), news: func([]Row) {},
+		targets: make(map[string]*listed), gone: make(map[string]uint64), heard: make(map[string]heard), news: func([]Row) {},
 	}
 }
 
@@ -169,6 +199,9 @@
 		return old != nil && !old.refused
 	}
 	k.targets[row.Name] = &listed{target: t, revision: row.Revision, content: row.Value}
+	if old != nil && old.target.Layers != t.Layers {
+		delete(k.heard, t.Name)
+	}
 	if old == nil || old.refused || old.target != t {
 		k.logger.Info().Str("Target", t.Name).Str("Address", t.Address.String()).Str("Service", t.Service).
 			Str("State", string(t.State)).Str("Layers", t.Layers.String()).Uint64("Orders", t.Orders).Msg("target listed")
@@ -235,8 +268,15 @@
 			continue
 		}
 		t := l.target
-		v.Targets[t.Service] = append(v.Targets[t.Service], t)
 		digest ^= digestOf(t)
+		if h, ok := k.heard[t.Name]; ok {
+			if t.Layers == h.layers || time.Now().After(h.until) {
+				delete(k.heard, t.Name)
+			} else {
+				t.Layers = h.layers
+			}
+		}
+		v.Targets[t.Service] = append(v.Targets[t.Service], t)
 	}
 	k.digest.Store(digest)
 	k.view.Store(v)
--- a/pkg/station/leader.go
+++ b/pkg/station/leader.go
@@ -31,6 +31,11 @@
 	// settleTime is how long the list must not have grown before the first plan, at most maxSettleTime.
 	settleTime    = 1500 * time.Millisecond
 	maxSettleTime = 4 * time.Second
+	// returnTime is how long a target that was lost may take to start again.
+	returnTime = 5500 * time.Millisecond
+	// confirmInterval is how often a target is asked whether it has loaded its layers, confirmTries times.
+	confirmInterval = 300 * time.Millisecond
+	confirmTries    = 10
 	// doubtLife is how long what a target said after a failed order goes before its entry.
 	doubtLife = time.Second
 )
@@ -44,8 +49,16 @@
 	mu      sync.Mutex // mu guards the following, and the holder.
 	pending map[string]pending
 	counts  map[string]count
-	written Row               // written is the row of the lease as last written here.
-	growing map[string]growth // growing is how the list of a service without layers grew.
+	written Row                 // written is the row of the lease as last written here.
+	known   map[string]sighting // known are the targets of the plan, and those lost a moment ago.
+	growing map[string]growth   // growing is how the list of a service without layers grew.
+}
+
+// sighting is when a target was last there.
+type sighting struct {
+	service, dataCentre string
+	seen                time.Time
+	leaving             bool
 }
 
 // growth is when targets of a service were first and last added.
@@ -69,7 +82,7 @@
 
 func newLeader(s *Station, incarnation string) *leader {
 	return &leader{
-		station: s, pending: make(map[string]pending), counts: make(map[string]count), growing: make(map[string]growth),
+		station: s, pending: make(map[string]pending), counts: make(map[string]count), growing: make(map[string]growth), known: make(map[string]sighting),
 		holder: lease.New(leaseName, s.settings.Instance, incarnation, lease.WithTimes(leaseLife, orderLimit, leaseMargin)),
 	}
 }
@@ -203,13 +216,36 @@
 			continue
 		}
 		var group sync.WaitGroup
-		for _, o := range layout.New(service.Engine).Plan(targets) {
+		for _, o := range layout.New(service.Engine).Plan(targets, l.returning(service.Name, view.Targets[service.Name], time.Now())) {
 			group.Go(func() { l.order(ctx, service.Engine, o, fence) })
 		}
 		group.Wait()
 	}
 }
 
+// returning counts, for each data centre, the targets that were lost without notice a moment ago.
+func (l *leader) returning(service string, targets []target.Target, now time.Time) map[string]int {
+	present := make(map[string]bool, len(targets))
+	for _, t := range targets {
+		if l.station.meter.IsDead(t.Name, now) {
+			continue
+		}
+		present[t.Name] = true
+		l.known[t.Name] = sighting{service: service, dataCentre: t.DataCentre, seen: now, leaving: !t.Accepting()}
+	}
+	count := make(map[string]int)
+	for name, s := range l.known {
+		switch {
+		case s.service != service || present[name]:
+		case s.leaving || now.Sub(s.seen) > returnTime:
+			delete(l.known, name)
+		default:
+			count[s.dataCentre]++
+		}
+	}
+	return count
+}
+
 // settled reports whether the plan of a service may be made. While no target holds layers, it waits until the list no
 // longer grows: a plan for half of a fleet would leave too little room for requests.
 func (l *leader) settled(service string, targets []target.Target, now time.Time) bool {
@@ -258,21 +294,47 @@
 func (l *leader) order(ctx context.Context, e *catalogue.Engine, o layout.Order, fence uint64) {
 	share := float64(o.Layers.Len()) / float64(e.Layers)
 	load := time.Duration(float64(e.LoadTime) * share)
-	ctx, cancel := context.WithTimeout(ctx, orderLimit)
+	bounded, cancel := context.WithTimeout(ctx, orderLimit)
 	defer cancel()
-	err := l.station.platform.Orders.Place(ctx, Order{Target: o.Target, Layers: o.Layers, Fence: fence})
+	err := l.station.platform.Orders.Place(bounded, Order{Target: o.Target, Layers: o.Layers, Fence: fence})
 	l.station.logger.Info().Str("Target", o.Target.Name).Str("Layers", o.Layers.String()).Uint64("Fence", fence).
 		Uint64("Orders", o.Target.Orders).Err(err).Msg("layers ordered")
 	if err != nil {
 		l.doubt(o, err)
 		return
 	}
+	go l.confirm(ctx, o, load)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counts[o.Target.Name] = count{started: o.Target.Started, orders: o.Target.Orders + 1}
 	l.pending[o.Target.Name] = pending{layers: o.Layers, started: o.Target.Started, until: time.Now().Add(2*load + pendingMargin)}
 }
 
+// confirm asks a target whether it has loaded its layers, and tells all instances: its entry says so only with its next
+// heartbeat.
+func (l *leader) confirm(ctx context.Context, o layout.Order, load time.Duration) {
+	sleep(ctx, load)
+	for range confirmTries {
+		sleep(ctx, confirmInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		listed, ok := l.station.knowledge.target(o.Target.Name)
+		if !ok || listed.Layers == o.Layers {
+			return
+		}
+		report, err := l.station.platform.Orders.Report(ctx, o.Target)
+		if err != nil {
+			continue // The target may be lost; its entry will tell.
+		}
+		if report.Layers == o.Layers {
+			l.station.knowledge.hear(o.Target.Name, o.Layers, time.Now())
+			l.station.peers.tellPlaced(o.Target.Name, o.Layers)
+			return
+		}
+	}
+}
+
 // doubt asks a target what became of an order that it did not confirm.
 func (l *leader) doubt(o layout.Order, err error) {
 	if errors.Is(err, ErrFenced) {
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -11,6 +11,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/lease"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/usage"
+	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -169,6 +170,12 @@
 	}
 }
 
+// tellPlaced tells all instances that a target has loaded its layers.
+func (p *peers) tellPlaced(name string, layers layer.Range) {
+	placed := &instancepb.Placement{Target: name, First: uint32(layers.First), End: uint32(layers.End)}
+	p.send(addressesOf(p.others()), &instancepb.Bulletin{Placed: []*instancepb.Placement{placed}})
+}
+
 // tellRevision tells all instances of a new configuration.
 func (p *peers) tellRevision() {
 	p.send(addressesOf(p.others()), p.bulletin())
@@ -213,6 +220,9 @@
 		}
 		s.knowledge.list(c, 0, now)
 	}
+	for _, placed := range b.GetPlaced() {
+		s.knowledge.hear(placed.GetTarget(), layer.Range{First: int(placed.GetFirst()), End: int(placed.GetEnd())}, now)
+	}
 	if l := b.GetLease(); l != nil {
 		p.mu.Lock()
 		p.lease = now
