Move streams off targets that give up layers or leave, and follow dead targets

Cause: a target that was ordered to other layers waited five seconds and more for the streams passing through it, and the hole stayed open; a dead target counted as alive again after three seconds while its entry was still listed. Change: streams change their path when a target gives up layers or leaves; the instance that found a target dead asks it again and tells the others until it answers.

--- a/pkg/decision/usage/meter.go
+++ b/pkg/decision/usage/meter.go
@@ -243,6 +243,13 @@
 	}
 }
 
+// Revived notes that a target found dead answers again.
+func (m *Meter) Revived(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state(name).dead = time.Time{}
+}
+
 // IsDead reports whether the target was found dead.
 func (m *Meter) IsDead(name string, now time.Time) bool {
 	m.mu.Lock()
--- a/pkg/exchange/record.go
+++ b/pkg/exchange/record.go
@@ -51,7 +51,7 @@
 	}
 	if r.events > 0 {
 		s.counters.first.Update(r.first)
-		entry = entry.Dur("First", r.first).Int("Events", r.events).Int("Crossings", r.crossings).Int("Resumes", r.resumes).Int32("Repaths", r.repaths.Load())
+		entry = entry.Dur("First", r.first).Int("Events", r.events).Dur("LongestPause", r.longest).Int("Crossings", r.crossings).Int("Resumes", r.resumes).Int32("Repaths", r.repaths.Load())
 	}
 	var refused *refusal.Error
 	switch {
--- a/pkg/exchange/server.go
+++ b/pkg/exchange/server.go
@@ -113,6 +113,7 @@
 	crossings int           // crossings counts the changes of data centre on the last path.
 	first     time.Duration // first is the time to the first event.
 	events    int
+	longest   time.Duration // longest is the longest pause between events.
 	resumes   int
 	repaths   atomic.Int32
 }
--- a/pkg/exchange/session.go
+++ b/pkg/exchange/session.go
@@ -90,6 +90,7 @@
 	pause := now.Sub(s.last)
 	s.last = now
 	if s.events > 1 {
+		s.longest = max(s.longest, pause)
 		if s.spacing == 0 {
 			s.spacing = pause
 		}
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -15,14 +15,21 @@
 const (
 	// probeTimeout bounds the question to a suspect. Machines accept connections within a millisecond or two.
 	probeTimeout = 60 * time.Millisecond
+	// followTimeout bounds the later ones.
+	followTimeout = 250 * time.Millisecond
 	// probeLife is how long the answer to a question counts.
 	probeLife = 100 * time.Millisecond
-	// deadFor is how long a target found dead is avoided, if nothing else is heard of it.
-	deadFor = 3 * time.Second
+	// deadFor is how long a target found dead is avoided, if nothing else is heard of it. The instance that found it
+	// asks it again each followInterval, for followTime, and tells the others as long as it does not answer.
+	deadFor        = 2 * time.Second
+	followInterval = 700 * time.Millisecond
+	followTime     = 8 * time.Second
 	// repathTimeout bounds the order to change a path.
 	repathTimeout = 250 * time.Millisecond
 	// maxRepaths bounds the tries to find another path for one loss.
 	maxRepaths = 3
+	// vacateTime is how long streams leave a target that gives up its layers or leaves.
+	vacateTime = 10 * time.Second
 	// fullFactor makes a target that had no room a moment ago look slower.
 	fullFactor = 6
 	// lookAgainAfter is when a stream is looked into again whose targets all answer.
@@ -41,6 +48,7 @@
 	mu       sync.Mutex
 	sessions map[*session]struct{}
 	probes   map[string]*probe
+	vacated  map[string]time.Time // vacated holds until when targets are left by streams that can.
 }
 
 // probe is a question to a target under way or answered.
@@ -51,7 +59,7 @@
 }
 
 func newWatch(s *Server) *watch {
-	return &watch{server: s, tell: func(target.Target) {}, sessions: make(map[*session]struct{}), probes: make(map[string]*probe)}
+	return &watch{server: s, tell: func(target.Target) {}, sessions: make(map[*session]struct{}), probes: make(map[string]*probe), vacated: make(map[string]time.Time)}
 }
 
 func (w *watch) add(s *session) {
@@ -142,6 +150,24 @@
 	w.server.logger.Info().Str("Target", t.Name).Str("Address", t.Address.String()).Str("Reason", reason).Msg("target lost")
 	w.tell(t)
 	w.moveAll(t)
+	go w.follow(t)
+}
+
+// follow asks a dead target until it answers or is forgotten.
+func (w *watch) follow(t target.Target) {
+	for end := time.Now().Add(followTime); time.Now().Before(end); {
+		time.Sleep(followInterval)
+		ctx, cancel := context.WithTimeout(context.Background(), followTimeout)
+		err := w.server.upstream.Probe(ctx, t)
+		cancel()
+		if err == nil {
+			w.server.meter.Revived(t.Name)
+			w.server.logger.Info().Str("Target", t.Name).Msg("target answers again")
+			return
+		}
+		w.server.meter.Dead(t.Name, time.Now().Add(deadFor))
+		w.tell(t)
+	}
 }
 
 // Lost takes in that another instance found a target dead.
@@ -150,6 +176,29 @@
 	s.watch.moveAll(t)
 }
 
+// Vacate moves the streams that pass through a target which gives up its layers or leaves. Those that cannot move stay:
+// the target serves them to their end.
+func (s *Server) Vacate(t target.Target) {
+	s.watch.mu.Lock()
+	now := time.Now()
+	for name, until := range s.watch.vacated {
+		if now.After(until) {
+			delete(s.watch.vacated, name)
+		}
+	}
+	s.watch.vacated[t.Name] = now.Add(vacateTime)
+	s.watch.mu.Unlock()
+	s.watch.moveAll(t)
+}
+
+// left reports whether streams are to leave a target.
+func (w *watch) left(name string) bool {
+	w.mu.Lock()
+	until, ok := w.vacated[name]
+	w.mu.Unlock()
+	return ok && time.Now().Before(until) || w.server.dead(name)
+}
+
 // moveAll moves the streams that pass through a target.
 func (w *watch) moveAll(t target.Target) {
 	w.mu.Lock()
@@ -183,18 +232,21 @@
 		s.lookAgain(firstSilence)
 		return
 	}
-	w.server.logger.Info().Str("Request", s.ID).Str("Target", t.Name).Err(err).Msg("path not changed, the stream is resumed")
-	s.interrupt()
+	resumes := w.server.dead(t.Name)
+	w.server.logger.Info().Str("Request", s.ID).Str("Target", t.Name).Bool("Resumes", resumes).Err(err).Msg("path not changed")
+	if resumes {
+		s.interrupt()
+	}
 }
 
-var errNoRepath = errors.New("the first target of the path is lost")
+var errNoRepath = errors.New("the first target of the path is lost or left")
 
 // repath replaces the parts of the path whose targets are avoided.
 func (w *watch) repath(s *session) error {
 	var err error
 	for range maxRepaths {
 		p := s.currentPath()
-		if len(p) == 0 || w.server.dead(p[0].Target.Name) {
+		if len(p) == 0 || w.left(p[0].Target.Name) {
 			return errNoRepath
 		}
 		var changed path.Path
@@ -225,13 +277,13 @@
 func (w *watch) around(s *session, p path.Path) (path.Path, error) {
 	var changed path.Path
 	for i := 0; i < len(p); {
-		if !w.server.dead(p[i].Target.Name) {
+		if !w.left(p[i].Target.Name) {
 			changed = append(changed, p[i])
 			i++
 			continue
 		}
 		gap := p[i].Layers
-		for i++; i < len(p) && w.server.dead(p[i].Target.Name); i++ {
+		for i++; i < len(p) && w.left(p[i].Target.Name); i++ {
 			gap.End = p[i].Layers.End
 		}
 		parts, err := w.fill(s, p, gap)
@@ -249,7 +301,7 @@
 // fill finds targets for a gap in a path that are not on it already.
 func (w *watch) fill(s *session, p path.Path, gap layer.Range) (path.Path, error) {
 	avoid := func(name string) bool {
-		return p.Passes(name) || w.server.dead(name) || w.server.meter.Full(name, time.Now())
+		return p.Passes(name) || w.left(name) || w.server.meter.Full(name, time.Now())
 	}
 	return w.server.find(w.server.views.View(), s.request, path.Request{From: gap.First, To: gap.End, Avoid: avoid})
 }
--- a/pkg/station/knowledge.go
+++ b/pkg/station/knowledge.go
@@ -37,10 +37,11 @@
 	revision  uint64 // revision is the store's, of the configuration in force.
 	content   []byte
 	targets   map[string]*listed
-	gone      map[string]uint64 // gone holds the revisions at which entries were removed.
-	heard     map[string]heard  // heard holds the layers that targets reported before their entries.
-	digest    atomic.Uint64     // digest is a hash of the targets in the view.
-	news      func(rows []Row)  // news takes the entries that changed something.
+	gone      map[string]uint64   // gone holds the revisions at which entries were removed.
+	heard     map[string]heard    // heard holds the layers that targets reported before their entries.
+	digest    atomic.Uint64       // digest is a hash of the targets in the view.
+	vacated   func(target.Target) // vacated takes the targets that give up layers or leave.
+	news      func(rows []Row)    // news takes the entries that changed something.
 }
 
 // heard is what a target reported.
@@ -57,7 +58,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	l := k.targets[name]
-	if l == nil || l.target.Layers == layers {
+	if l == nil || l.refused {
 		return
 	}
 	k.heard[name] = heard{layers: layers, until: now.Add(heardLife)}
@@ -83,7 +84,7 @@
 func newKnowledge(p Platform, logger *log.Logger, proofLife time.Duration) *knowledge {
 	return &knowledge{
 		platform: p, logger: logger, proofLife: proofLife,
-		targets: make(map[string]*listed), gone: make(map[string]uint64), heard: make(map[string]heard), news: func([]Row) {},
+		targets: make(map[string]*listed), gone: make(map[string]uint64), heard: make(map[string]heard), news: func([]Row) {}, vacated: func(target.Target) {},
 	}
 }
 
@@ -279,7 +280,28 @@
 		v.Targets[t.Service] = append(v.Targets[t.Service], t)
 	}
 	k.digest.Store(digest)
-	k.view.Store(v)
+	k.vacate(k.view.Swap(v), v)
+}
+
+// vacate tells of targets that gave up layers or are leaving.
+func (k *knowledge) vacate(old, now *exchange.View) {
+	if old == nil {
+		return
+	}
+	present := make(map[string]target.Target)
+	for _, list := range now.Targets {
+		for _, t := range list {
+			present[t.Name] = t
+		}
+	}
+	for _, list := range old.Targets {
+		for _, before := range list {
+			after, ok := present[before.Name]
+			if before.Layers.Valid() && before.Accepting() && (!ok || !after.Accepting() || !after.Layers.Contains(before.Layers)) {
+				k.vacated(before)
+			}
+		}
+	}
 }
 
 // digestOf is a hash of what other instances must know of a target.
--- a/pkg/station/leader.go
+++ b/pkg/station/leader.go
@@ -303,6 +303,10 @@
 		l.doubt(o, err)
 		return
 	}
+	if o.Target.Layers.Valid() && !o.Layers.Contains(o.Target.Layers) {
+		l.station.knowledge.hear(o.Target.Name, layer.Range{}, time.Now())
+		l.station.peers.tellPlaced(o.Target.Name, layer.Range{})
+	}
 	go l.confirm(ctx, o, load)
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -320,7 +324,7 @@
 			return
 		}
 		listed, ok := l.station.knowledge.target(o.Target.Name)
-		if !ok || listed.Layers == o.Layers {
+		if !ok || !listed.Accepting() || listed.Layers == o.Layers {
 			return
 		}
 		report, err := l.station.platform.Orders.Report(ctx, o.Target)
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -99,6 +99,7 @@
 		exchange.WithDataCentre(settings.DataCentre), exchange.WithLogger(s.logger), exchange.WithRegistry(s.registry),
 		exchange.WithStop(s.stopsSoon), exchange.WithRumours(func(t target.Target) { s.peers.tellLost(t) }))
 	s.peers = newPeers(s)
+	s.knowledge.vacated = func(t target.Target) { go s.server.Vacate(t) }
 	s.leader = newLeader(s, fmt.Sprintf("%s/%08x", settings.Instance, rand.Uint32()))
 	if err := s.listen(); err != nil {
 		return nil, err
