Resume a stream elsewhere rather than change its path across data centres; use the retry budget as it is allowed

Cause: after a crash, streams changed to parts in other data centres; all their tokens went through the shared pipe at once, and pauses were 1 to 2 s. Resumes were denied by a local budget of 10 where 32 are allowed. Change: a changed path may not cross more data centres than before; the budget saves up 0.6 of the instance's part of the slack.

--- a/pkg/decision/retry/retry.go
+++ b/pkg/decision/retry/retry.go
@@ -26,10 +26,8 @@
 	defaultRatio = 0.1
 	// defaultRate is the number of retries per second that a key may always make.
 	defaultRate = 3.0
-	// minimumBurst bounds the retries saved up, so that a long quiet time does not pay for a storm. A higher rate
-	// saves up what it allows in burstTime.
-	minimumBurst = 10.0
-	burstTime    = 4 * time.Second
+	// defaultBurst bounds the retries saved up, so that a long quiet time does not pay for a storm.
+	defaultBurst = 10.0
 	// idle is the time after which an unused key is forgotten; its bucket is full by then.
 	idle = time.Minute
 
@@ -52,6 +50,7 @@
 	swept   time.Time
 	ratio   float64
 	rate    float64
+	burst   float64
 }
 
 // Option changes a budget.
@@ -69,23 +68,18 @@
 
 // New returns a budget without keys.
 func New(options ...Option) *Budget {
-	b := &Budget{buckets: map[string]*bucket{}, ratio: defaultRatio, rate: defaultRate}
+	b := &Budget{buckets: map[string]*bucket{}, ratio: defaultRatio, rate: defaultRate, burst: defaultBurst}
 	for _, o := range options {
 		o(b)
 	}
 	return b
 }
 
-// SetRate changes the number of retries per second that a key may always make.
-func (b *Budget) SetRate(perSecond float64) {
+// SetRate changes the number of retries per second that a key may always make, and how many it saves up.
+func (b *Budget) SetRate(perSecond, burst float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.rate = perSecond
-}
-
-// burst bounds the retries saved up.
-func (b *Budget) burst() float64 {
-	return max(minimumBurst, b.rate*burstTime.Seconds())
+	b.rate, b.burst = perSecond, burst
 }
 
 // Request notes a first attempt, which pays for a tenth of a retry.
@@ -93,7 +87,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	k := b.bucket(key, now)
-	k.tokens = min(b.burst(), k.tokens+b.ratio)
+	k.tokens = min(b.burst, k.tokens+b.ratio)
 }
 
 // Allow reports whether the key may make a retry now, and takes it out of the budget if so.
@@ -129,11 +123,11 @@
 	b.sweep(now)
 	k, ok := b.buckets[key]
 	if !ok {
-		k = &bucket{tokens: b.rate, filled: now} // One second of the rate.
+		k = &bucket{tokens: b.rate, filled: now} // It starts with one second of the rate.
 		b.buckets[key] = k
 	}
 	if passed := now.Sub(k.filled); passed > 0 {
-		k.tokens = min(b.burst(), k.tokens+passed.Seconds()*b.rate)
+		k.tokens = min(b.burst, k.tokens+passed.Seconds()*b.rate)
 		k.filled = now
 	}
 	return k
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -241,6 +241,11 @@
 
 var errNoRepath = errors.New("the first target of the path is lost or left")
 
+// errCrossing keeps a stream from a path that changes data centres more often: all its tokens would go through the
+// pipes between them, together with those of all other streams that the loss interrupts. To read them again elsewhere
+// is faster.
+var errCrossing = errors.New("the changed path crosses more data centres")
+
 // repath replaces the parts of the path whose targets are avoided.
 func (w *watch) repath(s *session) error {
 	var err error
@@ -254,6 +259,9 @@
 		if err != nil {
 			return err
 		}
+		if changed.Crossings() > p.Crossings() {
+			return errCrossing
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), repathTimeout)
 		err = w.server.upstream.Repath(ctx, s.ID, changed)
 		cancel()
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -41,6 +41,14 @@
 	lastStream = 2800 * time.Millisecond
 	// killMargin is the time before the kill by which a stopping instance has ended.
 	killMargin = 600 * time.Millisecond
+	// ratioShare is the part of the allowed retries for each request that is used. slackBurst and slackRate are the
+	// parts of the slack that may be used at once and over the window: together less than all of it, since requests
+	// and retries fall into windows differently.
+	ratioShare = 0.8
+	slackBurst = 0.6
+	slackRate  = 0.25
+	// firstRate is the rate of retries per second until the other instances are known.
+	firstRate = 3
 	// logQueue bounds the log lines that wait to be written; more are dropped.
 	logQueue = 1024
 )
@@ -94,7 +102,7 @@
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
 	s.logger = newLogger(settings, s.output)
 	s.knowledge = newKnowledge(platform, s.logger, settings.ProofLife)
-	s.budget = retry.New(retry.WithRatio(settings.Retries.Ratio/2), retry.WithRate(settings.Retries.Slack/60))
+	s.budget = retry.New(retry.WithRatio(ratioShare*settings.Retries.Ratio), retry.WithRate(firstRate))
 	s.server = exchange.New(s.knowledge, platform.Upstream, s.meter, exchange.WithBudget(s.budget),
 		exchange.WithDataCentre(settings.DataCentre), exchange.WithLogger(s.logger), exchange.WithRegistry(s.registry),
 		exchange.WithStop(s.stopsSoon), exchange.WithRumours(func(t target.Target) { s.peers.tellLost(t) }))
@@ -169,7 +177,8 @@
 	if r.Window <= 0 {
 		return
 	}
-	s.budget.SetRate(r.Slack / r.Window.Seconds() / float64(instances) / 2)
+	part := r.Slack / float64(instances)
+	s.budget.SetRate(slackRate*part/r.Window.Seconds(), slackBurst*part)
 }
 
 // newListener returns a server whose endpoint is given: finding one would list the machine's network interfaces.
