Run a stream on no more targets than its route allows

Change: once as many live targets have run a stream as its route allows, it goes on only at one of these, and its path may change across data centres.

--- a/pkg/decision/path/path.go
+++ b/pkg/decision/path/path.go
@@ -128,6 +128,8 @@
 	Answer     int // Answer is the expected number of answer tokens.
 	DataCentre string
 	Avoid      func(name string) bool
+	// Start restricts the targets of the first part, if it is set.
+	Start func(name string) bool
 }
 
 // Finder finds paths among the holders of one model. It is immutable and safe for concurrent use.
@@ -218,7 +220,7 @@
 
 // extend tries to go on from layer l with a holder.
 func (f *Finder) extend(best []step, factors []float64, q Request, l, i int) {
-	if factors[i] == 0 {
+	if factors[i] == 0 || l == q.From && q.Start != nil && !q.Start(f.holders[i].Target.Name) {
 		return
 	}
 	centres := len(f.centres)
--- a/pkg/exchange/server.go
+++ b/pkg/exchange/server.go
@@ -107,11 +107,12 @@
 	rank      int
 	deadline  time.Time // deadline is when the final answer is due.
 	avoided   map[string]bool
-	refusals  int           // refusals counts the attempts that provably did not run.
-	attempts  int           // attempts counts those that may have run.
-	targets   []string      // targets lists the target of each attempt, or its path.
-	crossings int           // crossings counts the changes of data centre on the last path.
-	first     time.Duration // first is the time to the first event.
+	refusals  int             // refusals counts the attempts that provably did not run.
+	attempts  int             // attempts counts those that may have run.
+	ran       map[string]bool // ran names the targets that may have run the request, as the first of a path.
+	targets   []string        // targets lists the target of each attempt, or its path.
+	crossings int             // crossings counts the changes of data centre on the last path.
+	first     time.Duration   // first is the time to the first event.
 	events    int
 	longest   time.Duration // longest is the longest pause between events.
 	resumes   int
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -136,6 +136,10 @@
 // through all but the dead ones.
 func (s *session) find(q path.Request) (path.Path, error) {
 	q.Avoid = s.avoid
+	if s.exhausted() {
+		q.Start = func(name string) bool { return s.ran[name] }
+		q.Avoid = s.server.dead
+	}
 	p, err := s.server.find(s.view, s.request, q)
 	if err == nil {
 		return p, nil
@@ -144,6 +148,20 @@
 	return s.server.find(s.view, s.request, q)
 }
 
+// exhausted reports whether as many targets may have run the stream as its route allows. It may then go on only at one
+// of these. Targets that were lost do not count.
+func (s *session) exhausted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alive := 0
+	for name := range s.ran {
+		if !s.server.dead(name) {
+			alive++
+		}
+	}
+	return alive >= s.route.MaxAttempts
+}
+
 // find returns a path among the targets of the view.
 func (s *Server) find(v *View, r *request, q path.Request) (path.Path, error) {
 	q.Prompt, q.Answer, q.DataCentre = r.Work.Prompt, r.expected(), s.dataCentre
@@ -178,6 +196,7 @@
 	opened, cancel := context.WithCancel(ctx)
 	s.opened(cancel)
 	answer, err := s.server.upstream.Open(opened, a)
+	s.noteRun(p[0].Target.Name, err)
 	if err != nil {
 		cancel()
 		return nil, err
@@ -188,6 +207,20 @@
 	return answer, nil
 }
 
+// noteRun notes that a target may have run the stream.
+func (s *session) noteRun(name string, err error) {
+	var f *Failure
+	if errors.As(err, &f) && f.NotRun {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ran == nil {
+		s.ran = make(map[string]bool)
+	}
+	s.ran[name] = true
+}
+
 // interrupted decides whether a stream goes on after its target was lost.
 func (s *session) interrupted(ctx context.Context, cause error) error {
 	p := s.currentPath()
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -311,7 +311,7 @@
 		if err != nil {
 			return err
 		}
-		if changed.Crossings() > p.Crossings() {
+		if changed.Crossings() > p.Crossings() && !s.exhausted() {
 			return errCrossing
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), repathTimeout)
