Prefer paths of fewer parts, and wait briefly for room

Cause: paths of 10 to 13 parts spent 2 ms a token more at each part than the estimate said: a token waits there for the pass under way. A request for which no path had room was refused at once although streams end all the time. Change: the path's cost counts the wait at each target; a request waits for room for at most 0.6 of the time in which its first event is wanted; a new holder of the lease waits for targets that may return before it deals out anew.

--- a/pkg/decision/path/path.go
+++ b/pkg/decision/path/path.go
@@ -39,11 +39,13 @@
 	// pipeWeight multiplies the time that a request takes the pipe between two data centres. All requests share it,
 	// one after another, so that each waits for those before it.
 	pipeWeight = 60
+	// waitFactor is the time that a token waits at each target, in steps over all of the target's layers.
+	waitFactor = 1.5
 	// spreadFactor is how far the random factor of a target lies from 1.
 	spreadFactor = 0.15
-	// fullShare is the share of a target's memory up to which it takes requests. The rest covers requests of other
-	// instances that are not known yet.
-	fullShare = 0.92
+	// fullShare is the share of a target's memory up to which it takes requests, counted with their whole answers. A
+	// request needs half of its answer's memory on average.
+	fullShare = 1.0
 	// noRoom is the memory share from which a target is avoided.
 	noRoom = 0.6
 	// pressure is the weight of the memory share above noRoom.
@@ -258,7 +260,9 @@
 	pass := f.engine.StepTime(kind, layers).Seconds() +
 		float64(h.Streams)*f.engine.PerSequence.Seconds()*f.engine.Accelerators[kind].StepFactor*share
 	read := f.engine.ReadTime(kind, layers, q.Prompt).Seconds()
-	cost := pass*float64(q.Answer) + read*(1+float64(h.Streams))
+	// A token waits for the pass that is under way, which may run all of the holder's layers.
+	wait := waitFactor * f.engine.StepTime(kind, h.Target.Layers).Seconds()
+	cost := (pass+wait)*float64(q.Answer) + read*(1+float64(h.Streams))
 	if h.Slow > 1 {
 		cost *= h.Slow
 	}
--- a/pkg/exchange/server.go
+++ b/pkg/exchange/server.go
@@ -24,7 +24,7 @@
 
 const (
 	// unknownYet is when a caller comes back to an instance that knows no configuration yet.
-	unknownYet = 500 * time.Millisecond
+	unknownYet = 100 * time.Millisecond
 	// unfresh is when a caller comes back if the configuration may be out of date. Another instance may serve it.
 	unfresh = 200 * time.Millisecond
 	// stoppingAfter is when a caller comes back that a stopping instance refuses: another instance takes it at once.
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
@@ -16,8 +18,10 @@
 const (
 	// maxResumes bounds how often one stream goes on at other targets.
 	maxResumes = 6
-	// resumePause is the time between two tries to resume while a layer has no holder.
-	resumePause = 100 * time.Millisecond
+	// resumePause is the time between two tries to find a path.
+	resumePause = 40 * time.Millisecond
+	// queueShare is the share of the time in which the first event is wanted that a request may wait for room.
+	queueShare = 0.6
 	// resumePatience bounds the time without an event in which a begun stream is resumed; its caller leaves soon
 	// after.
 	resumePatience = 1900 * time.Millisecond
@@ -85,7 +89,7 @@
 		}
 		p, err := s.find(path.Request{To: s.service.Engine.Layers})
 		if err != nil {
-			if s.wait(ctx) {
+			if s.wait(ctx, err) {
 				continue
 			}
 			return nil, s.refused("no_path", "no targets have room for the request on all layers", err)
@@ -111,9 +115,13 @@
 	}
 }
 
-// wait pauses before a begun stream is tried again, and reports whether it may be.
-func (s *session) wait(ctx context.Context) bool {
-	if !s.begun || time.Since(s.lastEvent()) > resumePatience {
+// wait pauses before a stream that found no path is tried again, and reports whether it may be. One that has not begun
+// waits only for room, and only while its first event can still come in time.
+func (s *session) wait(ctx context.Context, cause error) bool {
+	if !s.begun && (!errorx.IsOfType(cause, path.Full) || time.Since(s.Arrived) > time.Duration(queueShare*float64(s.route.Goal))) {
+		return false
+	}
+	if s.begun && time.Since(s.lastEvent()) > resumePatience {
 		return false
 	}
 	select {
--- a/pkg/station/leader.go
+++ b/pkg/station/leader.go
@@ -45,6 +45,7 @@
 	station *Station
 	holder  *lease.Holder
 	read    time.Time
+	since   time.Time // since is when this instance took the lease.
 
 	mu      sync.Mutex // mu guards the following, and the holder.
 	pending map[string]pending
@@ -179,6 +180,7 @@
 		l.observe(lease.Row{Revision: row.Revision, Value: row.Value})
 	}
 	if holds := l.holds(); holds != held {
+		l.since = time.Now()
 		l.station.logger.Info().Bool("Held", holds).Uint64("Revision", row.Revision).Msg("lease changed hands")
 	}
 }
@@ -234,6 +236,12 @@
 		l.known[t.Name] = sighting{service: service, dataCentre: t.DataCentre, seen: now, leaving: !t.Accepting()}
 	}
 	count := make(map[string]int)
+	if now.Sub(l.since) < returnTime {
+		// A new holder of the lease does not know what was lost before.
+		for _, t := range targets {
+			count[t.DataCentre] = 1
+		}
+	}
 	for name, s := range l.known {
 		switch {
 		case s.service != service || present[name]:
