Ask a lost store only for the configuration

Cause: while the store was away, each instance asked it for list, configuration and lease, and each call has its price; entries were dropped by lists that were read in between. Change: after a failed question for the configuration, list and lease are not asked for until it is answered.

--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -24,6 +24,10 @@
 	toldTick = 300 * time.Millisecond
 	// storePatience is how long an answer of the store may take beyond the wait.
 	storePatience = 350 * time.Millisecond
+	// lostLife is how long a failed question for the configuration keeps other questions back, which are looked at
+	// again each lostTick.
+	lostLife = 2 * time.Second
+	lostTick = 50 * time.Millisecond
 	// firstBackoff and maxBackoff bound the pause after a call without an answer.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
@@ -67,7 +71,9 @@
 			revision = 0
 			continue
 		}
+		s.lostAt.Store(0)
 		if err != nil {
+			s.lostAt.Store(time.Now().UnixNano())
 			s.peers.ask()
 			s.peers.fetch(ctx)
 			pause.wait(ctx)
@@ -138,6 +144,14 @@
 			sleep(ctx, toldTick)
 			continue
 		}
+		if s.storeLost(now) {
+			if failing.IsZero() {
+				failing = now
+			}
+			s.polledAt.Store(0)
+			sleep(ctx, lostTick)
+			continue
+		}
 		started := now
 		change, err := s.targetsAfter(ctx, revision)
 		s.dependency("Targets", err)
@@ -168,6 +182,13 @@
 	}
 }
 
+// storeLost reports whether the store did not answer the last question for the configuration, a moment ago. Only that
+// question is then repeated: each call has its price, also one without an answer.
+func (s *Station) storeLost(now time.Time) bool {
+	at := s.lostAt.Load()
+	return at > 0 && now.Sub(time.Unix(0, at)) < lostLife
+}
+
 // polled reports whether this instance has the list from the store itself, not from others.
 func (s *Station) polled(now time.Time) bool {
 	at := s.polledAt.Load()
--- a/pkg/station/leader.go
+++ b/pkg/station/leader.go
@@ -111,7 +111,7 @@
 // lease reads, takes or renews the lease.
 func (l *leader) lease(ctx context.Context) {
 	now := time.Now()
-	if !l.holds() && now.Sub(l.read) >= leaseReading && !l.station.peers.leaseHeard(now) {
+	if !l.holds() && now.Sub(l.read) >= leaseReading && !l.station.peers.leaseHeard(now) && !l.station.storeLost(now) {
 		l.read = now
 		row, err := l.station.platform.Store.Own(ctx, leaseName)
 		l.station.dependency("Lease", err)
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -72,6 +72,7 @@
 	app                *kratos.App
 	listed             atomic.Bool
 	polledAt           atomic.Int64 // polledAt is when the list was last read from the store, 0 if others tell of it.
+	lostAt             atomic.Int64 // lostAt is when the store did not answer, 0 if it did.
 	stopping           atomic.Bool
 	stopAt             atomic.Int64 // stopAt is when the order to stop came, in Unix nanoseconds.
 	running            atomic.Int64 // running counts the requests in flight.
