--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -109,12 +109,18 @@
 			s.attempts++
 			return nil, s.timedOut(err)
 		}
-		if err := s.failed(err, p); err != nil && !s.begun {
-			return nil, err
+		if final := s.failed(err, p); final != nil && !s.persists(ctx) {
+			return nil, final
 		}
 	}
 }
 
+// persists reports, after a pause, whether a begun stream is sent again beyond the tries of other requests. Each try
+// takes from the retry budget.
+func (s *session) persists(ctx context.Context) bool {
+	return s.begun && s.wait(ctx, nil) && s.allowed()
+}
+
 // wait pauses before a stream that found no path is tried again, and reports whether it may be. One that has not begun
 // waits only for room, and only while its first event can still come in time.
 func (s *session) wait(ctx context.Context, cause error) bool {
--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -102,12 +102,13 @@
 // configurationDue waits until the store is to be asked for the configuration, and reports whether it is.
 func (s *Station) configurationDue(ctx context.Context) bool {
 	age, proven := s.knowledge.age()
-	if !proven || s.peers.reads() || age > proofOverdue {
+	if version, _ := s.knowledge.version(); version == 0 || !proven || s.peers.reads() || age > proofOverdue {
 		return true
 	}
 	select {
 	case <-s.peers.wake:
-		return true
+		s.peers.fetch(ctx)
+		return s.peers.behind()
 	case <-ctx.Done():
 		return false
 	case <-time.After(proofTick):
--- a/pkg/station/leader.go
+++ b/pkg/station/leader.go
@@ -26,6 +26,8 @@
 	leaderTick = 200 * time.Millisecond
 	// leaseReading is how often an instance without the lease reads it.
 	leaseReading = 800 * time.Millisecond
+	// leaseRetry is the pause after a write of the lease without an answer.
+	leaseRetry = 500 * time.Millisecond
 	// pendingMargin is how long after the expected end of a load its target's entry may still be without it.
 	pendingMargin = 4 * time.Second
 	// settleTime is how long the list must not have grown before the first plan, at most maxSettleTime.
@@ -45,6 +47,7 @@
 	station *Station
 	holder  *lease.Holder
 	read    time.Time
+	retry   time.Time // retry is when a failed write of the lease is tried again.
 	since   time.Time // since is when this instance took the lease.
 
 	mu      sync.Mutex // mu guards the following, and the holder.
@@ -127,15 +130,19 @@
 
 // due returns the transaction that takes or renews the lease, if one is due.
 func (l *leader) due() (lease.Transaction, bool) {
+	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if t, ok := l.holder.Renew(time.Now()); ok {
+	if now.Before(l.retry) {
+		return lease.Transaction{}, false
+	}
+	if t, ok := l.holder.Renew(now); ok {
 		return t, true
 	}
-	if l.station.stopping.Load() {
+	if l.station.stopping.Load() || l.station.storeLost(now) {
 		return lease.Transaction{}, false
 	}
-	return l.holder.Acquire(time.Now())
+	return l.holder.Acquire(now)
 }
 
 func (l *leader) holds() bool {
@@ -170,6 +177,9 @@
 	l.station.dependency("Lease", err)
 	switch {
 	case err != nil:
+		l.mu.Lock()
+		l.retry = time.Now().Add(leaseRetry)
+		l.mu.Unlock()
 		l.readBack(ctx) // The write may have taken effect.
 	case done:
 		l.mu.Lock()
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -298,7 +298,7 @@
 	}
 }
 
-// fetch reads a newer configuration from the instance that told of it, for one that the store refuses.
+// fetch reads a newer configuration from the instance that told of it.
 func (p *peers) fetch(ctx context.Context) {
 	p.mu.Lock()
 	newest, holder := p.newest, p.holder
@@ -316,6 +316,14 @@
 	p.station.knowledge.configure(Row{Name: p.station.platform.ConfigurationName, Value: s.Content, Revision: s.Version})
 }
 
+// behind reports whether a newer configuration is known of than the one in force.
+func (p *peers) behind() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_, revision := p.station.knowledge.version()
+	return p.newest > revision
+}
+
 // snapshot gives the configuration in force to other instances.
 func (p *peers) snapshot(context.Context) (instance.Snapshot, error) {
 	content, revision := p.station.knowledge.document()
