Enter another data centre freely, and deal out layers late

Cause: the way from the instance to the first target was priced like activations between data centres, so that paths through a data centre with a hole were preferred to whole paths elsewhere. Change: only a small cost for a path that begins in another data centre; dealing out waits after each loss.

--- a/pkg/decision/path/path.go
+++ b/pkg/decision/path/path.go
@@ -41,6 +41,8 @@
 	pipeWeight = 60
 	// waitFactor is the time that a token waits at each target, in steps over all of the target's layers.
 	waitFactor = 1.5
+	// entryCost is added, in seconds, for a path that begins in another data centre.
+	entryCost = 0.15
 	// spreadFactor is how far the random factor of a target lies from 1.
 	spreadFactor = 0.15
 	// fullShare is the share of a target's memory up to which it takes requests, counted with their whole answers. A
@@ -236,18 +238,22 @@
 	}
 	cost := f.cost(i, layer.Range{First: l, End: end}, q)*factors[i] + rest
 	for from := range centres {
-		total := cost + f.way(from, f.centre[i], q)
+		total := cost + f.way(from, f.centre[i], l, q)
 		if at := &best[l*centres+from]; total < at.cost {
 			*at = step{cost: total, holder: i}
 		}
 	}
 }
 
-// way is the cost of the way between two data centres, for all tokens of the request.
-func (f *Finder) way(from, to int, q Request) float64 {
+// way is the cost of the way between two data centres before a layer. Activations take it, but for the way to the
+// first layer, which only the request and its answer take.
+func (f *Finder) way(from, to, l int, q Request) float64 {
 	if from == to {
 		return 0
 	}
+	if l == 0 {
+		return entryCost
+	}
 	pipe := f.engine.TransferTime(q.Prompt + q.Answer).Seconds()
 	return pipeWeight*pipe + f.engine.Delay(f.centres[from], f.centres[to]).Seconds()*float64(q.Answer)
 }
--- a/pkg/station/leader.go
+++ b/pkg/station/leader.go
@@ -62,7 +62,6 @@
 type sighting struct {
 	service, dataCentre string
 	seen                time.Time
-	leaving             bool
 }
 
 // growth is when targets of a service were first and last added.
@@ -235,7 +234,8 @@
 	}
 }
 
-// returning counts, for each data centre, the targets that were lost without notice a moment ago.
+// returning counts, for each data centre, the targets that were lost a moment ago. They may come back; and until then no
+// new streams pass through their data centre, so that dealing out its layers anew interrupts few.
 func (l *leader) returning(service string, targets []target.Target, now time.Time) map[string]int {
 	present := make(map[string]bool, len(targets))
 	for _, t := range targets {
@@ -243,7 +243,7 @@
 			continue
 		}
 		present[t.Name] = true
-		l.known[t.Name] = sighting{service: service, dataCentre: t.DataCentre, seen: now, leaving: !t.Accepting()}
+		l.known[t.Name] = sighting{service: service, dataCentre: t.DataCentre, seen: now}
 	}
 	count := make(map[string]int)
 	if now.Sub(l.since) < returnTime {
@@ -255,7 +255,7 @@
 	for name, s := range l.known {
 		switch {
 		case s.service != service || present[name]:
-		case s.leaving || now.Sub(s.seen) > returnTime:
+		case now.Sub(s.seen) > returnTime:
 			delete(l.known, name)
 		default:
 			count[s.dataCentre]++
