--- a/pkg/decision/layout/layout.go
+++ b/pkg/decision/layout/layout.go
@@ -209,7 +209,7 @@
 // move closes the first hole of a data centre with a target whose layers others there hold as well.
 func (p *Planner) move(c *centre, cover *coverage) []Order {
 	hole, _ := firstHole(c.home)
-	best, found := p.dispensable(c.placed, c.home)
+	best, found := c.dispensable(holeLength(c.home, hole), c.home)
 	if !found {
 		return nil
 	}
@@ -219,16 +219,20 @@
 	return []Order{{Target: best, Layers: layers}}
 }
 
-// dispensable returns the target whose layers have most other holders.
-func (p *Planner) dispensable(targets []target.Target, counts []int) (target.Target, bool) {
+// dispensable returns a target all of whose layers have other holders: the one whose size fits a hole best.
+func (c *centre) dispensable(hole int, counts []int) (target.Target, bool) {
 	var best target.Target
-	bestSpare := 0
-	for _, t := range targets {
-		if n := spare(counts, t.Layers); n > bestSpare {
-			best, bestSpare = t, n
+	bestMisfit, found := 0, false
+	for _, t := range c.placed {
+		misfit := c.sizes[t.Accelerator] - hole
+		if misfit < 0 {
+			misfit = -2 * misfit // A hole that stays open is worse than layers held twice.
+		}
+		if spare(counts, t.Layers) > 0 && (!found || misfit < bestMisfit) {
+			best, bestMisfit, found = t, misfit, true
 		}
 	}
-	return best, bestSpare > 0
+	return best, found
 }
 
 // deal closes the holes of a data centre by dealing its layers out anew, in the order in which its targets hold them,
@@ -270,16 +274,13 @@
 	if !open {
 		return nil
 	}
-	var placed []target.Target
 	for _, name := range slices.Sorted(maps.Keys(centres)) {
-		placed = append(placed, centres[name].placed...)
-	}
-	best, found := p.dispensable(placed, cover.all)
-	if !found {
-		return nil
+		c := centres[name]
+		if best, found := c.dispensable(holeLength(cover.all, hole), cover.all); found {
+			return []Order{{Target: best, Layers: cover.over(cover.all, hole, c.sizes[best.Accelerator])}}
+		}
 	}
-	size := centres[best.DataCentre].sizes[best.Accelerator]
-	return []Order{{Target: best, Layers: cover.over(cover.all, hole, size)}}
+	return nil
 }
 
 // coverage counts the holders of each layer.
@@ -333,10 +334,7 @@
 // over returns the range of that size that covers a hole from its first layer on. What is left beyond the hole lies on
 // the side that is held less.
 func (c *coverage) over(counts []int, hole, size int) layer.Range {
-	end := hole
-	for end < len(counts) && counts[end] == 0 {
-		end++
-	}
+	end := hole + holeLength(counts, hole)
 	first := min(hole, len(counts)-size)
 	if end-hole < size && end < len(counts) && hole > 0 && counts[hole-1] < counts[end] {
 		first = max(end-size, 0)
@@ -355,6 +353,15 @@
 	return 0, false
 }
 
+// holeLength is the number of layers without a holder from one on.
+func holeLength(counts []int, from int) int {
+	end := from
+	for end < len(counts) && counts[end] == 0 {
+		end++
+	}
+	return end - from
+}
+
 // spare is the least number of other holders of any of the layers.
 func spare(counts []int, r layer.Range) int {
 	least := math.MaxInt
