--- /dev/null
+++ b/pkg/catalogue/catalogue_test.go
@@ -0,0 +1,102 @@
+package catalogue_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+)
+
+func newCatalogue(t *testing.T) *catalogue.Catalogue {
+	routes := []catalogue.Route{
+		{Name: "all", Host: "a.example", Prefix: "/", Timeout: time.Second, Shares: []catalogue.Share{{Service: "s"}}},
+		{Name: "kits", Host: "a.example", Prefix: "/kits/", Timeout: time.Second, Shares: []catalogue.Share{{Service: "s"}}},
+	}
+	c, err := catalogue.New(3, catalogue.Limits{}, routes, []catalogue.Service{{Name: "s"}},
+		[]catalogue.Workspace{{Name: "w", Keys: []string{"k1", "k2"}}})
+	qt.New(t).Assert(err, qt.IsNil)
+	return c
+}
+
+// TestRoute guards against a shorter prefix or another host winning.
+func TestRoute(t *testing.T) {
+	c := newCatalogue(t)
+	for _, test := range []struct {
+		about, host, path, want string
+	}{
+		{"longest prefix", "a.example", "/kits/7", "kits"},
+		{"prefix ends with a slash", "a.example", "/kits", "all"},
+		{"another host", "b.example", "/kits/7", ""},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			r, ok := c.Route(test.host, test.path)
+			qt.Assert(t, ok, qt.Equals, test.want != "")
+			if ok {
+				qt.Assert(t, r.Name, qt.Equals, test.want)
+			}
+		})
+	}
+}
+
+// TestNewFaults guards against a configuration in force whose routes lead nowhere, and against reporting one fault only.
+func TestNewFaults(t *testing.T) {
+	routes := []catalogue.Route{
+		{Name: "r1", Host: "h", Prefix: "/", Shares: []catalogue.Share{{Service: "missing"}}},
+		{Name: "r2", Host: "h", Prefix: "/x/", Timeout: time.Second},
+	}
+	_, err := catalogue.New(1, catalogue.Limits{}, routes, nil, nil)
+	qt.Assert(t, err, qt.ErrorMatches, `(?s).*Routes.r1.Shares.*Routes.r1.Timeout.*Routes.r2.Shares.*`)
+}
+
+// TestWorkspace guards against keys of a workspace that are not found.
+func TestWorkspace(t *testing.T) {
+	c := newCatalogue(t)
+	w, ok := c.Workspace("k2")
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, w.Name, qt.Equals, "w")
+	_, ok = c.Workspace("")
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
+// TestService guards against a split that leaves a service without its weight.
+func TestService(t *testing.T) {
+	r := catalogue.Route{Shares: []catalogue.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	count := make(map[string]int)
+	for i := range uint64(1000) {
+		count[r.Service(i)]++
+	}
+	qt.Assert(t, count, qt.DeepEquals, map[string]int{"a": 900, "b": 100})
+}
+
+// TestRepeatable guards against repeating a request that may run once.
+func TestRepeatable(t *testing.T) {
+	for _, test := range []struct {
+		route catalogue.Route
+		want  bool
+	}{
+		{catalogue.Route{Repetition: catalogue.Idempotent}, true},
+		{catalogue.Route{Repetition: catalogue.Once}, false},
+		{catalogue.Route{Repetition: catalogue.Once, Resumable: true}, false},
+		{catalogue.Route{Repetition: catalogue.Stream}, false},
+		{catalogue.Route{Repetition: catalogue.Stream, Resumable: true}, true},
+	} {
+		qt.Assert(t, test.route.Repeatable(), qt.Equals, test.want, qt.Commentf("%+v", test.route))
+	}
+}
+
+// TestCells guards against planning memory that a target does not have.
+func TestCells(t *testing.T) {
+	e := catalogue.Engine{
+		Layers: 80, LayerBytes: 1750e6, CacheBytes: 426000,
+		Accelerators: map[string]catalogue.Accelerator{"l4": {Bytes: 21600e6, StepFactor: 16}},
+		Step:         850 * time.Microsecond,
+	}
+	qt.Assert(t, e.MaxLayers("l4"), qt.Equals, 12)
+	qt.Assert(t, e.Cells("l4", 13), qt.Equals, int64(0))
+	// (21,600 - 9 * 1,750) MB over 5,325 bytes a token and layer.
+	qt.Assert(t, e.Cells("l4", 9), qt.Equals, int64(1098591))
+	qt.Assert(t, e.StepTime("l4", layer.Range{First: 10, End: 50}), qt.Equals, 6800*time.Microsecond)
+}
--- /dev/null
+++ b/pkg/connection/connection_test.go
@@ -0,0 +1,251 @@
+package connection_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
+
+	"github.com/cuminroute/cuminroute/pkg/connection"
+)
+
+// peer is a target that answers each request on a connection with the next of its answers.
+type peer struct {
+	address  netip.AddrPort
+	accepted atomic.Int32
+	requests atomic.Int32
+}
+
+// serve starts a peer. The function handles one connection.
+func serve(t *testing.T, handle func(p *peer, c net.Conn, r *bufio.Reader)) *peer {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	p := &peer{address: l.Addr().(*net.TCPAddr).AddrPort()}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			p.accepted.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(p, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return p
+}
+
+// answering returns a handler that writes the answers in turn, one for each request.
+func answering(answers ...string) func(*peer, net.Conn, *bufio.Reader) {
+	return func(p *peer, c net.Conn, r *bufio.Reader) {
+		for {
+			request, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			_, _ = io.Copy(io.Discard, request.Body)
+			n := int(p.requests.Add(1))
+			if n > len(answers) {
+				return
+			}
+			_, _ = io.WriteString(c, answers[n-1])
+		}
+	}
+}
+
+const idField = "X-Id"
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\n" + idField + ": " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0' + n)) }
+
+// exchange sends a request with the ID and returns the body of its answer.
+func exchange(t *testing.T, pool *connection.Pool, p *peer, id string) (string, error) {
+	c, err := pool.Get(context.Background(), p.address, time.Minute)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, c.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	head := connection.Head(http.MethodPost, "/x", "h", http.Header{idField: {id}}, 0)
+	response, err := c.Exchange(head, nil, &http.Request{Method: http.MethodPost}, func(h http.Header) bool { return h.Get(idField) == id })
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		c.Close()
+		return "", err
+	}
+	c.Finish(pool)
+	return string(body), nil
+}
+
+// TestReuse guards against a connection for each request.
+func TestReuse(t *testing.T) {
+	p, pool := serve(t, answering(answer("1", "a"), answer("2", "b"))), connection.New()
+	for _, id := range []string{"1", "2"} {
+		_, err := exchange(t, pool, p, id)
+		qt.Assert(t, err, qt.IsNil)
+	}
+	qt.Assert(t, p.accepted.Load(), qt.Equals, int32(1))
+}
+
+// TestStray guards against taking a late second answer to an earlier request for the answer to the next one.
+func TestStray(t *testing.T) {
+	p := serve(t, answering(answer("1", "a"), answer("1", "again")+answer("2", "b")))
+	pool := connection.New()
+	_, err := exchange(t, pool, p, "1")
+	qt.Assert(t, err, qt.IsNil)
+	body, err := exchange(t, pool, p, "2")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, "b")
+}
+
+// TestExtraBytes guards against using a connection again on which bytes follow a whole answer.
+func TestExtraBytes(t *testing.T) {
+	p := serve(t, answering(answer("1", "a")+answer("1", "a"), answer("2", "b")))
+	pool := connection.New()
+	_, err := exchange(t, pool, p, "1")
+	qt.Assert(t, err, qt.IsNil)
+	body, err := exchange(t, pool, p, "2")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, "b")
+	qt.Assert(t, p.accepted.Load(), qt.Equals, int32(2))
+}
+
+// TestNotReused guards against using a connection again that its target has closed, announced to close, or answered
+// without a length.
+func TestNotReused(t *testing.T) {
+	for _, test := range []struct {
+		about, first string
+	}{
+		{"announced", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nConnection: close\r\nContent-Length: 1\r\n\r\na"},
+		{"short keep-alive", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=0\r\nContent-Length: 1\r\n\r\na"},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			p, pool := serve(t, answering(test.first, answer("2", "b"))), connection.New()
+			_, err := exchange(t, pool, p, "1")
+			qt.Assert(t, err, qt.IsNil)
+			_, err = exchange(t, pool, p, "2")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, p.accepted.Load(), qt.Equals, int32(2))
+		})
+	}
+}
+
+// TestClosedWhileIdle guards against sending a request into a connection that its target has closed.
+func TestClosedWhileIdle(t *testing.T) {
+	p := serve(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, answer("1", "a"))
+		}
+	})
+	pool := connection.New()
+	for range 3 {
+		_, err := exchange(t, pool, p, "1")
+		qt.Assert(t, err, qt.IsNil)
+		time.Sleep(20 * time.Millisecond) // The close has to arrive.
+	}
+	qt.Assert(t, p.accepted.Load(), qt.Equals, int32(3))
+}
+
+// TestOutcomes guards against an error that says that a request did not run when it may have.
+func TestOutcomes(t *testing.T) {
+	for _, test := range []struct {
+		about, answer string
+		kind          *errorx.Type
+	}{
+		{"cut off in the head", "HTTP/1.1 200 OK\r\n", connection.Broken},
+		{"cut off in a field", "HTTP/1.1 200 OK\r\nX-", connection.Garbled},
+		{"closed without an answer", "", connection.Broken},
+		{"no response at all", "\x00\x01garbage\r\n\r\n", connection.Garbled},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			p := serve(t, func(_ *peer, c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err == nil {
+					_, _ = io.WriteString(c, test.answer)
+				}
+			})
+			_, err := exchange(t, connection.New(), p, "1")
+			qt.Assert(t, errorx.IsOfType(err, test.kind), qt.IsTrue, qt.Commentf("%v", err))
+		})
+	}
+}
+
+// TestNotSent guards against an unknown outcome where no connection was made.
+func TestNotSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := l.Addr().(*net.TCPAddr).AddrPort()
+	qt.Assert(t, l.Close(), qt.IsNil)
+	_, err = connection.New().Get(context.Background(), address, time.Minute)
+	qt.Assert(t, errorx.IsOfType(err, connection.NotSent), qt.IsTrue)
+	qt.Assert(t, connection.New().Probe(context.Background(), address), qt.IsNotNil)
+}
+
+// TestEarlyAnswer guards against using a connection again on which the rest of a long body is still due: a later
+// request's bytes would count as part of it.
+func TestEarlyAnswer(t *testing.T) {
+	p := serve(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+		if _, err := http.ReadRequest(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer("1", "a")) // The body is not read.
+		time.Sleep(300 * time.Millisecond)
+	})
+	pool := connection.New()
+	c, err := pool.Get(context.Background(), p.address, time.Minute)
+	qt.Assert(t, err, qt.IsNil)
+	body := []byte(strings.Repeat("x", 16<<20))
+	head := connection.Head(http.MethodPost, "/x", "h", http.Header{}, len(body))
+	response, err := c.Exchange(head, body, &http.Request{Method: http.MethodPost}, nil)
+	qt.Assert(t, err, qt.IsNil)
+	_, err = io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	c.Finish(pool)
+	again, err := pool.Get(context.Background(), p.address, time.Minute)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, again.Reused(), qt.IsFalse)
+	again.Close()
+}
+
+// TestInterim guards against taking an interim response for the answer.
+func TestInterim(t *testing.T) {
+	p := serve(t, answering("HTTP/1.1 103 Early Hints\r\n\r\n"+answer("1", "a")))
+	body, err := exchange(t, connection.New(), p, "1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, body, qt.Equals, "a")
+}
+
+// TestUnframed guards against taking a connection that was reset for the end of an answer without a length.
+func TestUnframed(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		p := serve(t, func(_ *peer, c net.Conn, r *bufio.Reader) {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nabc")
+			time.Sleep(20 * time.Millisecond)
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		body, err := exchange(t, connection.New(), p, "1")
+		qt.Assert(t, err != nil, qt.Equals, reset)
+		if !reset {
+			qt.Assert(t, body, qt.Equals, "abc")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/decision/path/path_test.go
@@ -0,0 +1,146 @@
+package path_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+func engine() *catalogue.Engine {
+	return &catalogue.Engine{
+		Layers: 80, LayerBytes: 1750e6, CacheBytes: 426000, Step: 850 * time.Microsecond, PerSequence: 2760 * time.Nanosecond,
+		ReadRate: 272000, ActivationBytes: 21300, PipeRate: 1.1625e9,
+		Accelerators: map[string]catalogue.Accelerator{
+			"a100s": {Bytes: 36000e6, StepFactor: 3.1, ReadFactor: 3.2}, "l4": {Bytes: 21600e6, StepFactor: 16, ReadFactor: 8.2},
+		},
+	}
+}
+
+func holder(name, centre, kind string, first, end int) path.Holder {
+	return path.Holder{Target: target.Target{
+		Name: name, Kind: target.Engine, DataCentre: centre, Accelerator: kind, State: target.Live,
+		Layers: layer.Range{First: first, End: end}, Address: netip.MustParseAddrPort("10.0.0.1:80"),
+	}}
+}
+
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func names(p path.Path) []string {
+	var list []string
+	for _, part := range p {
+		list = append(list, fmt.Sprint(part.Target.Name, part.Layers))
+	}
+	return list
+}
+
+// TestFind guards against paths that leave a data centre without need, use what is to be avoided, or count a holder's
+// layers that a part does not run.
+func TestFind(t *testing.T) {
+	whole := []path.Holder{
+		holder("a1", "a", "a100s", 0, 16), holder("a2", "a", "a100s", 16, 48), holder("a3", "a", "a100s", 40, 80),
+		holder("b1", "b", "a100s", 0, 40), holder("b2", "b", "a100s", 40, 80),
+	}
+	big := engine()
+	big.LayerBytes = 1e6 // All of these ranges fit.
+	request := path.Request{To: 80, Prompt: 700, Answer: 140, DataCentre: "a"}
+	for _, test := range []struct {
+		about  string
+		change func(*path.Request)
+		want   []string
+	}{
+		{"a request of data centre b", func(q *path.Request) { q.DataCentre = "b" }, []string{"b1[0,40)", "b2[40,80)"}},
+		{"a hole in its data centre", func(q *path.Request) {
+			q.Avoid = func(name string) bool { return name == "a2" }
+		}, []string{"b1[0,40)", "b2[40,80)"}},
+		{"a fixed first target", func(q *path.Request) {
+			q.Start = func(name string) bool { return name == "a1" }
+		}, []string{"a1[0,16)", "a2[16,48)", "a3[48,80)"}},
+		{"a part in the middle", func(q *path.Request) { q.From, q.To = 16, 40 }, []string{"a2[16,40)"}},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			q := request
+			test.change(&q)
+			p, err := path.New(big, whole).Find(source(), q)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, names(p), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestNoPath guards against confusing a lack of holders, which time mends slowly, with a lack of room.
+func TestNoPath(t *testing.T) {
+	half := []path.Holder{holder("a1", "a", "a100s", 0, 16)}
+	_, err := path.New(engine(), half).Find(source(), path.Request{To: 80, Prompt: 10, Answer: 10})
+	qt.Assert(t, errorx.IsOfType(err, path.Uncovered), qt.IsTrue)
+
+	full := []path.Holder{holder("a1", "a", "a100s", 0, 16)}
+	full[0].Cells = engine().Cells("a100s", 16)
+	_, err = path.New(engine(), full).Find(source(), path.Request{To: 16, Prompt: 10, Answer: 10})
+	qt.Assert(t, errorx.IsOfType(err, path.Full), qt.IsTrue)
+}
+
+// TestSpread guards against all instances choosing the same of two equal targets.
+func TestSpread(t *testing.T) {
+	equal := []path.Holder{holder("x", "a", "a100s", 0, 16), holder("y", "a", "a100s", 0, 16)}
+	finder, random := path.New(engine(), equal), source()
+	count := make(map[string]int)
+	for range 1000 {
+		p, err := finder.Find(random, path.Request{To: 16, Prompt: 700, Answer: 140, DataCentre: "a"})
+		qt.Assert(t, err, qt.IsNil)
+		count[p[0].Target.Name]++
+	}
+	qt.Assert(t, count["x"] > 400 && count["y"] > 400, qt.IsTrue, qt.Commentf("%v", count))
+}
+
+// TestLoaded guards against filling one holder while another has room.
+func TestLoaded(t *testing.T) {
+	holders := []path.Holder{holder("x", "a", "a100s", 0, 16), holder("y", "a", "a100s", 0, 16)}
+	holders[0].Cells = engine().Cells("a100s", 16) * 9 / 10
+	p, err := path.New(engine(), holders).Find(source(), path.Request{To: 16, Prompt: 700, Answer: 140, DataCentre: "a"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, p[0].Target.Name, qt.Equals, "y")
+}
+
+// TestWholeProperty guards against any path that does not run each layer once and in order, on targets that hold it,
+// are not avoided and have room.
+func TestWholeProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := engine()
+		var holders []path.Holder
+		for i := range rapid.IntRange(1, 40).Draw(t, "targets") {
+			first := rapid.IntRange(0, 79).Draw(t, "first")
+			end := rapid.IntRange(first+1, min(80, first+12)).Draw(t, "end")
+			h := holder(fmt.Sprint("w", i), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "centre"), "l4", first, end)
+			h.Cells = rapid.Int64Range(0, 1200000).Draw(t, "cells")
+			holders = append(holders, h)
+		}
+		avoided := rapid.IntRange(0, 45).Draw(t, "avoided")
+		q := path.Request{
+			To: 80, Prompt: 700, Answer: 140, DataCentre: "a",
+			Avoid: func(name string) bool { return name == fmt.Sprint("w", avoided) },
+		}
+		p, err := path.New(e, holders).Find(source(), q)
+		if err != nil {
+			return
+		}
+		if !p.Whole(80) {
+			t.Fatalf("not whole: %s", p)
+		}
+		for _, part := range p {
+			if q.Avoid(part.Target.Name) {
+				t.Fatalf("an avoided target is used: %s", p)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/decision/usage/meter_test.go
@@ -0,0 +1,82 @@
+package usage_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/decision/usage"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+var start = time.Unix(1700000000, 0)
+
+// TestReserve guards against load that stays after its request has ended, or is taken off twice.
+func TestReserve(t *testing.T) {
+	m := usage.New()
+	release := m.Reserve(path.Path{{Target: target.Target{Name: "w"}, Layers: layer.Range{First: 10, End: 16}}}, 100)
+	qt.Assert(t, m.Load("w"), qt.Equals, usage.Load{Cells: 600, Streams: 1})
+	release()
+	release()
+	qt.Assert(t, m.Load("w"), qt.Equals, usage.Load{})
+}
+
+// TestTold guards against an instance's old load staying beside its new one, and against the load of instances that were
+// lost.
+func TestTold(t *testing.T) {
+	m := usage.New()
+	key := usage.Key("w")
+	m.Told("i1", map[uint64]usage.Load{key: {Cells: 5, Streams: 1}}, start)
+	m.Told("i2", map[uint64]usage.Load{key: {Cells: 7, Streams: 2}}, start)
+	m.Told("i1", map[uint64]usage.Load{key: {Cells: 1, Streams: 1}}, start.Add(time.Second))
+	qt.Assert(t, m.Load("w"), qt.Equals, usage.Load{Cells: 8, Streams: 3})
+	m.Told("i1", nil, start.Add(10*time.Second))
+	qt.Assert(t, m.Load("w"), qt.Equals, usage.Load{})
+}
+
+// TestScale guards against taking a sample of the instances for all of them.
+func TestScale(t *testing.T) {
+	m := usage.New()
+	m.SetMembers(21)
+	key := usage.Key("w")
+	for _, name := range []string{"i1", "i2", "i3", "i4"} {
+		m.Told(name, map[uint64]usage.Load{key: {Cells: 10, Streams: 1}}, start)
+	}
+	qt.Assert(t, m.Load("w"), qt.Equals, usage.Load{Cells: 200, Streams: 20})
+}
+
+// TestAvoided guards against a failing target that is used again at once, and a working one that is not.
+func TestAvoided(t *testing.T) {
+	m := usage.New()
+	m.Failed("w", start)
+	qt.Assert(t, m.Avoided("w", start.Add(100*time.Millisecond)), qt.IsTrue)
+	qt.Assert(t, m.Avoided("w", start.Add(300*time.Millisecond)), qt.IsFalse)
+	for range 9 {
+		m.Failed("w", start)
+	}
+	qt.Assert(t, m.Avoided("w", start.Add(3*time.Second)), qt.IsTrue)
+	qt.Assert(t, m.Avoided("w", start.Add(5*time.Second)), qt.IsFalse)
+	m.Answered("w", time.Millisecond, start)
+	qt.Assert(t, m.Avoided("w", start), qt.IsFalse)
+}
+
+// TestRefused guards against taking a full target for a failing one: its layers may have no other holder.
+func TestRefused(t *testing.T) {
+	m := usage.New()
+	m.Refused("w", start)
+	qt.Assert(t, m.Avoided("w", start), qt.IsFalse)
+	qt.Assert(t, m.Full("w", start), qt.IsTrue)
+	qt.Assert(t, m.Full("w", start.Add(time.Second)), qt.IsFalse)
+}
+
+// TestDead guards against a target that answers again and is still kept out of use.
+func TestDead(t *testing.T) {
+	m := usage.New()
+	m.Dead("w", start.Add(2*time.Second))
+	qt.Assert(t, m.IsDead("w", start.Add(time.Second)), qt.IsTrue)
+	m.Revived("w")
+	qt.Assert(t, m.IsDead("w", start.Add(time.Second)), qt.IsFalse)
+}
--- /dev/null
+++ b/pkg/exchange/fake_test.go
@@ -0,0 +1,193 @@
+package exchange_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/decision/retry"
+	"github.com/cuminroute/cuminroute/pkg/decision/usage"
+	"github.com/cuminroute/cuminroute/pkg/exchange"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// views is a fixed view.
+type views struct {
+	view  *exchange.View
+	stale bool
+}
+
+func (v *views) View() *exchange.View { return v.view }
+func (v *views) Fresh() bool          { return !v.stale }
+
+// upstream answers attempts by a function and records them.
+type upstream struct {
+	open   func(ctx context.Context, n int, a exchange.Attempt) (*exchange.Answer, error)
+	repath func(id string, p path.Path) error
+	dead   map[string]bool
+
+	mu       sync.Mutex
+	attempts []exchange.Attempt
+	changes  []path.Path
+}
+
+func (u *upstream) Open(ctx context.Context, a exchange.Attempt) (*exchange.Answer, error) {
+	u.mu.Lock()
+	u.attempts = append(u.attempts, a)
+	n := len(u.attempts)
+	u.mu.Unlock()
+	return u.open(ctx, n, a)
+}
+
+func (u *upstream) Repath(_ context.Context, id string, p path.Path) error {
+	u.mu.Lock()
+	u.changes = append(u.changes, p)
+	u.mu.Unlock()
+	if u.repath == nil {
+		return errors.New("no such request")
+	}
+	return u.repath(id, p)
+}
+
+func (u *upstream) Probe(_ context.Context, t target.Target) error {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.dead[t.Name] {
+		return errors.New("connection refused")
+	}
+	return nil
+}
+
+func (u *upstream) kill(name string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.dead[name] = true
+}
+
+func (u *upstream) sent() []exchange.Attempt {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return append([]exchange.Attempt(nil), u.attempts...)
+}
+
+// answer is a whole answer.
+func answer(status int, body string) *exchange.Answer {
+	return &exchange.Answer{
+		Status: status, Header: http.Header{"X-Seal": {"s"}}, Body: strings.NewReader(body), Length: int64(len(body)),
+		Finish: func() {}, Abort: func() {},
+	}
+}
+
+// streaming is an answer whose body is read from r.
+func streaming(r io.Reader) *exchange.Answer {
+	return &exchange.Answer{
+		Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: r, Length: -1,
+		Finish: func() {}, Abort: func() {},
+	}
+}
+
+// events returns events with the numbers from first to last.
+func events(first, last int) string {
+	var b strings.Builder
+	for i := first; i <= last; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: word\n\n", i)
+	}
+	return b.String()
+}
+
+// world is a server with a fake upstream, two plain targets and a model of four layers held twice.
+type world struct {
+	server   *exchange.Server
+	upstream *upstream
+	views    *views
+	meter    *usage.Meter
+}
+
+const host = "shop.example"
+
+func newWorld(t *testing.T, options ...exchange.Option) *world {
+	routes := []catalogue.Route{
+		{Name: "look", Prefix: "/look/", Repetition: catalogue.Idempotent, MaxAttempts: 2, Shares: []catalogue.Share{{Service: "desk"}}},
+		{Name: "book", Prefix: "/book/", Repetition: catalogue.Once, MaxAttempts: 1, Shares: []catalogue.Share{{Service: "desk"}}},
+		{Name: "plan", Prefix: "/plan/", Repetition: catalogue.Stream, Resumable: true, MaxAttempts: 2, Shares: []catalogue.Share{{Service: "model"}}},
+		{Name: "chat", Prefix: "/chat/", Repetition: catalogue.Stream, MaxAttempts: 2, Shares: []catalogue.Share{{Service: "model"}}},
+		{Name: "open", Prefix: "/open/", Repetition: catalogue.Once, MaxAttempts: 1, Public: true, Shares: []catalogue.Share{{Service: "desk"}}},
+	}
+	for i := range routes {
+		routes[i].Host, routes[i].Timeout, routes[i].Goal = host, 3*time.Second, 200*time.Millisecond
+	}
+	engine := &catalogue.Engine{
+		Layers: 4, LayerBytes: 1, CacheBytes: 4, Step: time.Millisecond, ReadRate: 1e6, UsualAnswer: 10,
+		Accelerators: map[string]catalogue.Accelerator{"k": {Bytes: 1 << 20, StepFactor: 1, ReadFactor: 1}},
+	}
+	c, err := catalogue.New(1, catalogue.Limits{}, routes, []catalogue.Service{{Name: "desk"}, {Name: "model", Engine: engine}},
+		[]catalogue.Workspace{{Name: "kiln", Keys: []string{"key"}, Ranked: true, Priority: 2}})
+	qt.Assert(t, err, qt.IsNil)
+	v := &exchange.View{Catalogue: c, Targets: map[string][]target.Target{
+		"desk":  {plainTarget("d1"), plainTarget("d2")},
+		"model": {engineTarget("m1", 0, 2), engineTarget("m2", 0, 2), engineTarget("m3", 2, 4), engineTarget("m4", 2, 4)},
+	}}
+	w := &world{upstream: &upstream{dead: make(map[string]bool)}, views: &views{view: v}, meter: usage.New()}
+	quiet := &log.Logger{Level: log.PanicLevel}
+	w.server = exchange.New(w.views, w.upstream, w.meter, append([]exchange.Option{exchange.WithLogger(quiet)}, options...)...)
+	return w
+}
+
+var ports uint16 = 1000
+
+func plainTarget(name string) target.Target {
+	ports++
+	return target.Target{
+		Name: name, State: target.Live, Service: "desk", Slots: 4,
+		Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), ports),
+	}
+}
+
+func engineTarget(name string, first, end int) target.Target {
+	t := plainTarget(name)
+	t.Kind, t.Service, t.Accelerator, t.Layers = target.Engine, "model", "k", layer.Range{First: first, End: end}
+	return t
+}
+
+// call serves a request for a path and returns what its caller gets.
+func (w *world) call(path string, change ...func(*exchange.Call)) (*httptest.ResponseRecorder, error) {
+	c := &exchange.Call{
+		ID: "id-1", Method: http.MethodPost, URI: path, Path: path, Host: host, Key: "key", Arrived: time.Now(),
+		Work: exchange.Work{Prompt: 10, Answer: 10},
+	}
+	for _, f := range change {
+		f(c)
+	}
+	recorder := httptest.NewRecorder()
+	err := w.server.Serve(context.Background(), c, recorder)
+	return recorder, err
+}
+
+// status returns the status of a refusal.
+func status(err error) int {
+	var refused *refusal.Error
+	if errors.As(err, &refused) {
+		return refused.Status
+	}
+	return 0
+}
+
+// noBudget allows no repeated sendings.
+func noBudget() exchange.Option {
+	return exchange.WithBudget(retry.New(retry.WithRatio(0), retry.WithRate(0)))
+}
--- /dev/null
+++ b/pkg/exchange/stream_test.go
@@ -0,0 +1,207 @@
+package exchange_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/exchange"
+)
+
+var errReset = errors.New("connection reset")
+
+// TestStreamPath guards against a stream without a path over all layers.
+func TestStreamPath(t *testing.T) {
+	w := newWorld(t)
+	w.upstream.open = func(context.Context, int, exchange.Attempt) (*exchange.Answer, error) {
+		return streaming(strings.NewReader(events(1, 5))), nil
+	}
+	recorder, err := w.call("/plan/1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 5))
+	qt.Assert(t, w.upstream.sent()[0].Path.Whole(4), qt.IsTrue)
+}
+
+// TestResume guards against events that are missing, come twice or are cut in the middle after a stream was lost.
+func TestResume(t *testing.T) {
+	for _, test := range []struct {
+		about, first string // first is what arrives before the loss.
+		after        string // after is the event that the next attempt goes on from.
+	}{
+		{"between events", events(1, 3), "3"},
+		{"in the middle of an event", events(1, 3) + "id: 4\nda", "3"},
+		{"before the first event", "", ""},
+		{"in the middle of the first", "id: 1\ndata", ""},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			w := newWorld(t)
+			w.upstream.open = func(_ context.Context, n int, a exchange.Attempt) (*exchange.Answer, error) {
+				if n == 1 {
+					return streaming(io.MultiReader(strings.NewReader(test.first), iotest.ErrReader(errReset))), nil
+				}
+				qt.Check(t, a.After, qt.Equals, test.after)
+				next := 1
+				if test.after != "" {
+					next = 4
+				}
+				return streaming(strings.NewReader(events(next, 6))), nil
+			}
+			recorder, err := w.call("/plan/1")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 6))
+			qt.Assert(t, w.upstream.sent(), qt.HasLen, 2)
+		})
+	}
+}
+
+// TestIncomplete guards against a stream that ends early and looks complete.
+func TestIncomplete(t *testing.T) {
+	for _, test := range []struct {
+		about, path string
+	}{
+		{"may not be resumed", "/chat/1"},
+		{"is lost again and again", "/plan/1"},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			w := newWorld(t)
+			w.upstream.open = func(_ context.Context, n int, _ exchange.Attempt) (*exchange.Answer, error) {
+				return streaming(io.MultiReader(strings.NewReader(events(n, n)), iotest.ErrReader(errReset))), nil
+			}
+			_, err := w.call(test.path)
+			qt.Assert(t, errors.Is(err, http.ErrAbortHandler), qt.IsTrue, qt.Commentf("%v", err))
+			if test.path == "/chat/1" {
+				qt.Assert(t, w.upstream.sent(), qt.HasLen, 1)
+			}
+		})
+	}
+}
+
+// TestStreamTargets guards against more live targets running a stream than its route allows.
+func TestStreamTargets(t *testing.T) {
+	w := newWorld(t)
+	w.upstream.open = func(_ context.Context, n int, _ exchange.Attempt) (*exchange.Answer, error) {
+		return streaming(io.MultiReader(strings.NewReader(events(n, n)), iotest.ErrReader(errReset))), nil
+	}
+	// Two more first targets than the two that the route allows.
+	w.views.view.Targets["model"] = append(w.views.view.Targets["model"], engineTarget("m5", 0, 2), engineTarget("m6", 0, 2))
+	_, _ = w.call("/plan/1")
+	ran := make(map[string]bool)
+	for _, a := range w.upstream.sent() {
+		ran[a.Path[0].Target.Name] = true
+	}
+	qt.Assert(t, len(ran) <= 2, qt.IsTrue, qt.Commentf("%v", ran))
+}
+
+// TestRefusingTargets guards against asking targets that refuse a begun stream without a pause or a budget.
+func TestRefusingTargets(t *testing.T) {
+	w := newWorld(t)
+	w.upstream.open = func(_ context.Context, n int, _ exchange.Attempt) (*exchange.Answer, error) {
+		if n == 1 {
+			return streaming(io.MultiReader(strings.NewReader(events(1, 1)), iotest.ErrReader(errReset))), nil
+		}
+		return nil, errRefused
+	}
+	_, err := w.call("/plan/1")
+	qt.Assert(t, errors.Is(err, http.ErrAbortHandler), qt.IsTrue)
+	qt.Assert(t, len(w.upstream.sent()) < 20, qt.IsTrue, qt.Commentf("%d attempts", len(w.upstream.sent())))
+}
+
+// TestNoRoom guards against holding back the refusal of a request that has not run, and a refusal at once where room
+// comes a moment later.
+func TestNoRoom(t *testing.T) {
+	w := newWorld(t)
+	w.upstream.open = func(context.Context, int, exchange.Attempt) (*exchange.Answer, error) {
+		return streaming(strings.NewReader(events(1, 1))), nil
+	}
+	release := w.meter.Reserve(path.Path{{Target: w.views.view.Targets["model"][0]}, {Target: w.views.view.Targets["model"][1]}}, 1)
+	defer release()
+	fill := func() func() {
+		var all path.Path
+		for _, m := range w.views.view.Targets["model"] {
+			all = append(all, path.Part{Target: m, Layers: m.Layers})
+		}
+		return w.meter.Reserve(all, 1<<20)
+	}
+	free := fill()
+	started := time.Now()
+	_, err := w.call("/plan/1")
+	qt.Assert(t, status(err), qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, time.Since(started) < 200*time.Millisecond, qt.IsTrue)
+	time.AfterFunc(50*time.Millisecond, free)
+	recorder, err := w.call("/plan/1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 1))
+}
+
+// TestDeadPart guards against a stream that stays silent because of a dead target in the middle of its path.
+func TestDeadPart(t *testing.T) {
+	w := newWorld(t)
+	reader, writer := io.Pipe()
+	w.upstream.open = func(_ context.Context, n int, a exchange.Attempt) (*exchange.Answer, error) {
+		if n > 1 {
+			return nil, errRefused
+		}
+		go func() {
+			_, _ = io.WriteString(writer, events(1, 3))
+			w.upstream.kill(a.Path[1].Target.Name)
+		}()
+		return streaming(reader), nil
+	}
+	w.upstream.repath = func(string, path.Path) error {
+		go func() {
+			_, _ = io.WriteString(writer, events(4, 5))
+			_ = writer.Close()
+		}()
+		return nil
+	}
+	started := time.Now()
+	recorder, err := w.call("/plan/1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 5))
+	qt.Assert(t, time.Since(started) < time.Second, qt.IsTrue)
+	qt.Assert(t, w.upstream.changes, qt.HasLen, 1)
+	changed, lost := w.upstream.changes[0], w.upstream.sent()[0].Path[1].Target.Name
+	qt.Assert(t, changed.Whole(4), qt.IsTrue)
+	qt.Assert(t, changed.Passes(lost), qt.IsFalse)
+	qt.Assert(t, changed[0].Target.Name, qt.Equals, w.upstream.sent()[0].Path[0].Target.Name)
+}
+
+// TestDeadFirst guards against waiting for a silent first target, which no order can reach.
+func TestDeadFirst(t *testing.T) {
+	w := newWorld(t)
+	w.upstream.open = func(ctx context.Context, n int, a exchange.Attempt) (*exchange.Answer, error) {
+		if n > 1 {
+			return streaming(strings.NewReader(events(4, 5))), nil
+		}
+		w.upstream.kill(a.Path[0].Target.Name)
+		reader, writer := io.Pipe()
+		go func() { _, _ = io.WriteString(writer, events(1, 3)) }()
+		context.AfterFunc(ctx, func() { _ = writer.CloseWithError(errReset) })
+		return streaming(reader), nil
+	}
+	started := time.Now()
+	recorder, err := w.call("/plan/1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 5))
+	qt.Assert(t, time.Since(started) < time.Second, qt.IsTrue)
+}
+
+// TestStopping guards against beginning a long answer that a stopping instance would cut off.
+func TestStopping(t *testing.T) {
+	w := newWorld(t, exchange.WithStop(func() bool { return true }))
+	w.upstream.open = func(context.Context, int, exchange.Attempt) (*exchange.Answer, error) {
+		return answer(http.StatusOK, "done"), nil
+	}
+	_, err := w.call("/plan/1")
+	qt.Assert(t, status(err), qt.Equals, http.StatusServiceUnavailable)
+	_, err = w.call("/book/1")
+	qt.Assert(t, err, qt.IsNil)
+}
