--- /dev/null
+++ b/pkg/station/fake_test.go
@@ -0,0 +1,242 @@
+package station
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/exchange"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// fakeStore keeps rows in memory, with outages and history as a test sets them.
+type fakeStore struct {
+	mu       sync.Mutex
+	revision uint64
+	rows     map[string]map[string]Row
+	removed  map[string][]Row
+	down     bool
+	loseSwap bool // loseSwap makes the next write take effect without an answer.
+	calls    int
+}
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{rows: map[string]map[string]Row{"configuration": {}, "targets": {}, "own": {}}, removed: make(map[string][]Row)}
+}
+
+func (s *fakeStore) put(table, name, value string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.rows[table][name] = Row{Name: name, Value: []byte(value), Revision: s.revision}
+}
+
+func (s *fakeStore) remove(table, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.rows[table], name)
+	s.removed[table] = append(s.removed[table], Row{Name: name, Revision: s.revision, Removed: true})
+}
+
+func (s *fakeStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+func (s *fakeStore) since(table string, after uint64, whole bool) (Change, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return Change{}, Unavailable.New("the store is down")
+	}
+	c := Change{Revision: s.revision, Whole: whole}
+	for _, r := range s.rows[table] {
+		if r.Revision > after {
+			c.Rows = append(c.Rows, r)
+		}
+	}
+	for _, r := range s.removed[table] {
+		if !whole && r.Revision > after {
+			c.Rows = append(c.Rows, r)
+		}
+	}
+	return c, nil
+}
+
+func (s *fakeStore) watch(ctx context.Context, table string, after uint64, wait time.Duration) (Change, error) {
+	for end := time.Now().Add(wait); ; {
+		c, err := s.since(table, after, false)
+		if err != nil || len(c.Rows) > 0 || time.Now().After(end) || ctx.Err() != nil {
+			return c, err
+		}
+		sleep(ctx, 5*time.Millisecond)
+	}
+}
+
+func (s *fakeStore) Configuration(context.Context) (Change, error) {
+	return s.since("configuration", 0, true)
+}
+func (s *fakeStore) Targets(context.Context) (Change, error) { return s.since("targets", 0, true) }
+
+func (s *fakeStore) WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (Change, error) {
+	return s.watch(ctx, "configuration", after, wait)
+}
+
+func (s *fakeStore) WatchTargets(ctx context.Context, after uint64, wait time.Duration) (Change, error) {
+	return s.watch(ctx, "targets", after, wait)
+}
+
+func (s *fakeStore) Own(_ context.Context, name string) (Row, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return Row{}, Unavailable.New("the store is down")
+	}
+	row := s.rows["own"][name]
+	row.Name = name
+	return row, nil
+}
+
+func (s *fakeStore) Swap(_ context.Context, row Row) (Row, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return Row{}, false, Unavailable.New("the store is down")
+	}
+	found := s.rows["own"][row.Name]
+	if found.Revision != row.Revision {
+		return found, false, nil
+	}
+	s.revision++
+	row.Revision = s.revision
+	s.rows["own"][row.Name] = row
+	if s.loseSwap {
+		s.loseSwap = false
+		return Row{}, false, Unavailable.New("the answer was lost")
+	}
+	return row, true, nil
+}
+
+// fakeOrders carries out orders on the entries in a store.
+type fakeOrders struct {
+	store *fakeStore
+
+	mu     sync.Mutex
+	orders []Order
+	err    error
+}
+
+func (o *fakeOrders) Place(_ context.Context, order Order) error {
+	o.mu.Lock()
+	o.orders = append(o.orders, order)
+	err := o.err
+	o.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	t := order.Target
+	t.Layers, t.Orders = order.Layers, 0
+	o.store.put("targets", t.Name, encode(t))
+	return nil
+}
+
+func (o *fakeOrders) Report(_ context.Context, t target.Target) (Report, error) {
+	return Report{Orders: t.Orders, Layers: t.Layers}, nil
+}
+
+func (o *fakeOrders) given() []Order {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return append([]Order(nil), o.orders...)
+}
+
+func encode(v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return string(b)
+}
+
+// decodeTarget decodes entries of the fake store: targets as JSON.
+func decodeTarget(name string, content []byte) (target.Target, error) {
+	var t target.Target
+	err := json.Unmarshal(content, &t)
+	t.Name = name
+	return t, err
+}
+
+// decodeCatalogue decodes configurations of the fake store, which are their version.
+func decodeCatalogue(content []byte) (*catalogue.Catalogue, error) {
+	var version uint64
+	if _, err := fmt.Sscan(string(content), &version); err != nil {
+		return nil, err
+	}
+	engine := &catalogue.Engine{
+		Layers: 4, LayerBytes: 10, CacheBytes: 4, Capacity: 1, LoadTime: 50 * time.Millisecond,
+		Accelerators: map[string]catalogue.Accelerator{"k": {Bytes: 25, StepFactor: 1, ReadFactor: 1}},
+	}
+	return catalogue.New(version, catalogue.Limits{}, nil, []catalogue.Service{{Name: "model", Engine: engine}}, nil)
+}
+
+func fakePlatform(s *fakeStore, o Orders) Platform {
+	return Platform{
+		Store: s, Orders: o, ConfigurationName: "config", DecodeConfiguration: decodeCatalogue, DecodeTarget: decodeTarget,
+		Door: func(*exchange.Server, func() int64, func() (func(), bool)) http.Handler {
+			return http.NotFoundHandler()
+		},
+		ReadyPath: "/ready", Reload: func() (Settings, error) { return Settings{}, nil },
+	}
+}
+
+func silent() *log.Logger { return &log.Logger{Level: log.PanicLevel} }
+
+// start starts a station on loopback. Its seeds are the stations before it.
+func start(t *testing.T, name string, s *fakeStore, o Orders, seeds ...*Station) *Station {
+	settings := Settings{
+		Instance: name, DataCentre: "dc", Memory: 1 << 30, Grace: time.Second, ProofLife: 5 * time.Second,
+		Callers: loopback, Ready: loopback, Peers: freePort(t), Retries: Retries{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+	}
+	for _, seed := range seeds {
+		settings.Seeds = append(settings.Seeds, seed.settings.Peers)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	station, err := New(ctx, settings, fakePlatform(s, o), WithLogOutput(discard{}))
+	if err != nil {
+		cancel()
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		_ = station.Wait()
+	})
+	return station
+}
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+type discard struct{}
+
+func (discard) Write(b []byte) (int, error) { return len(b), nil }
+
+// eventually waits for a condition, for longer than any bound that a test of it states.
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatalf("%s did not come", what)
+}
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -26,6 +26,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
 	"github.com/cuminroute/cuminroute/pkg/listener"
+	"github.com/cuminroute/cuminroute/pkg/logqueue"
 	"github.com/cuminroute/cuminroute/pkg/metricspage"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -49,8 +50,6 @@
 	slackRate  = 0.25
 	// firstRate is the rate of retries per second until the other instances are known.
 	firstRate = 3
-	// logQueue bounds the log lines that wait to be written; more are dropped.
-	logQueue = 1024
 )
 
 // Station is one running entry instance.
@@ -101,7 +100,7 @@
 		o(s)
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
-	s.logger = newLogger(settings, s.output)
+	s.logger = newLogger(settings, s.output, s.registry)
 	s.knowledge = newKnowledge(platform, s.logger, settings.ProofLife)
 	s.budget = retry.New(retry.WithRatio(ratioShare*settings.Retries.Ratio), retry.WithRate(firstRate))
 	s.server = exchange.New(s.knowledge, platform.Upstream, s.meter, exchange.WithBudget(s.budget),
@@ -120,10 +119,11 @@
 }
 
 // newLogger returns a logger that never blocks: lines beyond the queue are dropped.
-func newLogger(s Settings, output io.Writer) *log.Logger {
+func newLogger(s Settings, output io.Writer, registry metrics.Registry) *log.Logger {
 	logger := &log.Logger{Level: log.InfoLevel, TimeField: "Time", TimeFormat: time.RFC3339Nano}
 	logger.Context = log.NewContext(nil).Str("Instance", s.Instance).Str("DataCentre", s.DataCentre).Value()
-	logger.Writer = &log.AsyncWriter{ChannelSize: logQueue, DiscardOnFull: true, Writer: &log.IOWriter{Writer: output}}
+	dropped := metrics.GetOrRegisterCounter("Log.Dropped", registry)
+	logger.Writer = &log.IOWriter{Writer: logqueue.New(output, logqueue.WithDropped(dropped.Inc))}
 	return logger
 }
 
--- /dev/null
+++ b/pkg/station/station_test.go
@@ -0,0 +1,140 @@
+package station
+
+import (
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// freePort returns a loopback address that is free for TCP and UDP.
+func freePort(t *testing.T) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// filled is a store with a configuration and four engines that each hold two of four layers at most.
+func filled() *fakeStore {
+	s := newFakeStore()
+	s.put("configuration", "config", "1")
+	for i := range 4 {
+		s.put("targets", fmt.Sprint("w", i), encode(target.Target{
+			Kind: target.Engine, Service: "model", State: target.Live, Accelerator: "k", DataCentre: "dc",
+			Address: netip.MustParseAddrPort(fmt.Sprint("10.0.0.1:", 80+i)),
+		}))
+	}
+	return s
+}
+
+// covered reports whether the instance knows a holder of each layer.
+func covered(s *Station) bool {
+	view := s.knowledge.View()
+	if view == nil {
+		return false
+	}
+	var held [4]bool
+	for _, t := range view.Targets["model"] {
+		for l := t.Layers.First; l < t.Layers.End; l++ {
+			held[l] = true
+		}
+	}
+	return held == [4]bool{true, true, true, true}
+}
+
+// TestStart guards against an instance that does not get from an empty fleet to all layers held.
+func TestStart(t *testing.T) {
+	store := filled()
+	orders := &fakeOrders{store: store}
+	s := start(t, "i1", store, orders)
+	eventually(t, "readiness", s.Ready)
+	eventually(t, "all layers", func() bool { return covered(s) })
+	for _, o := range orders.given() {
+		qt.Assert(t, o.Layers.Len() <= 2, qt.IsTrue, qt.Commentf("%v exceeds the memory", o))
+		qt.Assert(t, o.Fence > 0, qt.IsTrue)
+	}
+}
+
+// TestPeers guards against instances that do not hear of a change of the configuration or the list from each other, and
+// against two holders of the lease.
+func TestPeers(t *testing.T) {
+	store := filled()
+	orders := &fakeOrders{store: store}
+	first := start(t, "i1", store, orders)
+	second := start(t, "i2", store, orders, first)
+	third := start(t, "i3", store, orders, first)
+	all := []*Station{first, second, third}
+	for _, s := range all {
+		eventually(t, "all instances", func() bool { return len(s.peers.node.Members()) == 3 })
+		eventually(t, "all layers", func() bool { return covered(s) })
+	}
+	store.put("configuration", "config", "2")
+	store.put("targets", "w9", encode(target.Target{Service: "desk", State: target.Live, Address: netip.MustParseAddrPort("10.0.0.9:1")}))
+	changed := time.Now()
+	for _, s := range all {
+		eventually(t, "the new configuration", func() bool { v, _ := s.knowledge.version(); return v == 2 })
+		eventually(t, "the new target", func() bool { return has(s.knowledge, "w9") })
+	}
+	qt.Assert(t, time.Since(changed) < 2*time.Second, qt.IsTrue)
+	holders := 0
+	for _, s := range all {
+		if s.leader.holds() {
+			holders++
+		}
+	}
+	qt.Assert(t, holders, qt.Equals, 1)
+}
+
+// TestProofFromPeers guards against a stale instance that the store refuses while others can prove the configuration.
+func TestProofFromPeers(t *testing.T) {
+	store, refusing := filled(), filled()
+	orders := &fakeOrders{store: store}
+	first := start(t, "i1", store, orders)
+	second := start(t, "i2", refusing, orders, first)
+	eventually(t, "both instances", func() bool { return len(second.peers.node.Members()) == 2 && second.Ready() })
+	refusing.setDown(true)
+	store.put("configuration", "config", "2")
+	eventually(t, "the configuration of the other instance", func() bool { v, _ := second.knowledge.version(); return v == 2 })
+	time.Sleep(6 * time.Second) // Longer than a proof lasts.
+	qt.Assert(t, second.Ready(), qt.IsTrue)
+}
+
+// TestLostSwap guards against orders without the lease, or none at all, after the answer to its write was lost.
+func TestLostSwap(t *testing.T) {
+	store := filled()
+	store.loseSwap = true
+	orders := &fakeOrders{store: store}
+	s := start(t, "i1", store, orders)
+	eventually(t, "all layers", func() bool { return covered(s) })
+	qt.Assert(t, s.leader.holds(), qt.IsTrue)
+}
+
+// TestDeadTarget guards against layers that stay without a holder while the list still names a dead one.
+func TestDeadTarget(t *testing.T) {
+	store := filled()
+	orders := &fakeOrders{store: store}
+	s := start(t, "i1", store, orders)
+	eventually(t, "all layers", func() bool { return covered(s) })
+	var lost target.Target
+	for _, w := range s.knowledge.View().Targets["model"] {
+		if w.Layers == (layer.Range{First: 0, End: 2}) {
+			s.meter.Dead(w.Name, time.Now().Add(time.Minute))
+			lost = w
+		}
+	}
+	eventually(t, "another holder", func() bool {
+		for _, w := range s.knowledge.View().Targets["model"] {
+			if w.Name != lost.Name && w.Layers.First == 0 && w.Layers.Valid() && !s.meter.IsDead(w.Name, time.Now()) {
+				return true
+			}
+		}
+		return false
+	})
+}
