--- a/pkg/connection/connection_test.go
+++ b/pkg/connection/connection_test.go
@@ -147,7 +147,7 @@
 
 // TestClosedWhileIdle guards against sending a request into a connection that its target has closed.
 func TestClosedWhileIdle(t *testing.T) {
-	p := serve(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+	p := serve(t, func(_ *peer, c net.Conn, r *bufio.Reader) {
 		if _, err := http.ReadRequest(r); err == nil {
 			_, _ = io.WriteString(c, answer("1", "a"))
 		}
@@ -198,7 +198,7 @@
 // TestEarlyAnswer guards against using a connection again on which the rest of a long body is still due: a later
 // request's bytes would count as part of it.
 func TestEarlyAnswer(t *testing.T) {
-	p := serve(t, func(p *peer, c net.Conn, r *bufio.Reader) {
+	p := serve(t, func(_ *peer, c net.Conn, r *bufio.Reader) {
 		if _, err := http.ReadRequest(r); err != nil {
 			return
 		}
