--- a/pkg/station/fake_test.go
+++ b/pkg/station/fake_test.go
@@ -206,7 +206,7 @@
 func start(t *testing.T, name string, s *fakeStore, o Orders, seeds ...*Station) *Station {
 	settings := Settings{
 		Instance: name, DataCentre: "dc", Memory: 1 << 30, Grace: time.Second, ProofLife: 5 * time.Second,
-		Callers: loopback, Ready: loopback, Peers: freePort(t), Retries: Retries{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Callers: loopback, Ready: loopback, Operators: loopback, Peers: freePort(t), Retries: Retries{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
 	}
 	for _, seed := range seeds {
 		settings.Seeds = append(settings.Seeds, seed.settings.Peers)
--- a/pkg/station/settings.go
+++ b/pkg/station/settings.go
@@ -12,6 +12,7 @@
 	Callers    netip.AddrPort // Callers is where requests come in.
 	Ready      netip.AddrPort // Ready is where the load balancer asks for readiness.
 	Peers      netip.AddrPort // Peers is where other instances reach this one.
+	Operators  netip.AddrPort // Operators is where metrics and the state of the process are shown.
 	Seeds      []netip.AddrPort
 	Store      netip.AddrPort
 	Memory     int64         // Memory is the limit of the process in bytes.
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -67,16 +67,16 @@
 	leader    *leader
 	peers     *peers
 
-	callersAt, readyAt net.Listener
-	app                *kratos.App
-	listed             atomic.Bool
-	polledAt           atomic.Int64 // polledAt is when the list was last read from the store, 0 if others tell of it.
-	lostAt             atomic.Int64 // lostAt is when the store did not answer, 0 if it did.
-	stopping           atomic.Bool
-	stopAt             atomic.Int64 // stopAt is when the order to stop came, in Unix nanoseconds.
-	running            atomic.Int64 // running counts the requests in flight.
-	done               chan struct{}
-	err                error
+	callersAt, readyAt, operatorsAt net.Listener
+	app                             *kratos.App
+	listed                          atomic.Bool
+	polledAt                        atomic.Int64 // polledAt is when the list was last read from the store, 0 if others tell of it.
+	lostAt                          atomic.Int64 // lostAt is when the store did not answer, 0 if it did.
+	stopping                        atomic.Bool
+	stopAt                          atomic.Int64 // stopAt is when the order to stop came, in Unix nanoseconds.
+	running                         atomic.Int64 // running counts the requests in flight.
+	done                            chan struct{}
+	err                             error
 
 	mu   sync.Mutex
 	lost map[string]bool
@@ -136,6 +136,11 @@
 		_ = s.callersAt.Close()
 		return errListen.Wrap(err, "the address for readiness cannot be used")
 	}
+	if s.operatorsAt, err = net.Listen("tcp4", s.settings.Operators.String()); err != nil {
+		_ = s.callersAt.Close()
+		_ = s.readyAt.Close()
+		return errListen.Wrap(err, "the operators' address cannot be used")
+	}
 	return nil
 }
 
@@ -152,17 +157,20 @@
 	callers := newListener(s.callersAt)
 	callers.Handler = s.platform.Door(s.server, s.bodyLimit, s.enter)
 	ready := newListener(s.readyAt)
-	ready.Handler = s.inquiries()
+	ready.Handler = s.readiness()
+	operators := newListener(s.operatorsAt)
+	operators.Handler = s.inspection()
 	go s.followConfiguration(run)
 	go s.followTargets(run)
 	go s.leader.run(run)
 	go s.peers.run(run)
 	go s.reload(run)
 	s.app = kratos.New(
-		kratos.Name("cuminrouted"), kratos.ID(s.settings.Instance), kratos.Context(ctx), kratos.Server(callers, ready),
+		kratos.Name("cuminrouted"), kratos.ID(s.settings.Instance), kratos.Context(ctx), kratos.Server(callers, ready, operators),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT), kratos.BeforeStop(s.drain),
 	)
-	s.logger.Info().Str("Callers", s.settings.Callers.String()).Str("Ready", s.settings.Ready.String()).Msg("started")
+	s.logger.Info().Str("Callers", s.settings.Callers.String()).Str("Ready", s.settings.Ready.String()).
+		Str("Peers", s.settings.Peers.String()).Msg("started")
 	go func() {
 		defer close(s.done)
 		s.err = s.app.Run()
@@ -187,11 +195,19 @@
 	return listener.New(khttp.Listener(l), khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
 }
 
-// inquiries answers the load balancer and the operators.
-func (s *Station) inquiries() http.Handler {
+// readiness answers the load balancer.
+func (s *Station) readiness() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc(s.platform.ReadyPath, s.serveReady)
+	return mux
+}
+
+// inspection answers operators.
+func (s *Station) inspection() http.Handler {
+	mux := http.NewServeMux()
 	mux.Handle("/metrics", metricspage.New(s.registry))
+	mux.HandleFunc("/state", s.serveState)
+	mux.HandleFunc("/ready", s.serveReady)
 	return mux
 }
 
--- a/pkg/station/station_test.go
+++ b/pkg/station/station_test.go
@@ -1,8 +1,10 @@
 package station
 
 import (
+	"encoding/json"
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
 	"testing"
 	"time"
@@ -138,3 +140,20 @@
 		return false
 	})
 }
+
+// TestState guards against a dump that leaves out what decides, or shows keys.
+func TestState(t *testing.T) {
+	store := filled()
+	s := start(t, "i1", store, &fakeOrders{store: store})
+	eventually(t, "all layers", func() bool { return covered(s) })
+	response, err := http.Get("http://" + s.operatorsAt.Addr().String() + "/state")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	var state State
+	qt.Assert(t, json.NewDecoder(response.Body).Decode(&state), qt.IsNil)
+	qt.Assert(t, state.Instance, qt.Equals, "i1")
+	qt.Assert(t, state.Ready, qt.IsTrue)
+	qt.Assert(t, state.Leads, qt.IsTrue)
+	qt.Assert(t, state.Version, qt.Equals, uint64(1))
+	qt.Assert(t, state.Targets, qt.HasLen, 4)
+}
