Believe a slow instance neither about itself nor about targets

Change: a question whose time ran out is void if this process noticed that too late; a target through which streams run here is not dead because another instance says so.

--- a/pkg/exchange/fake_test.go
+++ b/pkg/exchange/fake_test.go
@@ -39,6 +39,7 @@
 type upstream struct {
 	open   func(ctx context.Context, n int, a exchange.Attempt) (*exchange.Answer, error)
 	repath func(id string, p path.Path) error
+	probe  func(ctx context.Context, t target.Target) error
 	dead   map[string]bool
 
 	mu       sync.Mutex
@@ -64,7 +65,10 @@
 	return u.repath(id, p)
 }
 
-func (u *upstream) Probe(_ context.Context, t target.Target) error {
+func (u *upstream) Probe(ctx context.Context, t target.Target) error {
+	if u.probe != nil {
+		return u.probe(ctx, t)
+	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.dead[t.Name] {
--- a/pkg/exchange/record.go
+++ b/pkg/exchange/record.go
@@ -18,7 +18,7 @@
 // counters count what became of requests.
 type counters struct {
 	served, refused, failed, broken, left metrics.Counter
-	resumed, repathed, budget             metrics.Counter
+	resumed, repathed, budget, hearsay    metrics.Counter
 	first, whole                          metrics.Timer
 }
 
@@ -31,7 +31,7 @@
 	}
 	return counters{
 		served: c("Served"), refused: c("Refused"), failed: c("Failed"), broken: c("BrokenOff"), left: c("CallersLeft"),
-		resumed: c("Resumed"), repathed: c("Repathed"), budget: c("RetriesDenied"), first: t("FirstEvent"), whole: t("WholeAnswer"),
+		resumed: c("Resumed"), repathed: c("Repathed"), budget: c("RetriesDenied"), hearsay: c("HearsayDisproved"), first: t("FirstEvent"), whole: t("WholeAnswer"),
 	}
 }
 
--- a/pkg/exchange/stream_test.go
+++ b/pkg/exchange/stream_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
+	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
 var errReset = errors.New("connection reset")
@@ -205,3 +206,52 @@
 	_, err = w.call("/book/1")
 	qt.Assert(t, err, qt.IsNil)
 }
+
+// TestHearsay guards against leaving a target that works because a slow instance says that it is dead.
+func TestHearsay(t *testing.T) {
+	w := newWorld(t)
+	w.upstream.open = func(_ context.Context, n int, a exchange.Attempt) (*exchange.Answer, error) {
+		qt.Check(t, n, qt.Equals, 1)
+		reader, writer := io.Pipe()
+		go func() {
+			for i := 1; i <= 20; i++ {
+				_, _ = io.WriteString(writer, events(i, i))
+				time.Sleep(10 * time.Millisecond)
+				if i == 10 {
+					w.server.Lost(a.Path[1].Target)
+				}
+			}
+			_ = writer.Close()
+		}()
+		return streaming(reader), nil
+	}
+	recorder, err := w.call("/plan/1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 20))
+	qt.Assert(t, w.upstream.changes, qt.HasLen, 0)
+}
+
+// TestSlowProcess guards against declaring targets dead because this process itself stood still.
+func TestSlowProcess(t *testing.T) {
+	w := newWorld(t)
+	w.upstream.probe = func(ctx context.Context, _ target.Target) error {
+		<-ctx.Done()
+		time.Sleep(100 * time.Millisecond) // The process notices the timeout late.
+		return ctx.Err()
+	}
+	w.upstream.open = func(context.Context, int, exchange.Attempt) (*exchange.Answer, error) {
+		reader, writer := io.Pipe()
+		go func() {
+			_, _ = io.WriteString(writer, events(1, 3))
+			time.Sleep(600 * time.Millisecond)
+			_, _ = io.WriteString(writer, events(4, 5))
+			_ = writer.Close()
+		}()
+		return streaming(reader), nil
+	}
+	recorder, err := w.call("/plan/1")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 5))
+	qt.Assert(t, w.upstream.sent(), qt.HasLen, 1)
+	qt.Assert(t, w.upstream.changes, qt.HasLen, 0)
+}
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -16,6 +16,8 @@
 const (
 	// probeTimeout bounds the question to a suspect. Machines accept connections within a millisecond or two.
 	probeTimeout = 40 * time.Millisecond
+	// slowFactor is how many probeTimeouts may pass, by this process's own clock, until it notices that one has.
+	slowFactor = 1.4
 	// probeTries is how often a suspect is asked that neither accepts nor refuses: this process itself may have stood
 	// still.
 	probeTries = 2
@@ -34,6 +36,8 @@
 	maxRepaths = 3
 	// vacateTime is how long streams leave a target that gives up its layers or leaves.
 	vacateTime = 10 * time.Second
+	// hearsayAge is how recent an event through a target must be to disprove what another instance says.
+	hearsayAge = 70 * time.Millisecond
 	// fullFactor makes a target that had no room a moment ago look slower.
 	fullFactor = 6
 	// lookAgainAfter is when a stream is looked into again whose targets all answer.
@@ -165,10 +169,12 @@
 func (w *watch) ask(t target.Target, p *probe) {
 	defer close(p.done)
 	for range probeTries {
-		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
-		p.err = w.server.upstream.Probe(ctx, t)
-		late := ctx.Err() != nil
-		cancel()
+		var late, slow bool
+		late, slow, p.err = w.question(t)
+		if slow {
+			// This process stands still at times: the silence says nothing of the target.
+			p.err = nil
+		}
 		if p.err == nil || !late || w.aliveSince(t.Name, p.at) {
 			break
 		}
@@ -178,6 +184,15 @@
 	}
 }
 
+// question asks a target once. Late reports that its time ran out, slow that this process noticed that too late.
+func (w *watch) question(t target.Target) (late, slow bool, err error) {
+	started := time.Now()
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	err = w.server.upstream.Probe(ctx, t)
+	return ctx.Err() != nil, time.Since(started) > time.Duration(slowFactor*float64(probeTimeout)), err
+}
+
 // aliveSince reports whether a stream through the target has had an event since then.
 func (w *watch) aliveSince(name string, since time.Time) bool {
 	w.mu.Lock()
@@ -222,8 +237,13 @@
 	}
 }
 
-// Lost takes in that another instance found a target dead.
+// Lost takes in that another instance found a target dead. It is not believed while streams through the target run here:
+// the other instance may be slow or cut off itself.
 func (s *Server) Lost(t target.Target) {
+	if s.watch.aliveSince(t.Name, time.Now().Add(-hearsayAge)) {
+		s.counters.hearsay.Inc(1)
+		return
+	}
 	s.meter.Dead(t.Name, time.Now().Add(deadFor))
 	s.watch.moveAll(t)
 }
