--- a/pkg/logqueue/queue.go
+++ b/pkg/logqueue/queue.go
@@ -12,6 +12,8 @@
 import (
 	"io"
 	"slices"
+	"sync/atomic"
+	"time"
 )
 
 // defaultLines is the number of lines that may wait.
@@ -21,6 +23,7 @@
 type Queue struct {
 	lines   chan []byte
 	dropped func(n int64)
+	waiting atomic.Int64 // waiting counts the lines that are not written yet.
 }
 
 // Option changes a queue.
@@ -47,16 +50,29 @@
 			if _, err := output.Write(line); err != nil {
 				q.dropped(1)
 			}
+			q.waiting.Add(-1)
 		}
 	}()
 	return q
 }
 
+// flushInterval is how often Flush looks at the queue.
+const flushInterval = time.Millisecond
+
+// Flush waits until all lines are written, but not longer than the limit. It is for the end of the process.
+func (q *Queue) Flush(limit time.Duration) {
+	for end := time.Now().Add(limit); q.waiting.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(flushInterval)
+	}
+}
+
 // Write queues one line.
 func (q *Queue) Write(line []byte) (int, error) {
+	q.waiting.Add(1)
 	select {
 	case q.lines <- slices.Clone(line):
 	default:
+		q.waiting.Add(-1)
 		q.dropped(1)
 	}
 	return len(line), nil
--- a/pkg/logqueue/queue_test.go
+++ b/pkg/logqueue/queue_test.go
@@ -34,9 +34,7 @@
 	}
 	qt.Assert(t, time.Since(started) < time.Second, qt.IsTrue)
 	close(output.release)
-	for output.lines.Load()+int32(dropped.Load()) < 100 {
-		qt.Assert(t, time.Since(started) < 10*time.Second, qt.IsTrue)
-		time.Sleep(time.Millisecond)
-	}
+	q.Flush(10 * time.Second)
+	qt.Assert(t, output.lines.Load()+int32(dropped.Load()), qt.Equals, int32(100))
 	qt.Assert(t, output.lines.Load() >= 4, qt.IsTrue)
 }
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -42,6 +42,10 @@
 	lastStream = 2800 * time.Millisecond
 	// killMargin is the time before the kill by which a stopping instance has ended.
 	killMargin = 600 * time.Millisecond
+	// closeTime bounds the closing of connections after that.
+	closeTime = 200 * time.Millisecond
+	// flushTime bounds the writing of the last log lines.
+	flushTime = 100 * time.Millisecond
 	// ratioShare is the part of the allowed retries for each request that is used. slackBurst and slackRate are the
 	// parts of the slack that may be used at once and over the window: together less than all of it, since requests
 	// and retries fall into windows differently.
@@ -59,6 +63,7 @@
 	logger   *log.Logger
 	registry metrics.Registry
 	output   io.Writer
+	lines    *logqueue.Queue
 
 	knowledge *knowledge
 	meter     *usage.Meter
@@ -100,7 +105,8 @@
 		o(s)
 	}
 	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
-	s.logger = newLogger(settings, s.output, s.registry)
+	s.lines = logqueue.New(s.output, logqueue.WithDropped(metrics.GetOrRegisterCounter("Log.Dropped", s.registry).Inc))
+	s.logger = newLogger(settings, s.lines)
 	s.knowledge = newKnowledge(platform, s.logger, settings.ProofLife)
 	s.budget = retry.New(retry.WithRatio(ratioShare*settings.Retries.Ratio), retry.WithRate(firstRate))
 	s.server = exchange.New(s.knowledge, platform.Upstream, s.meter, exchange.WithBudget(s.budget),
@@ -118,12 +124,10 @@
 	return s, nil
 }
 
-// newLogger returns a logger that never blocks: lines beyond the queue are dropped.
-func newLogger(s Settings, output io.Writer, registry metrics.Registry) *log.Logger {
+func newLogger(s Settings, output io.Writer) *log.Logger {
 	logger := &log.Logger{Level: log.InfoLevel, TimeField: "Time", TimeFormat: time.RFC3339Nano}
 	logger.Context = log.NewContext(nil).Str("Instance", s.Instance).Str("DataCentre", s.DataCentre).Value()
-	dropped := metrics.GetOrRegisterCounter("Log.Dropped", registry)
-	logger.Writer = &log.IOWriter{Writer: logqueue.New(output, logqueue.WithDropped(dropped.Inc))}
+	logger.Writer = &log.IOWriter{Writer: output}
 	return logger
 }
 
@@ -168,6 +172,7 @@
 	s.app = kratos.New(
 		kratos.Name("cuminrouted"), kratos.ID(s.settings.Instance), kratos.Context(ctx), kratos.Server(callers, ready, operators),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT), kratos.BeforeStop(s.drain),
+		kratos.StopTimeout(closeTime),
 	)
 	s.logger.Info().Str("Callers", s.settings.Callers.String()).Str("Ready", s.settings.Ready.String()).
 		Str("Peers", s.settings.Peers.String()).Msg("started")
@@ -176,6 +181,7 @@
 		s.err = s.app.Run()
 		cancel()
 		s.logger.Info().Err(s.err).Msg("stopped")
+		s.lines.Flush(flushTime)
 	}()
 	return nil
 }
@@ -252,6 +258,9 @@
 	for s.running.Load() > 0 && time.Now().Before(last) && ctx.Err() == nil {
 		sleep(ctx, 20*time.Millisecond)
 	}
+	if n := s.running.Load(); n > 0 {
+		s.logger.Warn().Int64("Running", n).Msg("requests cut off, the time to stop is over")
+	}
 	return nil
 }
 
