--- a/pkg/exchange/call.go
+++ b/pkg/exchange/call.go
@@ -41,6 +41,7 @@
 type Attempt struct {
 	Call      *Call
 	Workspace string
+	Rank      int // Rank orders requests at a target; 0 comes first.
 	// Path has one part without layers for a plain target.
 	Path path.Path
 	// Left is the time in which the answer is wanted.
--- a/pkg/exchange/server.go
+++ b/pkg/exchange/server.go
@@ -191,7 +191,7 @@
 
 // attempt returns an attempt on a path.
 func (r *request) attempt(p path.Path) Attempt {
-	return Attempt{Call: r.Call, Workspace: r.workspace, Path: p, Left: time.Until(r.deadline), After: r.After}
+	return Attempt{Call: r.Call, Workspace: r.workspace, Rank: r.rank, Path: p, Left: time.Until(r.deadline), After: r.After}
 }
 
 // confirmed refuses a request with a key whose configuration has become too old since it was admitted.
