Ask the store for the configuration once its readers have lost it

Change: a reader that loses the store says so at once; without a reader heard within 650 ms an instance asks the store itself; shorter waits for the list.

--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -12,7 +12,7 @@
 	configurationWait = 2500 * time.Millisecond
 	// targetsWait is the same for the list of targets. It is well below the time in which a leaving target must get no
 	// more work, so that others notice in time that a reader has lost the store.
-	targetsWait = time.Second
+	targetsWait = 800 * time.Millisecond
 	// targetsPace is the time between two answers about the targets, so that changes in quick succession are read together.
 	targetsPace = 200 * time.Millisecond
 	// proofTick is how often an instance that is no reader looks at the age of its proof. It asks readers for a newer
@@ -20,10 +20,12 @@
 	proofTick    = 400 * time.Millisecond
 	proofRefresh = 900 * time.Millisecond
 	proofOverdue = 4200 * time.Millisecond
+	// proofAlone is the age at which it asks the store while no reader is heard.
+	proofAlone = 500 * time.Millisecond
 	// toldTick is how often an instance that is no reader looks whether a reader still tells it of the targets.
 	toldTick = 300 * time.Millisecond
 	// storePatience is how long an answer of the store may take beyond the wait.
-	storePatience = 350 * time.Millisecond
+	storePatience = 300 * time.Millisecond
 	// lostLife is how long a failed question for the configuration keeps other questions back, which are looked at
 	// again each lostTick.
 	lostLife = 2 * time.Second
@@ -74,6 +76,7 @@
 		s.lostAt.Store(0)
 		if err != nil {
 			s.lostAt.Store(time.Now().UnixNano())
+			s.peers.tellAlone()
 			s.peers.ask()
 			s.peers.fetch(ctx)
 			pause.wait(ctx)
@@ -105,10 +108,13 @@
 	if version, _ := s.knowledge.version(); version == 0 || !proven || s.peers.reads() || age > proofOverdue {
 		return true
 	}
+	if age > proofAlone && !s.peers.readers(time.Now()) {
+		return true
+	}
 	select {
 	case <-s.peers.wake:
 		s.peers.fetch(ctx)
-		return s.peers.behind()
+		return s.peers.behind() || !s.peers.readers(time.Now())
 	case <-ctx.Done():
 		return false
 	case <-time.After(proofTick):
@@ -167,6 +173,7 @@
 				failing = started
 			}
 			s.polledAt.Store(0)
+			s.peers.tellAlone()
 			pause.wait(ctx)
 			continue
 		}
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -31,7 +31,7 @@
 	// maxNewsBytes bounds an entry that is told in a bulletin. Longer ones are read from the store.
 	maxNewsBytes = 450
 	// readerLife is how long an instance counts as a reader of the list after it last told of it.
-	readerLife = 750 * time.Millisecond
+	readerLife = 650 * time.Millisecond
 	// fetchTimeout bounds the reading of the configuration from another instance.
 	fetchTimeout = time.Second
 	// digestPatience is how long the list may differ from a reader's before it is read again.
@@ -229,6 +229,9 @@
 		p.mu.Unlock()
 		s.leader.observe(lease.Row{Revision: l.GetRevision(), Value: l.GetValue()})
 	}
+	if b.GetAlone() {
+		p.forgetReaders()
+	}
 	if d := b.GetDigest(); d != 0 {
 		p.compare(d, now)
 	}
@@ -268,6 +271,28 @@
 	return now.Sub(p.heard) < readerLife
 }
 
+// forgetReaders makes this instance ask the store itself until it hears of a reader again.
+func (p *peers) forgetReaders() {
+	p.mu.Lock()
+	p.heard = time.Time{}
+	p.mu.Unlock()
+	notify(p.wake)
+}
+
+// readers reports whether an instance that has the list from the store itself was heard lately.
+func (p *peers) readers(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.heard) < readerLife
+}
+
+// tellAlone tells all instances that this reader has lost the store.
+func (p *peers) tellAlone() {
+	if p.reads() {
+		p.send(addressesOf(p.others()), &instancepb.Bulletin{Alone: true})
+	}
+}
+
 // leaseHeard reports whether the holder of the lease has told of it lately.
 func (p *peers) leaseHeard(now time.Time) bool {
 	p.mu.Lock()
--- a/pkg/station/station_test.go
+++ b/pkg/station/station_test.go
@@ -157,3 +157,25 @@
 	qt.Assert(t, state.Version, qt.Equals, uint64(1))
 	qt.Assert(t, state.Targets, qt.HasLen, 4)
 }
+
+// TestReaderLost guards against instances that wait for a reader which has lost the store, while the store serves them.
+func TestReaderLost(t *testing.T) {
+	stores := []*fakeStore{filled(), filled()}
+	first := start(t, "i1", stores[0], &fakeOrders{store: stores[0]})
+	second := start(t, "i2", stores[1], &fakeOrders{store: stores[1]}, first)
+	stations := []*Station{first, second}
+	for _, s := range stations {
+		eventually(t, "both instances", func() bool { return len(s.peers.node.Members()) == 2 && s.Ready() })
+	}
+	reader := 0
+	if second.peers.reads() {
+		reader = 1
+	}
+	other := 1 - reader
+	eventually(t, "the reader's news", func() bool { return stations[other].peers.readers(time.Now()) })
+	stores[reader].setDown(true)
+	stores[other].put("configuration", "config", "2")
+	changed := time.Now()
+	eventually(t, "the new configuration", func() bool { v, _ := stations[other].knowledge.version(); return v == 2 })
+	qt.Assert(t, time.Since(changed) < 2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(changed)))
+}
