Split large files, and make connections to store and targets with one dialer

Change: files by content (move, find, relay; lease, plan, orders; hearing, proofs; view, listeners, stopping); connection.NewDialer. No behaviour changes.

--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -7,10 +7,7 @@
 	"net/netip"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 const (
@@ -19,9 +16,6 @@
 	dialTimeout = 600 * time.Millisecond
 	// silenceTimeout is how long sent bytes may go unacknowledged before a connection counts as dead.
 	silenceTimeout = 1500 * time.Millisecond
-	// probeInterval and probeCount make the kernel notice a silent peer of an idle connection.
-	probeInterval = time.Second
-	probeCount    = 2
 	// defaultIdle is how long a connection is kept for reuse if its target names no time.
 	defaultIdle = 8 * time.Second
 	// idleMargin is taken off the time that a target keeps an idle connection open, for the way there.
@@ -54,29 +48,13 @@
 // New returns a pool without connections.
 func New(options ...Option) *Pool {
 	p := &Pool{idle: make(map[netip.AddrPort][]*Conn)}
-	p.dialer = net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: probeCount},
-		Control:         limitSilence,
-	}
+	p.dialer = NewDialer(dialTimeout, silenceTimeout)
 	for _, o := range options {
 		o(p)
 	}
 	return p
 }
 
-// limitSilence sets how long the kernel waits for an acknowledgement.
-func limitSilence(_, _ string, raw syscall.RawConn) error {
-	var err error
-	control := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
-	})
-	if control != nil {
-		return control
-	}
-	return err
-}
-
 // Get returns an idle connection that was used no longer than maxAge ago, or a new one. An error means that
 // nothing was sent.
 func (p *Pool) Get(ctx context.Context, address netip.AddrPort, maxAge time.Duration) (*Conn, error) {
--- /dev/null
+++ b/pkg/exchange/find.go
@@ -0,0 +1,94 @@
+package exchange
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+)
+
+// find returns a path for the whole request that leaves out the targets that failed it. If there is none, it may pass
+// through all but the dead ones.
+func (s *session) find(q path.Request) (path.Path, error) {
+	q.Avoid = s.avoid
+	if s.exhausted() {
+		q.Start = func(name string) bool { return s.ran[name] }
+		q.Avoid = s.server.dead
+	}
+	p, err := s.server.find(s.view, s.request, q)
+	if err == nil {
+		return p, nil
+	}
+	q.Avoid = s.server.dead
+	return s.server.find(s.view, s.request, q)
+}
+
+// exhausted reports whether as many targets may have run the stream as its route allows. It may then go on only at one
+// of these. Targets that were lost do not count.
+func (s *session) exhausted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	alive := 0
+	for name := range s.ran {
+		if !s.server.dead(name) {
+			alive++
+		}
+	}
+	return alive >= s.route.MaxAttempts
+}
+
+// find returns a path among the targets of the view.
+func (s *Server) find(v *View, r *request, q path.Request) (path.Path, error) {
+	q.Prompt, q.Answer, q.DataCentre = r.Work.Prompt, r.expected(), s.dataCentre
+	finder := s.finder(v, r.service)
+	var found path.Path
+	var err error
+	s.draw(func(random *rand.Rand) { found, err = finder.Find(random, q) })
+	return found, err
+}
+
+// expected is the number of answer tokens to plan for.
+func (r *request) expected() int {
+	switch {
+	case r.Work.Hint > 0 && r.Work.Answer > 0:
+		return min(r.Work.Hint, r.Work.Answer)
+	case r.Work.Hint > 0:
+		return r.Work.Hint
+	case r.Work.Answer > 0:
+		return min(r.Work.Answer, 2*max(r.service.Engine.UsualAnswer, 1))
+	default:
+		return r.service.Engine.UsualAnswer
+	}
+}
+
+// noteRun notes that a target may have run the stream.
+func (s *session) noteRun(name string, err error) {
+	var f *Failure
+	if errors.As(err, &f) && f.NotRun {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ran == nil {
+		s.ran = make(map[string]bool)
+	}
+	s.ran[name] = true
+}
+
+// finder returns the finder of a service's targets as they are loaded now.
+func (s *Server) finder(v *View, service *catalogue.Service) *path.Finder {
+	targets := v.Targets[service.Name]
+	holders := make([]path.Holder, 0, len(targets))
+	now := time.Now()
+	for _, t := range targets {
+		load := s.meter.Load(t.Name)
+		h := path.Holder{Target: t, Cells: load.Cells, Streams: load.Streams}
+		if s.meter.Full(t.Name, now) {
+			h.Slow = fullFactor
+		}
+		holders = append(holders, h)
+	}
+	return path.New(service.Engine, holders)
+}
--- /dev/null
+++ b/pkg/exchange/relay.go
@@ -0,0 +1,72 @@
+package exchange
+
+import (
+	"bytes"
+	"time"
+)
+
+// relay passes events on until the stream ends. Only whole events are passed on.
+func (s *session) relay(a *Answer) error {
+	buffer := make([]byte, 0, eventBuffer)
+	for {
+		if len(buffer) == cap(buffer) {
+			if len(buffer) > maxEvent {
+				return errIncomplete
+			}
+			grown := make([]byte, len(buffer), 2*cap(buffer))
+			copy(grown, buffer)
+			buffer = grown
+		}
+		n, err := a.Body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if whole := wholeEvents(buffer); whole > 0 {
+			if err := s.forward(a, buffer[:whole]); err != nil {
+				return err
+			}
+			buffer = buffer[:copy(buffer, buffer[whole:])]
+		}
+		switch {
+		case err == nil:
+		case isEnd(err) && len(buffer) == 0:
+			return s.complete(a)
+		case isEnd(err):
+			return errIncomplete
+		default:
+			return err
+		}
+	}
+}
+
+// complete begins the answer of a stream without events.
+func (s *session) complete(a *Answer) error {
+	s.begin(a)
+	return nil
+}
+
+// begin writes the head of the answer: the first target's, also if others go on.
+func (s *session) begin(a *Answer) {
+	if s.begun {
+		return
+	}
+	s.begun = true
+	copyHeader(s.writer.Header(), a.Header)
+	s.writer.WriteHeader(a.Status)
+}
+
+// forward writes whole events to the caller.
+func (s *session) forward(a *Answer, events []byte) error {
+	s.begin(a)
+	now := time.Now()
+	if s.events == 0 {
+		s.first = now.Sub(s.Arrived)
+	}
+	s.events += bytes.Count(events, eventEnd)
+	if id, ok := lastEventID(events); ok {
+		s.After = id
+	}
+	s.progress(now)
+	if _, err := s.writer.Write(events); err != nil {
+		return err
+	}
+	return s.control.Flush()
+}
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -1,10 +1,8 @@
 package exchange
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -146,60 +144,6 @@
 	}
 }
 
-// find returns a path for the whole request that leaves out the targets that failed it. If there is none, it may pass
-// through all but the dead ones.
-func (s *session) find(q path.Request) (path.Path, error) {
-	q.Avoid = s.avoid
-	if s.exhausted() {
-		q.Start = func(name string) bool { return s.ran[name] }
-		q.Avoid = s.server.dead
-	}
-	p, err := s.server.find(s.view, s.request, q)
-	if err == nil {
-		return p, nil
-	}
-	q.Avoid = s.server.dead
-	return s.server.find(s.view, s.request, q)
-}
-
-// exhausted reports whether as many targets may have run the stream as its route allows. It may then go on only at one
-// of these. Targets that were lost do not count.
-func (s *session) exhausted() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	alive := 0
-	for name := range s.ran {
-		if !s.server.dead(name) {
-			alive++
-		}
-	}
-	return alive >= s.route.MaxAttempts
-}
-
-// find returns a path among the targets of the view.
-func (s *Server) find(v *View, r *request, q path.Request) (path.Path, error) {
-	q.Prompt, q.Answer, q.DataCentre = r.Work.Prompt, r.expected(), s.dataCentre
-	finder := s.finder(v, r.service)
-	var found path.Path
-	var err error
-	s.draw(func(random *rand.Rand) { found, err = finder.Find(random, q) })
-	return found, err
-}
-
-// expected is the number of answer tokens to plan for.
-func (r *request) expected() int {
-	switch {
-	case r.Work.Hint > 0 && r.Work.Answer > 0:
-		return min(r.Work.Hint, r.Work.Answer)
-	case r.Work.Hint > 0:
-		return r.Work.Hint
-	case r.Work.Answer > 0:
-		return min(r.Work.Answer, 2*max(r.service.Engine.UsualAnswer, 1))
-	default:
-		return r.service.Engine.UsualAnswer
-	}
-}
-
 // send opens the request on a path and reserves its memory there.
 func (s *session) send(ctx context.Context, p path.Path) (*Answer, error) {
 	s.take(p)
@@ -221,20 +165,6 @@
 	return answer, nil
 }
 
-// noteRun notes that a target may have run the stream.
-func (s *session) noteRun(name string, err error) {
-	var f *Failure
-	if errors.As(err, &f) && f.NotRun {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ran == nil {
-		s.ran = make(map[string]bool)
-	}
-	s.ran[name] = true
-}
-
 // interrupted decides whether a stream goes on after its target was lost.
 func (s *session) interrupted(ctx context.Context, cause error) error {
 	p := s.currentPath()
@@ -250,69 +180,3 @@
 	s.refresh()
 	return nil
 }
-
-// relay passes events on until the stream ends. Only whole events are passed on.
-func (s *session) relay(a *Answer) error {
-	buffer := make([]byte, 0, eventBuffer)
-	for {
-		if len(buffer) == cap(buffer) {
-			if len(buffer) > maxEvent {
-				return errIncomplete
-			}
-			grown := make([]byte, len(buffer), 2*cap(buffer))
-			copy(grown, buffer)
-			buffer = grown
-		}
-		n, err := a.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if whole := wholeEvents(buffer); whole > 0 {
-			if err := s.forward(a, buffer[:whole]); err != nil {
-				return err
-			}
-			buffer = buffer[:copy(buffer, buffer[whole:])]
-		}
-		switch {
-		case err == nil:
-		case isEnd(err) && len(buffer) == 0:
-			return s.complete(a)
-		case isEnd(err):
-			return errIncomplete
-		default:
-			return err
-		}
-	}
-}
-
-// complete begins the answer of a stream without events.
-func (s *session) complete(a *Answer) error {
-	s.begin(a)
-	return nil
-}
-
-// begin writes the head of the answer: the first target's, also if others go on.
-func (s *session) begin(a *Answer) {
-	if s.begun {
-		return
-	}
-	s.begun = true
-	copyHeader(s.writer.Header(), a.Header)
-	s.writer.WriteHeader(a.Status)
-}
-
-// forward writes whole events to the caller.
-func (s *session) forward(a *Answer, events []byte) error {
-	s.begin(a)
-	now := time.Now()
-	if s.events == 0 {
-		s.first = now.Sub(s.Arrived)
-	}
-	s.events += bytes.Count(events, eventEnd)
-	if id, ok := lastEventID(events); ok {
-		s.After = id
-	}
-	s.progress(now)
-	if _, err := s.writer.Write(events); err != nil {
-		return err
-	}
-	return s.control.Flush()
-}
--- a/pkg/station/knowledge.go
+++ b/pkg/station/knowledge.go
@@ -6,13 +6,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
-	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
-	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -44,34 +41,9 @@
 	news      func(rows []Row)    // news takes the entries that changed something.
 }
 
-// heard is what a target reported.
-type heard struct {
-	layers layer.Range
-	until  time.Time
-}
-
 // heardLife is how long a report goes before the target's entry.
 const heardLife = 8 * time.Second
 
-// hear takes in that a target reported its layers.
-func (k *knowledge) hear(name string, layers layer.Range, now time.Time) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	l := k.targets[name]
-	if l == nil || l.refused {
-		return
-	}
-	k.heard[name] = heard{layers: layers, until: now.Add(heardLife)}
-	k.logger.Info().Str("Target", name).Str("Layers", layers.String()).Msg("target reported its layers")
-	k.publish()
-}
-
-// target returns what is known of a target.
-func (k *knowledge) target(name string) (target.Target, bool) {
-	t, ok := k.byKey()[usage.Key(name)]
-	return t, ok
-}
-
 // listed is an entry of the list.
 type listed struct {
 	target   target.Target
@@ -256,70 +228,3 @@
 		k.news(news)
 	}
 }
-
-// publish replaces the view. The lock must be held.
-func (k *knowledge) publish() {
-	if k.catalogue == nil {
-		return
-	}
-	v := &exchange.View{Catalogue: k.catalogue, Targets: make(map[string][]target.Target)}
-	digest := uint64(0)
-	for _, l := range k.targets {
-		if l.refused {
-			continue
-		}
-		t := l.target
-		digest ^= digestOf(t)
-		if h, ok := k.heard[t.Name]; ok {
-			if t.Layers == h.layers || time.Now().After(h.until) {
-				delete(k.heard, t.Name)
-			} else {
-				t.Layers = h.layers
-			}
-		}
-		v.Targets[t.Service] = append(v.Targets[t.Service], t)
-	}
-	k.digest.Store(digest)
-	k.vacate(k.view.Swap(v), v)
-}
-
-// vacate tells of targets that gave up layers or are leaving.
-func (k *knowledge) vacate(old, now *exchange.View) {
-	if old == nil {
-		return
-	}
-	present := make(map[string]target.Target)
-	for _, list := range now.Targets {
-		for _, t := range list {
-			present[t.Name] = t
-		}
-	}
-	for _, list := range old.Targets {
-		for _, before := range list {
-			after, ok := present[before.Name]
-			if before.Layers.Valid() && before.Accepting() && (!ok || !after.Accepting() || !after.Layers.Contains(before.Layers)) {
-				k.vacated(before)
-			}
-		}
-	}
-}
-
-// digestOf is a hash of what other instances must know of a target.
-func digestOf(t target.Target) uint64 {
-	return xxhash.Sum64String(t.Name + " " + t.Address.String() + " " + string(t.State) + " " + t.Layers.String() + " " + t.Service)
-}
-
-// byKey returns the targets of all services by their keys.
-func (k *knowledge) byKey() map[uint64]target.Target {
-	view := k.View()
-	if view == nil {
-		return nil
-	}
-	all := make(map[uint64]target.Target)
-	for _, list := range view.Targets {
-		for _, t := range list {
-			all[usage.Key(t.Name)] = t
-		}
-	}
-	return all
-}
--- /dev/null
+++ b/pkg/station/listeners.go
@@ -0,0 +1,69 @@
+package station
+
+import (
+	"net"
+	"net/http"
+	"net/url"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+
+	"github.com/cuminroute/cuminroute/pkg/listener"
+	"github.com/cuminroute/cuminroute/pkg/metricspage"
+)
+
+func (s *Station) listen() error {
+	var err error
+	if s.callersAt, err = net.Listen("tcp4", s.settings.Callers.String()); err != nil {
+		return errListen.Wrap(err, "the callers' address cannot be used")
+	}
+	if s.readyAt, err = net.Listen("tcp4", s.settings.Ready.String()); err != nil {
+		_ = s.callersAt.Close()
+		return errListen.Wrap(err, "the address for readiness cannot be used")
+	}
+	if s.operatorsAt, err = net.Listen("tcp4", s.settings.Operators.String()); err != nil {
+		_ = s.callersAt.Close()
+		_ = s.readyAt.Close()
+		return errListen.Wrap(err, "the operators' address cannot be used")
+	}
+	return nil
+}
+
+// newListener returns a server whose endpoint is given: finding one would list the machine's network interfaces.
+func newListener(l net.Listener) *khttp.Server {
+	return listener.New(khttp.Listener(l), khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
+}
+
+// readiness answers the load balancer.
+func (s *Station) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(s.platform.ReadyPath, s.serveReady)
+	return mux
+}
+
+// inspection answers operators.
+func (s *Station) inspection() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", metricspage.New(s.registry))
+	mux.HandleFunc("/state", s.serveState)
+	mux.HandleFunc("/ready", s.serveReady)
+	return mux
+}
+
+// Ready reports whether callers may be sent here.
+func (s *Station) Ready() bool {
+	return !s.stopping.Load() && s.knowledge.View() != nil && s.listed.Load() && s.knowledge.Fresh()
+}
+
+func (s *Station) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !s.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// bodyLimit is the largest body of a request in bytes.
+func (s *Station) bodyLimit() int64 {
+	if v := s.knowledge.View(); v != nil {
+		return v.Catalogue.Limits.BodyBytes
+	}
+	return 0
+}
--- /dev/null
+++ b/pkg/station/orders.go
@@ -0,0 +1,85 @@
+package station
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/layout"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+)
+
+// order gives one order and notes that it is under way.
+func (l *leader) order(ctx context.Context, e *catalogue.Engine, o layout.Order, fence uint64) {
+	share := float64(o.Layers.Len()) / float64(e.Layers)
+	load := time.Duration(float64(e.LoadTime) * share)
+	bounded, cancel := context.WithTimeout(ctx, orderLimit)
+	defer cancel()
+	err := l.station.platform.Orders.Place(bounded, Order{Target: o.Target, Layers: o.Layers, Fence: fence})
+	l.station.logger.Info().Str("Target", o.Target.Name).Str("Layers", o.Layers.String()).Uint64("Fence", fence).
+		Uint64("Orders", o.Target.Orders).Err(err).Msg("layers ordered")
+	if err != nil {
+		l.doubt(o, err)
+		return
+	}
+	if o.Target.Layers.Valid() && !o.Layers.Contains(o.Target.Layers) {
+		l.station.knowledge.hear(o.Target.Name, layer.Range{}, time.Now())
+		l.station.peers.tellPlaced(o.Target.Name, layer.Range{})
+	}
+	go l.confirm(ctx, o, load)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counts[o.Target.Name] = count{started: o.Target.Started, orders: o.Target.Orders + 1}
+	l.pending[o.Target.Name] = pending{layers: o.Layers, started: o.Target.Started, until: time.Now().Add(2*load + pendingMargin)}
+}
+
+// confirm asks a target whether it has loaded its layers, and tells all instances: its entry says so only with its next
+// heartbeat.
+func (l *leader) confirm(ctx context.Context, o layout.Order, load time.Duration) {
+	sleep(ctx, load)
+	for range confirmTries {
+		sleep(ctx, confirmInterval)
+		if ctx.Err() != nil {
+			return
+		}
+		listed, ok := l.station.knowledge.target(o.Target.Name)
+		if !ok || !listed.Accepting() || listed.Layers == o.Layers {
+			return
+		}
+		report, err := l.station.platform.Orders.Report(ctx, o.Target)
+		if err != nil {
+			continue // The target may be lost; its entry will tell.
+		}
+		if report.Layers == o.Layers {
+			l.station.knowledge.hear(o.Target.Name, o.Layers, time.Now())
+			l.station.peers.tellPlaced(o.Target.Name, o.Layers)
+			return
+		}
+	}
+}
+
+// doubt asks a target what became of an order that it did not confirm.
+func (l *leader) doubt(o layout.Order, err error) {
+	if errors.Is(err, ErrFenced) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
+	defer cancel()
+	report, err := l.station.platform.Orders.Report(ctx, o.Target)
+	p := pending{layers: o.Target.Layers, started: o.Target.Started, until: time.Now().Add(doubtLife)}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case err != nil:
+		l.station.logger.Info().Str("Target", o.Target.Name).Err(err).Msg("no report after an order without an answer")
+	case report.Busy:
+		p.layers = o.Layers
+	case report.Layers.Valid():
+		p.layers = report.Layers
+	}
+	if err == nil {
+		l.counts[o.Target.Name] = count{started: o.Target.Started, orders: report.Orders}
+	}
+	l.pending[o.Target.Name] = p
+}
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/cuminroute/cuminroute/pkg/decision/lease"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/layer"
@@ -199,93 +198,6 @@
 	return lowest, found
 }
 
-// receive takes in a bulletin.
-func (p *peers) receive(from netip.AddrPort, b *instancepb.Bulletin) {
-	s := p.station
-	now := time.Now()
-	if b.GetHasLoads() {
-		loads := make(map[uint64]usage.Load, len(b.GetLoads()))
-		for _, l := range b.GetLoads() {
-			loads[l.GetTarget()] = usage.Load{Cells: l.GetCells(), Streams: int(l.GetStreams())}
-		}
-		s.meter.Told(from.String(), loads, now)
-	}
-	for _, name := range b.GetLost() {
-		p.receiveLost(name)
-	}
-	if rows := b.GetTargets(); len(rows) > 0 && s.listed.Load() {
-		var c Change
-		for _, r := range rows {
-			c.Rows = append(c.Rows, Row{Name: r.GetName(), Value: r.GetValue(), Revision: r.GetRevision(), Removed: r.GetRemoved()})
-		}
-		s.knowledge.list(c, 0, now)
-	}
-	for _, placed := range b.GetPlaced() {
-		s.knowledge.hear(placed.GetTarget(), layer.Range{First: int(placed.GetFirst()), End: int(placed.GetEnd())}, now)
-	}
-	if l := b.GetLease(); l != nil {
-		p.mu.Lock()
-		p.lease = now
-		p.mu.Unlock()
-		s.leader.observe(lease.Row{Revision: l.GetRevision(), Value: l.GetValue()})
-	}
-	if b.GetAlone() {
-		p.forgetReaders()
-	}
-	if d := b.GetDigest(); d != 0 {
-		p.compare(d, now)
-	}
-	p.receiveProof(from, b)
-}
-
-func (p *peers) receiveLost(name string) {
-	if t, ok := p.station.knowledge.byKey()[usage.Key(name)]; ok {
-		p.station.server.Lost(t)
-	}
-}
-
-// compare notes whether the list is the same as that of an instance that reads it from the store.
-func (p *peers) compare(digest uint64, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.heard = now
-	switch {
-	case digest == p.station.knowledge.digest.Load():
-		p.differs = time.Time{}
-	case p.differs.IsZero():
-		p.differs = now
-	}
-}
-
-// told reports whether a reader keeps the list up to date here.
-func (p *peers) told(now time.Time) bool {
-	if p.reads() {
-		return false
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.differs.IsZero() && now.Sub(p.differs) > digestPatience {
-		p.differs = time.Time{}
-		return false
-	}
-	return now.Sub(p.heard) < readerLife
-}
-
-// forgetReaders makes this instance ask the store itself until it hears of a reader again.
-func (p *peers) forgetReaders() {
-	p.mu.Lock()
-	p.heard = time.Time{}
-	p.mu.Unlock()
-	notify(p.wake)
-}
-
-// readers reports whether an instance that has the list from the store itself was heard lately.
-func (p *peers) readers(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return now.Sub(p.heard) < readerLife
-}
-
 // tellAlone tells all instances that this reader has lost the store.
 func (p *peers) tellAlone() {
 	if p.reads() {
@@ -293,84 +205,6 @@
 	}
 }
 
-// leaseHeard reports whether the holder of the lease has told of it lately.
-func (p *peers) leaseHeard(now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return now.Sub(p.lease) < 2*bulletinInterval
-}
-
-// receiveProof answers a question for the proof of the configuration, and takes in an answer.
-func (p *peers) receiveProof(from netip.AddrPort, b *instancepb.Bulletin) {
-	k := p.station.knowledge
-	_, revision := k.version()
-	if b.GetQuestion() != 0 {
-		if age, ok := k.age(); ok {
-			p.send([]netip.AddrPort{from}, &instancepb.Bulletin{Answer: b.GetQuestion(), AgeNs: int64(age), Revision: revision})
-		}
-	}
-	if b.GetAnswer() != 0 && b.GetRevision() == revision && b.GetAgeNs() >= 0 {
-		// The proof was the age old after the question was sent.
-		k.prove(time.Duration(b.GetAnswer()) - time.Duration(b.GetAgeNs()))
-	}
-	if b.GetRevision() > revision {
-		p.mu.Lock()
-		if b.GetRevision() >= p.newest {
-			p.newest, p.holder = b.GetRevision(), from
-		}
-		p.mu.Unlock()
-		notify(p.wake)
-	}
-}
-
-// fetch reads a newer configuration from the instance that told of it.
-func (p *peers) fetch(ctx context.Context) {
-	p.mu.Lock()
-	newest, holder := p.newest, p.holder
-	p.mu.Unlock()
-	if _, revision := p.station.knowledge.version(); newest <= revision {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
-	defer cancel()
-	s, err := p.node.FetchSnapshot(ctx, holder)
-	if err != nil {
-		p.station.logger.Warn().Str("Peer", holder.String()).Err(err).Msg("configuration not fetched")
-		return
-	}
-	p.station.knowledge.configure(Row{Name: p.station.platform.ConfigurationName, Value: s.Content, Revision: s.Version})
-}
-
-// behind reports whether a newer configuration is known of than the one in force.
-func (p *peers) behind() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	_, revision := p.station.knowledge.version()
-	return p.newest > revision
-}
-
-// snapshot gives the configuration in force to other instances.
-func (p *peers) snapshot(context.Context) (instance.Snapshot, error) {
-	content, revision := p.station.knowledge.document()
-	if revision == 0 {
-		return instance.Snapshot{}, instance.Unavailable.New("no configuration is in force here")
-	}
-	return instance.Snapshot{Version: revision, Content: content}, nil
-}
-
-// ask asks the reader of this data centre and one other instance for the age of their proof.
-func (p *peers) ask() {
-	others := p.others()
-	if len(others) == 0 {
-		return
-	}
-	asked := []netip.AddrPort{others[rand.IntN(len(others))].Address}
-	if reader, ok := p.reader(p.station.settings.DataCentre); ok && reader != p.node.Address() && reader != asked[0] {
-		asked = append(asked, reader)
-	}
-	p.send(asked, &instancepb.Bulletin{Question: int64(bootTime())})
-}
-
 // notify wakes the reader of a channel, if it is not awake already.
 func notify(c chan struct{}) {
 	select {
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -6,10 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
-	"net/http"
-	"net/url"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -18,16 +15,13 @@
 
 	"github.com/go-kratos/kratos/v2"
 	klog "github.com/go-kratos/kratos/v2/log"
-	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
-	"github.com/cuminroute/cuminroute/pkg/listener"
 	"github.com/cuminroute/cuminroute/pkg/logqueue"
-	"github.com/cuminroute/cuminroute/pkg/metricspage"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -131,23 +125,6 @@
 	return logger
 }
 
-func (s *Station) listen() error {
-	var err error
-	if s.callersAt, err = net.Listen("tcp4", s.settings.Callers.String()); err != nil {
-		return errListen.Wrap(err, "the callers' address cannot be used")
-	}
-	if s.readyAt, err = net.Listen("tcp4", s.settings.Ready.String()); err != nil {
-		_ = s.callersAt.Close()
-		return errListen.Wrap(err, "the address for readiness cannot be used")
-	}
-	if s.operatorsAt, err = net.Listen("tcp4", s.settings.Operators.String()); err != nil {
-		_ = s.callersAt.Close()
-		_ = s.readyAt.Close()
-		return errListen.Wrap(err, "the operators' address cannot be used")
-	}
-	return nil
-}
-
 // frameworkLogger sets the framework's logger once: it is global.
 var frameworkLogger sync.Once
 
@@ -196,90 +173,6 @@
 	s.budget.SetRate(slackRate*part/r.Window.Seconds(), slackBurst*part)
 }
 
-// newListener returns a server whose endpoint is given: finding one would list the machine's network interfaces.
-func newListener(l net.Listener) *khttp.Server {
-	return listener.New(khttp.Listener(l), khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
-}
-
-// readiness answers the load balancer.
-func (s *Station) readiness() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc(s.platform.ReadyPath, s.serveReady)
-	return mux
-}
-
-// inspection answers operators.
-func (s *Station) inspection() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/metrics", metricspage.New(s.registry))
-	mux.HandleFunc("/state", s.serveState)
-	mux.HandleFunc("/ready", s.serveReady)
-	return mux
-}
-
-// Ready reports whether callers may be sent here.
-func (s *Station) Ready() bool {
-	return !s.stopping.Load() && s.knowledge.View() != nil && s.listed.Load() && s.knowledge.Fresh()
-}
-
-func (s *Station) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !s.Ready() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
-// bodyLimit is the largest body of a request in bytes.
-func (s *Station) bodyLimit() int64 {
-	if v := s.knowledge.View(); v != nil {
-		return v.Catalogue.Limits.BodyBytes
-	}
-	return 0
-}
-
-// enter counts a request in and reports whether its connection is to be closed after the answer.
-func (s *Station) enter() (end func(), closing bool) {
-	s.running.Add(1)
-	return func() { s.running.Add(-1) }, s.stopping.Load()
-}
-
-// stopsSoon reports whether a long request that comes now might not end before the kill.
-func (s *Station) stopsSoon() bool {
-	return s.stopping.Load() && time.Since(time.Unix(0, s.stopAt.Load())) > lastStream
-}
-
-// drain is a planned stop: not ready, then no new connections, then the end of the running requests.
-func (s *Station) drain(ctx context.Context) error {
-	started := time.Now()
-	s.stopAt.Store(started.UnixNano())
-	s.stopping.Store(true)
-	s.logger.Info().Int64("Running", s.running.Load()).Msg("stopping")
-	last := started.Add(s.settings.Grace - killMargin)
-	sleep(ctx, noticeTime)
-	for s.running.Load() > 0 && time.Now().Before(last) && ctx.Err() == nil {
-		sleep(ctx, 20*time.Millisecond)
-	}
-	if n := s.running.Load(); n > 0 {
-		s.logger.Warn().Int64("Running", n).Msg("requests cut off, the time to stop is over")
-	}
-	return nil
-}
-
-// reload takes in changed settings. The addresses of a running process stay as they are.
-func (s *Station) reload(ctx context.Context) {
-	changed := make(chan os.Signal, 1)
-	signal.Notify(changed, syscall.SIGHUP)
-	defer signal.Stop(changed)
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-changed:
-		}
-		_, err := s.platform.Reload()
-		s.logger.Info().Err(err).Msg("settings read again")
-	}
-}
-
 // Wait returns when the instance has ended.
 func (s *Station) Wait() error {
 	<-s.done
