--- a/pkg/exchange/call.go
+++ b/pkg/exchange/call.go
@@ -107,4 +107,6 @@
 	View() *View
 	// Fresh reports whether the configuration is known to be recent enough for requests with a key.
 	Fresh() bool
+	// ProofAge is how long ago the configuration was known to be the newest.
+	ProofAge() time.Duration
 }
--- a/pkg/exchange/fake_test.go
+++ b/pkg/exchange/fake_test.go
@@ -35,6 +35,8 @@
 func (v *views) View() *exchange.View { return v.view }
 func (v *views) Fresh() bool          { return !v.stale }
 
+func (v *views) ProofAge() time.Duration { return time.Second }
+
 // upstream answers attempts by a function and records them.
 type upstream struct {
 	open   func(ctx context.Context, n int, a exchange.Attempt) (*exchange.Answer, error)
--- a/pkg/exchange/record.go
+++ b/pkg/exchange/record.go
@@ -41,7 +41,7 @@
 	took := time.Since(r.Arrived)
 	entry := s.logger.Info().Str("Request", r.ID).Dur("Took", took)
 	if r.view != nil {
-		entry = entry.Uint64("Version", r.view.Catalogue.Version)
+		entry = entry.Uint64("Version", r.view.Catalogue.Version).Dur("ProofAge", s.views.ProofAge())
 	}
 	if r.route != nil {
 		entry = entry.Str("Route", r.route.Name).Str("Workspace", r.workspace).Int("Attempts", r.attempts).Int("Refusals", r.refusals)
--- a/pkg/station/knowledge.go
+++ b/pkg/station/knowledge.go
@@ -30,6 +30,7 @@
 	proven    atomic.Int64 // proven is the boot time at which the configuration in force was the newest.
 
 	mu        sync.Mutex
+	listed    bool // listed means that the list was read at least once.
 	catalogue *catalogue.Catalogue
 	revision  uint64 // revision is the store's, of the configuration in force.
 	content   []byte
@@ -72,6 +73,12 @@
 	return proven > 0 && bootTime()-time.Duration(proven) < k.proofLife
 }
 
+// ProofAge implements exchange.Views.
+func (k *knowledge) ProofAge() time.Duration {
+	age, _ := k.age()
+	return age
+}
+
 // prove notes that the configuration in force was the newest at a boot time.
 func (k *knowledge) prove(at time.Duration) {
 	for {
@@ -146,8 +153,12 @@
 			}
 		}
 	}
-	if len(news) > 0 {
+	first := !k.listed
+	k.listed = true
+	if len(news) > 0 || first {
 		k.publish()
+	}
+	if len(news) > 0 {
 		k.news(news)
 	}
 }
--- a/pkg/station/knowledge_test.go
+++ b/pkg/station/knowledge_test.go
@@ -127,3 +127,11 @@
 	w, _ = k.target("w")
 	qt.Assert(t, w.Layers, qt.Equals, layer.Range{First: 2, End: 4})
 }
+
+// TestViewNeedsList guards against refusing requests for want of targets before the list was read.
+func TestViewNeedsList(t *testing.T) {
+	k := newTestKnowledge()
+	qt.Assert(t, k.View(), qt.IsNil)
+	k.list(Change{Whole: true}, 0, epoch)
+	qt.Assert(t, k.View(), qt.IsNotNil)
+}
--- a/pkg/station/view.go
+++ b/pkg/station/view.go
@@ -38,8 +38,8 @@
 
 // publish replaces the view. The lock must be held.
 func (k *knowledge) publish() {
-	if k.catalogue == nil {
-		return
+	if k.catalogue == nil || !k.listed {
+		return // Without a list, requests would be refused for want of targets that are there.
 	}
 	v := &exchange.View{Catalogue: k.catalogue, Targets: make(map[string][]target.Target)}
 	digest := uint64(0)
