--- a/pkg/station/fake_test.go
+++ b/pkg/station/fake_test.go
@@ -193,7 +193,7 @@
 func fakePlatform(s *fakeStore, o Orders) Platform {
 	return Platform{
 		Store: s, Orders: o, ConfigurationName: "config", DecodeConfiguration: decodeCatalogue, DecodeTarget: decodeTarget,
-		Door: func(*exchange.Server, func() int64, func() (func(), bool)) http.Handler {
+		Door: func(*exchange.Server, func() catalogue.Limits, func() (func(), bool)) http.Handler {
 			return http.NotFoundHandler()
 		},
 		ReadyPath: "/ready", Reload: func() (Settings, error) { return Settings{}, nil },
--- a/pkg/station/listeners.go
+++ b/pkg/station/listeners.go
@@ -7,6 +7,7 @@
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/listener"
 	"github.com/cuminroute/cuminroute/pkg/metricspage"
 )
@@ -33,6 +34,12 @@
 	return listener.New(khttp.Listener(l), khttp.Endpoint(&url.URL{Scheme: "http", Host: l.Addr().String()}))
 }
 
+// timeouts are those of the configuration in force.
+func (s *Station) timeouts() listener.Timeouts {
+	limits := s.limits()
+	return listener.Timeouts{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
+}
+
 // readiness answers the load balancer.
 func (s *Station) readiness() http.Handler {
 	mux := http.NewServeMux()
@@ -60,10 +67,10 @@
 	}
 }
 
-// bodyLimit is the largest body of a request in bytes.
-func (s *Station) bodyLimit() int64 {
+// limits are those of the configuration in force on what callers send.
+func (s *Station) limits() catalogue.Limits {
 	if v := s.knowledge.View(); v != nil {
-		return v.Catalogue.Limits.BodyBytes
+		return v.Catalogue.Limits
 	}
-	return 0
+	return catalogue.Limits{}
 }
--- a/pkg/station/platform.go
+++ b/pkg/station/platform.go
@@ -85,9 +85,9 @@
 	ConfigurationName   string
 	DecodeConfiguration func(content []byte) (*catalogue.Catalogue, error)
 	DecodeTarget        func(name string, content []byte) (target.Target, error)
-	// Door returns the handler of the callers' address. Limit is the largest body in bytes; enter counts a request
-	// in and reports whether its connection must be closed after the answer.
-	Door func(server *exchange.Server, limit func() int64, enter func() (end func(), closing bool)) http.Handler
+	// Door returns the handler of the callers' address. Limits are those in force; enter counts a request in and
+	// reports whether its connection must be closed after the answer.
+	Door func(server *exchange.Server, limits func() catalogue.Limits, enter func() (end func(), closing bool)) http.Handler
 	// ReadyPath is the path of the question for readiness.
 	ReadyPath string
 	// Reload reads the settings again.
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -21,6 +21,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
+	"github.com/cuminroute/cuminroute/pkg/listener"
 	"github.com/cuminroute/cuminroute/pkg/logqueue"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -136,7 +137,8 @@
 		return err
 	}
 	callers := newListener(s.callersAt)
-	callers.Handler = s.platform.Door(s.server, s.bodyLimit, s.enter)
+	callers.Handler = s.platform.Door(s.server, s.limits, s.enter)
+	listener.NewGuard(run, callers.Server, s.timeouts)
 	ready := newListener(s.readyAt)
 	ready.Handler = s.readiness()
 	operators := newListener(s.operatorsAt)
