Keep a reader's own proof young

Cause: a reader waited 2.5 s for a change of the configuration; its proof counts from the start of the call but only once it has ended, and was up to 5.0 s old, as old as a proof may be. The others asked the store beside it. Change: it waits 1.4 s; a test bounds the age by 0.7 of the proof's life.

--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -7,9 +7,9 @@
 )
 
 const (
-	// configurationWait is how long a call waits for a change of the configuration. Its start proves what is in
-	// force, so that the proof is never much older.
-	configurationWait = 2500 * time.Millisecond
+	// configurationWait is how long a call waits for a change of the configuration. Its start proves what is in force,
+	// but only once it has ended, so that a proof is up to twice as old.
+	configurationWait = 1400 * time.Millisecond
 	// targetsWait is the same for the list of targets. It is well below the time in which a leaving target must get no
 	// more work, so that others notice in time that a reader has lost the store.
 	targetsWait = 800 * time.Millisecond
--- a/pkg/station/station_test.go
+++ b/pkg/station/station_test.go
@@ -179,3 +179,14 @@
 	eventually(t, "the new configuration", func() bool { v, _ := stations[other].knowledge.version(); return v == 2 })
 	qt.Assert(t, time.Since(changed) < 2*time.Second, qt.IsTrue, qt.Commentf("%s", time.Since(changed)))
 }
+
+// TestReaderProof guards against a reader whose own proof grows too old while it waits for a change.
+func TestReaderProof(t *testing.T) {
+	store := filled()
+	s := start(t, "i1", store, &fakeOrders{store: store})
+	eventually(t, "readiness", s.Ready)
+	for end := time.Now().Add(2*configurationWait + time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		age, _ := s.knowledge.age()
+		qt.Assert(t, age < s.settings.ProofLife*7/10, qt.IsTrue, qt.Commentf("the proof is %s old", age))
+	}
+}
