Quarantine requests that crash targets behind the platform's door too

Cause: the product's own door kept crashing requests from running again and again; the platform's did not. Change: pkg/verdict holds what both doors share (the ledger and the news to other instances); exchange notes starts, progress and crashes, keeps suspects apart, and refuses quarantined (502) and held (503) content. Result: TestCrashingRequest fails without the ledger (8 crashes) and passes with it (3 at most).

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -87,7 +87,7 @@
 			c.pollReports(ctx)
 		case now := <-tick.C:
 			c.d.gate.admission.Tick(now)
-			c.d.ledger.announce(now)
+			c.d.ledger.Announce(now)
 		}
 	}
 }
@@ -198,7 +198,7 @@
 	case membership.Drain:
 		c.post(ctx, func(now time.Time) { c.observeDrain(i, now) })
 	case membership.Quarantine:
-		c.d.ledger.add(i, time.Now())
+		c.d.ledger.Add(i, time.Now())
 	}
 }
 
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -47,6 +47,7 @@
 	"github.com/cuminroute/cuminroute/pkg/settings"
 	"github.com/cuminroute/cuminroute/pkg/stream"
 	"github.com/cuminroute/cuminroute/pkg/target"
+	"github.com/cuminroute/cuminroute/pkg/verdict"
 )
 
 // Daemon is one running entry instance.
@@ -67,7 +68,7 @@
 	log       *acceptedLog
 	clerk     *claim.Clerk
 	picker    *route.Picker
-	ledger    *ledger
+	ledger    ledger
 	gate      *gate
 	running   *drain.Counter
 	runner    *stream.Runner
@@ -181,7 +182,7 @@
 func (d *Daemon) assemble(ctx context.Context) error {
 	d.assemblePlatform()
 	d.picker = route.NewPicker(route.WithPolicy(policyOf(d.settings.Routing)))
-	d.ledger = newLedger(func(items []membership.Item) { d.tell(items) })
+	d.ledger = ledger{verdict.New(func(items []membership.Item) { d.tell(items) })}
 	d.gate = &gate{admission: admission.NewGate(admission.New(), time.Now)}
 	d.running = &drain.Counter{}
 	d.control = newControl(d)
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -36,7 +36,7 @@
 		Streams: d.running.Running(), Queued: d.gate.admission.Queued(), Targets: *d.control.targets.Load(),
 		Details: map[string]any{"Membership": d.node.View(), "DataCentre": d.settings.DataCentre, "Stopping": d.running.Draining()},
 	}
-	for _, e := range d.ledger.entries(time.Now()) {
+	for _, e := range d.ledger.Entries(time.Now()) {
 		state.Quarantine = append(state.Quarantine, api.Quarantined{Fingerprint: fmt.Sprintf("%016x", e.Fingerprint), Until: e.Until})
 	}
 	return state, nil
--- a/pkg/daemon/router.go
+++ b/pkg/daemon/router.go
@@ -14,13 +14,13 @@
 // takes one and traffic goroutines must not share it.
 type router struct {
 	picker  *route.Picker
-	ledger  *ledger
+	ledger  ledger
 	leaving func(name string)
 	targets func() []target.Target
 	sources sync.Pool
 }
 
-func newRouter(picker *route.Picker, l *ledger, targets func() []target.Target, leaving func(name string)) *router {
+func newRouter(picker *route.Picker, l ledger, targets func() []target.Target, leaving func(name string)) *router {
 	return &router{
 		picker: picker, ledger: l, leaving: leaving, targets: targets,
 		sources: sync.Pool{New: func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }},
@@ -34,7 +34,7 @@
 	defer r.sources.Put(source)
 	avoid := p.Avoid
 	if p.Apart {
-		avoid = append(r.ledger.forbidden(p.Request, p.Fingerprint, r.targets(), p.Now), avoid...)
+		avoid = append(r.ledger.Forbidden(p.Request, p.Fingerprint, r.targets(), p.Now), avoid...)
 	}
 	chosen, err := r.picker.Pick(source, route.Request{
 		Model: p.Model, Layers: p.Layers, PrefixHash: p.PrefixHash, PromptBytes: p.PromptBytes,
--- a/pkg/exchange/call.go
+++ b/pkg/exchange/call.go
@@ -9,6 +9,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -95,6 +96,21 @@
 	Probe(ctx context.Context, t target.Target) error
 }
 
+// Ledger keeps what is known of requests that crash targets.
+type Ledger interface {
+	// Start notes that a request is sent to a target, Progress that it came through, Finish that it ended there.
+	Start(request string, fingerprint uint64, target string)
+	Progress(request string)
+	Finish(request, target string)
+	// Crash notes that a target crashed, before the requests there are finished.
+	Crash(target string, now time.Time)
+	// Completed notes that a request with the content was answered in full.
+	Completed(fingerprint uint64)
+	// Check returns what is known of a content, MayRun whether it may be started on a target.
+	Check(fingerprint uint64, now time.Time) quarantine.Verdict
+	MayRun(request string, fingerprint uint64, target string, now time.Time) bool
+}
+
 // View is what an instance knows of the configuration and the targets.
 type View struct {
 	Catalogue *catalogue.Catalogue
--- a/pkg/exchange/move.go
+++ b/pkg/exchange/move.go
@@ -17,7 +17,9 @@
 		s.counters.hearsay.Inc(1)
 		return
 	}
-	s.meter.Dead(t.Name, time.Now().Add(deadFor))
+	now := time.Now()
+	s.meter.Dead(t.Name, now.Add(deadFor))
+	s.ledger.Crash(t.Name, now)
 	s.watch.moveAll(t)
 }
 
--- a/pkg/exchange/plain.go
+++ b/pkg/exchange/plain.go
@@ -85,6 +85,8 @@
 	p := path.Path{{Target: t}}
 	release := s.meter.Reserve(p, 1)
 	defer release()
+	s.ledger.Start(r.ID, r.print, t.Name)
+	defer s.ledger.Finish(r.ID, t.Name)
 	r.targets = append(r.targets, t.Name)
 	a := r.attempt(p)
 	a.Reuse = onceReuse
@@ -94,8 +96,10 @@
 	sent := time.Now()
 	answer, err := s.upstream.Open(ctx, a)
 	if err != nil {
+		s.watch.suspect(t, err)
 		return false, r.failed(err, p)
 	}
+	s.ledger.Progress(r.ID)
 	body, whole, err := readAnswer(answer)
 	if err != nil {
 		answer.Abort()
@@ -111,6 +115,7 @@
 		}
 	} else {
 		s.meter.Answered(t.Name, time.Since(sent), time.Now())
+		s.ledger.Completed(r.print)
 	}
 	return true, writeAnswer(w, answer, body, whole)
 }
--- a/pkg/exchange/plain_test.go
+++ b/pkg/exchange/plain_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -166,3 +167,33 @@
 	qt.Assert(t, recorder.Header().Get("X-Seal"), qt.Equals, "s")
 	qt.Assert(t, recorder.Body.String(), qt.Equals, "done")
 }
+
+// TestCrashingRequest guards against a request that crashes one target after the other as its caller sends it again, and
+// against refusing others with it.
+func TestCrashingRequest(t *testing.T) {
+	w := newWorld(t)
+	w.views.view.Targets["desk"] = nil
+	for _, name := range []string{"d1", "d2", "d3", "d4", "d5", "d6"} {
+		w.views.view.Targets["desk"] = append(w.views.view.Targets["desk"], plainTarget(name))
+	}
+	crashes := 0
+	w.upstream.open = func(_ context.Context, _ int, a exchange.Attempt) (*exchange.Answer, error) {
+		if string(a.Call.Body) == "poison" {
+			crashes++
+			w.upstream.kill(a.Path[0].Target.Name)
+			return nil, errLost
+		}
+		return answer(http.StatusOK, "done"), nil
+	}
+	var last error
+	for i := range 8 {
+		_, last = w.call("/book/1", func(c *exchange.Call) { c.ID, c.Body = fmt.Sprint("poison-", i), []byte("poison") })
+		for j := range 12 {
+			_, err := w.call("/book/1", func(c *exchange.Call) { c.ID, c.Body = fmt.Sprint("good-", i, j), []byte(fmt.Sprint("good-", j)) })
+			qt.Assert(t, err, qt.IsNil)
+		}
+	}
+	qt.Assert(t, crashes <= 3, qt.IsTrue, qt.Commentf("%d targets crashed", crashes))
+	// Crashes within a moment of each other may have another cause, so that the request is held rather than judged.
+	qt.Assert(t, status(last) == http.StatusBadGateway || status(last) == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%v", last))
+}
--- a/pkg/exchange/relay.go
+++ b/pkg/exchange/relay.go
@@ -59,6 +59,7 @@
 	now := time.Now()
 	if s.events == 0 {
 		s.first = now.Sub(s.Arrived)
+		s.server.ledger.Progress(s.ID)
 	}
 	s.events += bytes.Count(events, eventEnd)
 	if id, ok := lastEventID(events); ok {
--- a/pkg/exchange/server.go
+++ b/pkg/exchange/server.go
@@ -14,12 +14,15 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
 	"github.com/cuminroute/cuminroute/pkg/target"
+	"github.com/cuminroute/cuminroute/pkg/verdict"
 )
 
 const (
@@ -29,6 +32,8 @@
 	unfresh = 200 * time.Millisecond
 	// stoppingAfter is when a caller comes back that a stopping instance refuses: another instance takes it at once.
 	stoppingAfter = 50 * time.Millisecond
+	// heldAfter is when a caller comes back whose request is suspected; a verdict usually takes a second.
+	heldAfter = time.Second
 	// maxRefusals bounds the targets asked for one request that refuse without running it.
 	maxRefusals = 4
 )
@@ -39,6 +44,7 @@
 	upstream   Upstream
 	meter      *usage.Meter
 	budget     *retry.Budget
+	ledger     Ledger
 	dataCentre string
 	logger     *log.Logger
 	counters   counters
@@ -57,6 +63,11 @@
 	return func(s *Server) { s.budget = b }
 }
 
+// WithLedger sets the ledger of crashes.
+func WithLedger(l Ledger) Option {
+	return func(s *Server) { s.ledger = l }
+}
+
 // WithDataCentre sets where the instance stands.
 func WithDataCentre(name string) Option {
 	return func(s *Server) { s.dataCentre = name }
@@ -85,7 +96,7 @@
 // New returns a server.
 func New(views Views, upstream Upstream, meter *usage.Meter, options ...Option) *Server {
 	s := &Server{
-		views: views, upstream: upstream, meter: meter, budget: retry.New(), logger: &log.DefaultLogger,
+		views: views, upstream: upstream, meter: meter, budget: retry.New(), ledger: verdict.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
 		stopsSoon: func() bool { return false },
 		counters:  newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
@@ -105,6 +116,7 @@
 	service   *catalogue.Service
 	workspace string
 	rank      int
+	print     uint64    // print is the fingerprint of what the caller sent.
 	deadline  time.Time // deadline is when the final answer is due.
 	avoided   map[string]bool
 	refusals  int             // refusals counts the attempts that provably did not run.
@@ -165,6 +177,9 @@
 			r.rank = workspace.Priority
 		}
 	}
+	if err := r.judge(); err != nil {
+		return err
+	}
 	r.service = view.Catalogue.Service(route.Service(xxhash.Sum64String(r.ID)))
 	if r.service.Engine != nil && r.server.stopsSoon() {
 		return refusal.New(http.StatusServiceUnavailable, "stopping", outcome.NotRun, "this instance stops soon").After(stoppingAfter)
@@ -176,6 +191,20 @@
 	return nil
 }
 
+// judge refuses a request that is known to crash the targets that run it, or may be.
+func (r *request) judge() error {
+	r.print = quarantine.Fingerprint(r.workspace, append([]byte(r.Method+" "+r.Host+r.URI+"\n"), r.Body...))
+	switch r.server.ledger.Check(r.print, time.Now()) {
+	case quarantine.Quarantined:
+		return refusal.New(http.StatusBadGateway, "crashes_targets", outcome.Failed, "this request crashes the targets that run it")
+	case quarantine.Held:
+		return refusal.New(http.StatusServiceUnavailable, "crash_suspected", outcome.NotRun, "this request may have crashed a target").
+			After(heldAfter)
+	default:
+		return nil
+	}
+}
+
 // unlessStale returns the refusal, or one that promises nothing if a newer configuration may say otherwise.
 func (r *request) unlessStale(fresh bool, e *refusal.Error) error {
 	if fresh {
@@ -271,7 +300,8 @@
 // avoid reports whether the request had better not use a target.
 func (r *request) avoid(name string) bool {
 	now := time.Now()
-	return r.avoided[name] || r.server.meter.Avoided(name, now) || r.server.meter.IsDead(name, now)
+	return r.avoided[name] || r.server.meter.Avoided(name, now) || r.server.meter.IsDead(name, now) ||
+		!r.server.ledger.MayRun(r.ID, r.print, name, now)
 }
 
 // dead reports whether a target is known not to answer.
--- a/pkg/exchange/session.go
+++ b/pkg/exchange/session.go
@@ -62,6 +62,9 @@
 	if s.release != nil {
 		s.release()
 		s.release = nil
+		for _, part := range s.path {
+			s.server.ledger.Finish(s.ID, part.Target.Name)
+		}
 	}
 }
 
@@ -72,6 +75,9 @@
 	defer s.mu.Unlock()
 	s.drop()
 	s.path, s.release = p, release
+	for _, part := range p {
+		s.server.ledger.Start(s.ID, s.print, part.Target.Name)
+	}
 }
 
 // opened notes a new attempt.
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -47,6 +47,7 @@
 		err = s.relay(answer)
 		if err == nil {
 			answer.Finish()
+			s.server.ledger.Completed(s.print)
 			return nil
 		}
 		answer.Abort()
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -102,6 +102,14 @@
 	}
 }
 
+// suspect asks a target whose connection broke in the middle of an exchange whether it has crashed.
+func (w *watch) suspect(t target.Target, err error) {
+	var f *Failure
+	if errors.As(err, &f) && f.Sent && !f.Refused && w.dead(t) {
+		w.lost(t, "Broken")
+	}
+}
+
 // suspects are the targets of the stream's path that no other stream shows alive since its last event. Those that
 // other silent streams have in common come alone, with shared set.
 func (w *watch) suspects(s *session) (suspects []target.Target, shared bool) {
@@ -207,6 +215,7 @@
 	now := time.Now()
 	known := w.server.meter.IsDead(t.Name, now)
 	w.server.meter.Dead(t.Name, now.Add(deadFor))
+	w.server.ledger.Crash(t.Name, now)
 	if known {
 		w.moveAll(t)
 		return
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -66,6 +66,11 @@
 		return errListen.Wrap(err, "the address for other instances cannot be used")
 	}
 	p.node = node
+	node.OnItem(func(i membership.Item) {
+		if q, ok := i.(membership.Quarantine); ok {
+			p.station.ledger.Add(q, time.Now())
+		}
+	})
 	p.station.knowledge.news = p.tellNews
 	return nil
 }
@@ -147,6 +152,13 @@
 	}
 }
 
+// tellItems tells all instances of suspects and verdicts.
+func (p *peers) tellItems(items []membership.Item) {
+	if err := p.node.Broadcast(items); err != nil {
+		p.station.logger.Warn().Err(err).Msg("verdict could not be told")
+	}
+}
+
 // tellLost tells all instances that a target is dead.
 func (p *peers) tellLost(t target.Target) {
 	p.send(addressesOf(p.others()), &instancepb.Bulletin{Lost: []string{t.Name}})
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -18,12 +18,14 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
 	"github.com/cuminroute/cuminroute/pkg/listener"
 	"github.com/cuminroute/cuminroute/pkg/logqueue"
 	"github.com/cuminroute/cuminroute/pkg/target"
+	"github.com/cuminroute/cuminroute/pkg/verdict"
 )
 
 const (
@@ -63,6 +65,7 @@
 	knowledge *knowledge
 	meter     *usage.Meter
 	budget    *retry.Budget
+	ledger    *verdict.Ledger
 	server    *exchange.Server
 	leader    *leader
 	peers     *peers
@@ -103,10 +106,11 @@
 	s.lines = logqueue.New(s.output, logqueue.WithDropped(metrics.GetOrRegisterCounter("Log.Dropped", s.registry).Inc))
 	s.logger = newLogger(settings, s.lines)
 	s.knowledge = newKnowledge(platform, s.logger, settings.ProofLife)
+	s.ledger = verdict.New(func(items []membership.Item) { s.peers.tellItems(items) })
 	s.budget = retry.New(retry.WithRatio(ratioShare*settings.Retries.Ratio), retry.WithRate(firstRate))
 	s.server = exchange.New(s.knowledge, platform.Upstream, s.meter, exchange.WithBudget(s.budget),
 		exchange.WithDataCentre(settings.DataCentre), exchange.WithLogger(s.logger), exchange.WithRegistry(s.registry),
-		exchange.WithStop(s.stopsSoon), exchange.WithRumours(func(t target.Target) { s.peers.tellLost(t) }))
+		exchange.WithStop(s.stopsSoon), exchange.WithLedger(s.ledger), exchange.WithRumours(func(t target.Target) { s.peers.tellLost(t) }))
 	s.peers = newPeers(s)
 	s.knowledge.vacated = func(t target.Target) { go s.server.Vacate(t) }
 	s.leader = newLeader(s, fmt.Sprintf("%s/%08x", settings.Instance, rand.Uint32()))
