Use the usual terms, and take no older answer for a proof

Cause: names such as give, take, judge and rumours need explaining; an answer of the store older than the configuration in force would have counted as its proof. Change: fail, reserve, checkCrashes, WithLossReport, retryAfter, staleAfter; a proof needs a revision as new as the one in force.

--- a/pkg/exchange/move.go
+++ b/pkg/exchange/move.go
@@ -107,7 +107,7 @@
 		cancel()
 		if err == nil {
 			s.repaths.Add(1)
-			s.take(changed)
+			s.reserve(changed)
 			return nil
 		}
 		var f *Failure
--- a/pkg/exchange/plain.go
+++ b/pkg/exchange/plain.go
@@ -85,7 +85,7 @@
 	p := path.Path{{Target: t}}
 	release := s.meter.Reserve(p, 1)
 	defer release()
-	s.ledger.Start(r.ID, r.print, t.Name)
+	s.ledger.Start(r.ID, r.fingerprint, t.Name)
 	defer s.ledger.Finish(r.ID, t.Name)
 	r.targets = append(r.targets, t.Name)
 	a := r.attempt(p)
@@ -110,18 +110,18 @@
 		r.attempts++
 		if whole && r.mayRepeat() {
 			answer.Finish()
-			r.avoid1(t.Name)
+			r.exclude(t.Name)
 			return false, nil
 		}
 	} else {
 		s.meter.Answered(t.Name, time.Since(sent), time.Now())
-		s.ledger.Completed(r.print)
+		s.ledger.Completed(r.fingerprint)
 	}
 	return true, writeAnswer(w, answer, body, whole)
 }
 
-// avoid1 keeps the request from the target.
-func (r *request) avoid1(name string) {
+// exclude keeps the request from the target.
+func (r *request) exclude(name string) {
 	if r.avoided == nil {
 		r.avoided = make(map[string]bool)
 	}
@@ -181,7 +181,7 @@
 func (r *request) timedOut(cause error) error {
 	if r.attempts == 0 && r.events == 0 && cause == nil {
 		return refusal.New(http.StatusServiceUnavailable, "timeout", outcome.NotRun, "no target had room in time").
-			After(r.server.comeBack(r.service))
+			After(r.server.retryAfter(r.service))
 	}
 	return refusal.New(http.StatusGatewayTimeout, "timeout", outcome.Unknown, "no answer within the time").Because(cause)
 }
--- a/pkg/exchange/server.go
+++ b/pkg/exchange/server.go
@@ -26,10 +26,10 @@
 )
 
 const (
-	// unknownYet is when a caller comes back to an instance that knows no configuration yet.
-	unknownYet = 100 * time.Millisecond
-	// unfresh is when a caller comes back if the configuration may be out of date. Another instance may serve it.
-	unfresh = 200 * time.Millisecond
+	// unconfiguredAfter is when a caller comes back to an instance that knows no configuration yet.
+	unconfiguredAfter = 100 * time.Millisecond
+	// staleAfter is when a caller comes back if the configuration may be out of date. Another instance may serve it.
+	staleAfter = 200 * time.Millisecond
 	// stoppingAfter is when a caller comes back that a stopping instance refuses: another instance takes it at once.
 	stoppingAfter = 50 * time.Millisecond
 	// heldAfter is when a caller comes back whose request is suspected; a verdict usually takes a second.
@@ -88,8 +88,8 @@
 	return func(s *Server) { s.stopsSoon = soon }
 }
 
-// WithRumours sets who is told of targets that this instance finds dead.
-func WithRumours(tell func(t target.Target)) Option {
+// WithLossReport sets who is told of targets that this instance finds dead.
+func WithLossReport(tell func(t target.Target)) Option {
 	return func(s *Server) { s.watch.tell = tell }
 }
 
@@ -110,25 +110,25 @@
 // request is a call on its way through the server.
 type request struct {
 	*Call
-	server    *Server
-	view      *View
-	route     *catalogue.Route
-	service   *catalogue.Service
-	workspace string
-	rank      int
-	print     uint64    // print is the fingerprint of what the caller sent.
-	deadline  time.Time // deadline is when the final answer is due.
-	avoided   map[string]bool
-	refusals  int             // refusals counts the attempts that provably did not run.
-	attempts  int             // attempts counts those that may have run.
-	ran       map[string]bool // ran names the targets that may have run the request, as the first of a path.
-	targets   []string        // targets lists the target of each attempt, or its path.
-	crossings int             // crossings counts the changes of data centre on the last path.
-	first     time.Duration   // first is the time to the first event.
-	events    int
-	longest   time.Duration // longest is the longest pause between events.
-	resumes   int
-	repaths   atomic.Int32
+	server      *Server
+	view        *View
+	route       *catalogue.Route
+	service     *catalogue.Service
+	workspace   string
+	rank        int
+	fingerprint uint64    // fingerprint is the fingerprint of what the caller sent.
+	deadline    time.Time // deadline is when the final answer is due.
+	avoided     map[string]bool
+	refusals    int             // refusals counts the attempts that provably did not run.
+	attempts    int             // attempts counts those that may have run.
+	ran         map[string]bool // ran names the targets that may have run the request, as the first of a path.
+	targets     []string        // targets lists the target of each attempt, or its path.
+	crossings   int             // crossings counts the changes of data centre on the last path.
+	first       time.Duration   // first is the time to the first event.
+	events      int
+	longest     time.Duration // longest is the longest pause between events.
+	resumes     int
+	repaths     atomic.Int32
 }
 
 // Serve answers a call. An error is a *refusal.Error and means that nothing was written; http.ErrAbortHandler means
@@ -155,7 +155,7 @@
 	view := r.server.views.View()
 	if view == nil {
 		return refusal.New(http.StatusServiceUnavailable, "no_configuration", outcome.NotRun,
-			"this instance has no configuration yet").After(unknownYet)
+			"this instance has no configuration yet").After(unconfiguredAfter)
 	}
 	r.view = view
 	fresh := r.server.views.Fresh()
@@ -177,7 +177,7 @@
 			r.rank = workspace.Priority
 		}
 	}
-	if err := r.judge(); err != nil {
+	if err := r.checkCrashes(); err != nil {
 		return err
 	}
 	r.service = view.Catalogue.Service(route.Service(xxhash.Sum64String(r.ID)))
@@ -191,10 +191,10 @@
 	return nil
 }
 
-// judge refuses a request that is known to crash the targets that run it, or may be.
-func (r *request) judge() error {
-	r.print = quarantine.Fingerprint(r.workspace, append([]byte(r.Method+" "+r.Host+r.URI+"\n"), r.Body...))
-	switch r.server.ledger.Check(r.print, time.Now()) {
+// checkCrashes refuses a request that is known to crash the targets that run it, or may be.
+func (r *request) checkCrashes() error {
+	r.fingerprint = quarantine.Fingerprint(r.workspace, append([]byte(r.Method+" "+r.Host+r.URI+"\n"), r.Body...))
+	switch r.server.ledger.Check(r.fingerprint, time.Now()) {
 	case quarantine.Quarantined:
 		return refusal.New(http.StatusBadGateway, "crashes_targets", outcome.Failed, "this request crashes the targets that run it")
 	case quarantine.Held:
@@ -215,7 +215,7 @@
 
 func (r *request) stale() error {
 	return refusal.New(http.StatusServiceUnavailable, "stale_configuration", outcome.NotRun,
-		"this instance cannot confirm its configuration").After(unfresh)
+		"this instance cannot confirm its configuration").After(staleAfter)
 }
 
 // attempt returns an attempt on a path.
@@ -275,7 +275,7 @@
 	if r.attempts > 0 && !r.route.Repeatable() {
 		return refusal.New(http.StatusBadGateway, code, outcome.Unknown, "%s", message).Because(cause)
 	}
-	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, "%s", message).Because(cause).After(r.server.comeBack(r.service))
+	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, "%s", message).Because(cause).After(r.server.retryAfter(r.service))
 }
 
 // blame notes which target failed.
@@ -301,7 +301,7 @@
 func (r *request) avoid(name string) bool {
 	now := time.Now()
 	return r.avoided[name] || r.server.meter.Avoided(name, now) || r.server.meter.IsDead(name, now) ||
-		!r.server.ledger.MayRun(r.ID, r.print, name, now)
+		!r.server.ledger.MayRun(r.ID, r.fingerprint, name, now)
 }
 
 // dead reports whether a target is known not to answer.
@@ -309,9 +309,9 @@
 	return s.meter.IsDead(name, time.Now())
 }
 
-// comeBack is when a refused caller should return: early where a moment's load is at fault, spread so that callers do
+// retryAfter is when a refused caller should return: early where a moment's load is at fault, spread so that callers do
 // not return together.
-func (s *Server) comeBack(service *catalogue.Service) time.Duration {
+func (s *Server) retryAfter(service *catalogue.Service) time.Duration {
 	base := 400 * time.Millisecond
 	if service.Engine != nil {
 		base = 800 * time.Millisecond
--- a/pkg/exchange/session.go
+++ b/pkg/exchange/session.go
@@ -68,15 +68,15 @@
 	}
 }
 
-// take reserves memory on a path, in place of the one before.
-func (s *session) take(p path.Path) {
+// reserve reserves memory on a path, in place of the one before.
+func (s *session) reserve(p path.Path) {
 	release := s.server.meter.Reserve(p, s.Work.Prompt+s.expected())
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.drop()
 	s.path, s.release = p, release
 	for _, part := range p {
-		s.server.ledger.Start(s.ID, s.print, part.Target.Name)
+		s.server.ledger.Start(s.ID, s.fingerprint, part.Target.Name)
 	}
 }
 
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -39,7 +39,7 @@
 	for {
 		answer, err := s.open(ctx)
 		if err != nil {
-			return s.give(err)
+			return s.fail(err)
 		}
 		if answer.Status != http.StatusOK {
 			return s.passOn(answer)
@@ -47,18 +47,18 @@
 		err = s.relay(answer)
 		if err == nil {
 			answer.Finish()
-			s.server.ledger.Completed(s.print)
+			s.server.ledger.Completed(s.fingerprint)
 			return nil
 		}
 		answer.Abort()
 		if err := s.interrupted(ctx, err); err != nil {
-			return s.give(err)
+			return s.fail(err)
 		}
 	}
 }
 
-// give ends the request with an error; one whose answer has begun is broken off.
-func (s *session) give(err error) error {
+// fail ends the request with an error; one whose answer has begun is broken off.
+func (s *session) fail(err error) error {
 	if !s.begun {
 		return err
 	}
@@ -70,7 +70,7 @@
 func (s *session) passOn(answer *Answer) error {
 	if s.begun {
 		answer.Abort()
-		return s.give(errors.New("the target refused to go on"))
+		return s.fail(errors.New("the target refused to go on"))
 	}
 	body, whole, err := readAnswer(answer)
 	if err != nil {
@@ -147,7 +147,7 @@
 
 // send opens the request on a path and reserves its memory there.
 func (s *session) send(ctx context.Context, p path.Path) (*Answer, error) {
-	s.take(p)
+	s.reserve(p)
 	s.targets = append(s.targets, p.String())
 	s.crossings = p.Crossings()
 	a := s.attempt(p)
--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -90,12 +90,14 @@
 			}
 		}
 		revision = change.Revision
-		version, _ := s.knowledge.version()
+		version, inForce := s.knowledge.version()
 		if version == 0 {
 			pause.wait(ctx) // No configuration has been written yet.
 			continue
 		}
-		s.knowledge.prove(started)
+		if change.Revision >= inForce { // An older answer proves nothing.
+			s.knowledge.prove(started)
+		}
 		if version != before {
 			s.peers.tellRevision()
 		}
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -110,7 +110,7 @@
 	s.budget = retry.New(retry.WithRatio(ratioShare*settings.Retries.Ratio), retry.WithRate(firstRate))
 	s.server = exchange.New(s.knowledge, platform.Upstream, s.meter, exchange.WithBudget(s.budget),
 		exchange.WithDataCentre(settings.DataCentre), exchange.WithLogger(s.logger), exchange.WithRegistry(s.registry),
-		exchange.WithStop(s.stopsSoon), exchange.WithLedger(s.ledger), exchange.WithRumours(func(t target.Target) { s.peers.tellLost(t) }))
+		exchange.WithStop(s.stopsSoon), exchange.WithLedger(s.ledger), exchange.WithLossReport(func(t target.Target) { s.peers.tellLost(t) }))
 	s.peers = newPeers(s)
 	s.knowledge.vacated = func(t target.Target) { go s.server.Vacate(t) }
 	s.leader = newLeader(s, fmt.Sprintf("%s/%08x", settings.Instance, rand.Uint32()))
