Let all of a large fleet hear its reader and the lease

Cause: among more than 24 others each bulletin goes to a random 24, so that at 137 instances one hears its reader each 1.7 s, takes it for lost after 0.65 s and asks the store itself. Change: a reader's bulletin goes to all of its data centre, with the row of the lease, which its holder sends to the readers. A test stops a station with its real listener under a running request.

--- a/pkg/station/hearing.go
+++ b/pkg/station/hearing.go
@@ -36,7 +36,7 @@
 	}
 	if l := b.GetLease(); l != nil {
 		p.mu.Lock()
-		p.lease = now
+		p.lease, p.leaseRow = now, l
 		p.mu.Unlock()
 		s.leader.observe(lease.Row{Revision: l.GetRevision(), Value: l.GetValue()})
 	}
@@ -104,6 +104,13 @@
 	return now.Sub(p.lease) < 2*bulletinInterval
 }
 
+// passOnLease returns the row of the lease as its holder told it.
+func (p *peers) passOnLease() *instancepb.Row {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaseRow
+}
+
 // receiveProof answers a question for the proof of the configuration, and takes in an answer.
 func (p *peers) receiveProof(from netip.AddrPort, b *instancepb.Bulletin) {
 	k := p.station.knowledge
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -42,13 +42,14 @@
 	station *Station
 	node    *instance.Node
 
-	mu      sync.Mutex
-	heard   time.Time      // heard is when a reader last told of the list.
-	differs time.Time      // differs is since when the list differs from the reader's; zero if it does not.
-	newest  uint64         // newest is the highest revision of the configuration heard of.
-	lease   time.Time      // lease is when the holder of the lease last told of it.
-	holder  netip.AddrPort // holder told of it.
-	wake    chan struct{}
+	mu       sync.Mutex
+	heard    time.Time       // heard is when a reader last told of the list.
+	differs  time.Time       // differs is since when the list differs from the reader's; zero if it does not.
+	newest   uint64          // newest is the highest revision of the configuration heard of.
+	lease    time.Time       // lease is when the holder of the lease last told of it.
+	leaseRow *instancepb.Row // leaseRow is what it told.
+	holder   netip.AddrPort  // holder told of it.
+	wake     chan struct{}
 }
 
 func newPeers(s *Station) *peers {
@@ -112,14 +113,16 @@
 
 // tellLoad tells others of the load of this instance's requests, and of what it knows.
 func (p *peers) tellLoad() {
-	others := addressesOf(p.others())
+	members := p.others()
+	others := addressesOf(members)
 	p.station.meter.SetMembers(len(others) + 1)
 	p.station.shareBudget(len(others) + 1)
+	b := p.bulletin()
 	if len(others) > bulletinReach {
+		p.tellDependants(members)
 		rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 		others = others[:bulletinReach]
 	}
-	b := p.bulletin()
 	b.HasLoads = true
 	for name, load := range p.station.meter.Own() {
 		if len(b.GetLoads()) == maxLoads {
@@ -130,6 +133,41 @@
 	p.send(others, b)
 }
 
+// tellDependants tells those that wait for news of this instance, in a large fleet in which each hears only some of the
+// others. A reader passes the row of the lease on to its data centre only, so that readers do not echo it.
+func (p *peers) tellDependants(members []membership.Member) {
+	b := p.bulletin()
+	if b.GetLease() == nil && p.leaseHeard(time.Now()) {
+		b.Lease = p.passOnLease()
+	}
+	p.send(p.dependants(members), b)
+}
+
+// dependants returns the instances that wait for news of this one: those of its data centre for a reader's, and the
+// readers for the row of the lease, which they pass on.
+func (p *peers) dependants(members []membership.Member) []netip.AddrPort {
+	var to []netip.AddrPort
+	if p.station.polled(time.Now()) && p.reads() {
+		for _, m := range members {
+			if m.DataCentre == p.station.settings.DataCentre {
+				to = append(to, m.Address)
+			}
+		}
+	}
+	if _, holds := p.station.leader.row(); holds {
+		lowest := make(map[string]netip.AddrPort)
+		for _, m := range members {
+			if l, ok := lowest[m.DataCentre]; !ok || m.Address.Compare(l) < 0 {
+				lowest[m.DataCentre] = m.Address
+			}
+		}
+		for _, reader := range lowest {
+			to = append(to, reader)
+		}
+	}
+	return to
+}
+
 // bulletin returns what every bulletin says.
 func (p *peers) bulletin() *instancepb.Bulletin {
 	_, revision := p.station.knowledge.version()
--- a/pkg/station/station_test.go
+++ b/pkg/station/station_test.go
@@ -1,6 +1,7 @@
 package station
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -11,6 +12,8 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/exchange"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -190,3 +193,51 @@
 		qt.Assert(t, age < s.settings.ProofLife*7/10, qt.IsTrue, qt.Commentf("the proof is %s old", age))
 	}
 }
+
+// TestStop guards against a planned stop that cuts off a request, refuses a connection before the load balancer has
+// noticed, keeps connections open, or takes longer than the time to stop.
+func TestStop(t *testing.T) {
+	store := filled()
+	p := fakePlatform(store, &fakeOrders{store: store})
+	p.Door = func(_ *exchange.Server, _ func() catalogue.Limits, enter func() (func(), bool)) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			end, closing := enter()
+			defer end()
+			if closing {
+				w.Header().Set("Connection", "close")
+			}
+			if r.URL.Path == "/slow" {
+				time.Sleep(4 * time.Second)
+			}
+		})
+	}
+	settings := Settings{
+		Instance: "i1", DataCentre: "dc", Memory: 1 << 30, Grace: 8 * time.Second, ProofLife: 5 * time.Second,
+		Callers: loopback, Ready: loopback, Operators: loopback, Peers: freePort(t),
+	}
+	s, err := New(context.Background(), settings, p, WithLogOutput(discard{}))
+	qt.Assert(t, err, qt.IsNil)
+	eventually(t, "readiness", s.Ready)
+	url := "http://" + s.callersAt.Addr().String()
+	slow := make(chan error, 1)
+	go func() {
+		response, err := http.Get(url + "/slow")
+		if err == nil {
+			_ = response.Body.Close()
+		}
+		slow <- err
+	}()
+	eventually(t, "the slow request", func() bool { return s.running.Load() == 1 })
+	stopped := time.Now()
+	go func() { _ = s.app.Stop() }()
+	eventually(t, "the stop", s.stopping.Load)
+	qt.Assert(t, s.Ready(), qt.IsFalse)
+	time.Sleep(2 * time.Second) // Two questions of the load balancer.
+	response, err := http.Get(url + "/")
+	qt.Assert(t, err, qt.IsNil)
+	_ = response.Body.Close()
+	qt.Assert(t, response.Close, qt.IsTrue)
+	qt.Assert(t, <-slow, qt.IsNil)
+	qt.Assert(t, s.Wait(), qt.IsNil)
+	qt.Assert(t, time.Since(stopped) < settings.Grace, qt.IsTrue)
+}
