Stop orders under a refused fencing number, and blame no target for an own interruption

Cause: reading the change as a newcomer: a refused fence was ignored, so that orders went on under it; a stream that this instance moved off a dead part put the blame on its healthy first target; changed settings were read and dropped. Change: no order at or below a refused fencing number; an attempt that was ended here blames nobody; SIGHUP takes in the seeds. Result: TestFenced fails before and passes after.

--- a/pkg/exchange/session.go
+++ b/pkg/exchange/session.go
@@ -38,6 +38,7 @@
 	spacing time.Duration
 	timer   *time.Timer
 	ended   bool
+	own     bool // own means that this instance itself ended the present attempt.
 	moving  bool // moving means that a change of path is under way.
 }
 
@@ -127,6 +128,15 @@
 	return s.path
 }
 
+// ownEnd reports whether this instance itself ended the last attempt, and forgets it.
+func (s *session) ownEnd() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.own
+	s.own = false
+	return own
+}
+
 // lookAgain sets when the silence of the stream is looked into again.
 func (s *session) lookAgain(after time.Duration) {
 	s.mu.Lock()
@@ -140,6 +150,7 @@
 func (s *session) interrupt() {
 	s.mu.Lock()
 	cancel := s.cancel
+	s.own = true
 	s.mu.Unlock()
 	if cancel != nil {
 		cancel()
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -173,7 +173,10 @@
 		return s.timedOut(cause)
 	}
 	s.resumes++
-	s.blame(&Failure{Sent: true, Cause: cause}, p, time.Now())
+	if !s.ownEnd() {
+		// An attempt ended here was lost by another target of the path, which is known to be dead.
+		s.blame(&Failure{Sent: true, Cause: cause}, p, time.Now())
+	}
 	if !s.route.Resumable || s.resumes > maxResumes || !s.allowed() {
 		return refusal.New(http.StatusBadGateway, "stream_lost", outcome.Unknown, "the stream was interrupted").Because(cause)
 	}
--- a/pkg/station/leader.go
+++ b/pkg/station/leader.go
@@ -46,6 +46,7 @@
 	since   time.Time // since is when this instance took the lease.
 
 	mu      sync.Mutex // mu guards the following, and the holder.
+	refused uint64     // refused is the highest fencing number that a target has refused.
 	pending map[string]pending
 	counts  map[string]count
 	written Row                 // written is the row of the lease as last written here.
--- a/pkg/station/lease.go
+++ b/pkg/station/lease.go
@@ -50,7 +50,8 @@
 func (l *leader) mayOrder() (fence uint64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.holder.MayOrder(time.Now())
+	fence, ok = l.holder.MayOrder(time.Now())
+	return fence, ok && fence > l.refused
 }
 
 // observe takes in the row of the lease.
--- a/pkg/station/orders.go
+++ b/pkg/station/orders.go
@@ -59,9 +59,19 @@
 	}
 }
 
+// fenced gives no more orders under the present fencing number: another instance has a higher one.
+func (l *leader) fenced(target string) {
+	l.mu.Lock()
+	l.refused, _ = l.holder.MayOrder(time.Now())
+	fence := l.refused
+	l.mu.Unlock()
+	l.station.logger.Warn().Str("Target", target).Uint64("Fence", fence).Msg("orders stopped, a target has seen a higher fencing number")
+}
+
 // doubt asks a target what became of an order that it did not confirm.
 func (l *leader) doubt(o layout.Order, err error) {
 	if errors.Is(err, ErrFenced) {
+		l.fenced(o.Target.Name)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), orderLimit)
--- a/pkg/station/station_test.go
+++ b/pkg/station/station_test.go
@@ -241,3 +241,16 @@
 	qt.Assert(t, s.Wait(), qt.IsNil)
 	qt.Assert(t, time.Since(stopped) < settings.Grace, qt.IsTrue)
 }
+
+// TestFenced guards against giving orders again under a fencing number that a target has refused.
+func TestFenced(t *testing.T) {
+	store := filled()
+	orders := &fakeOrders{store: store, err: ErrFenced}
+	s := start(t, "i1", store, orders)
+	eventually(t, "the first orders", func() bool { return len(orders.given()) > 0 })
+	time.Sleep(time.Second)
+	first := len(orders.given())
+	time.Sleep(2 * time.Second)
+	qt.Assert(t, len(orders.given()), qt.Equals, first)
+	qt.Assert(t, s.leader.holds(), qt.IsTrue)
+}
--- a/pkg/station/stopping.go
+++ b/pkg/station/stopping.go
@@ -47,7 +47,10 @@
 			return
 		case <-changed:
 		}
-		_, err := s.platform.Reload()
-		s.logger.Info().Err(err).Msg("settings read again")
+		settings, err := s.platform.Reload()
+		if err == nil {
+			s.peers.node.SetSeeds(settings.Seeds)
+		}
+		s.logger.Info().Int("Seeds", len(settings.Seeds)).Err(err).Msg("settings read again")
 	}
 }
