Drop what was measured of targets that left, and code that nothing uses

Cause: the meter kept a record of each target that ever answered, for the life of the process: Keep existed and nothing called it. Finder.Covered, Pool.Forget, Pool.Counts, Meter.LastAlive and four decoded settings had no user outside tests. Change: an instance drops records of targets outside its list once a minute, except those with requests in progress. The unused code is removed. Tests: TestKeep in pkg/decision/usage, TestForget in pkg/station.

--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -30,11 +29,9 @@
 type Pool struct {
 	dialer net.Dialer
 
-	mu     sync.Mutex
-	idle   map[netip.AddrPort][]*Conn
-	swept  time.Time
-	dialed atomic.Int64
-	reused atomic.Int64
+	mu    sync.Mutex
+	idle  map[netip.AddrPort][]*Conn
+	swept time.Time
 }
 
 // Option changes a pool.
@@ -65,7 +62,6 @@
 			return p.dial(ctx, address)
 		}
 		if now.Sub(c.used) < min(maxAge, c.keep) && c.quiet() {
-			p.reused.Add(1)
 			c.reused = true
 			return c, nil
 		}
@@ -90,7 +86,6 @@
 	if err != nil {
 		return nil, NotSent.Wrap(err, "no connection to %s", address)
 	}
-	p.dialed.Add(1)
 	return &Conn{address: address, raw: raw, reader: bufio.NewReaderSize(raw, readBuffer), keep: defaultIdle}, nil
 }
 
@@ -147,19 +142,3 @@
 		}
 	}
 }
-
-// Forget closes the idle connections to an address, whose target has left.
-func (p *Pool) Forget(address netip.AddrPort) {
-	p.mu.Lock()
-	list := p.idle[address]
-	delete(p.idle, address)
-	p.mu.Unlock()
-	for _, c := range list {
-		c.Close()
-	}
-}
-
-// Counts returns how many connections were made and how many times one was used again.
-func (p *Pool) Counts() (dialed, reused int64) {
-	return p.dialed.Load(), p.reused.Load()
-}
--- a/pkg/decision/path/path.go
+++ b/pkg/decision/path/path.go
@@ -171,23 +171,6 @@
 	return len(f.centres) - 1
 }
 
-// Covered reports whether each layer has a holder that is not avoided.
-func (f *Finder) Covered(avoid func(string) bool) bool {
-	for _, list := range f.at {
-		covered := false
-		for _, i := range list {
-			if avoid == nil || !avoid(f.holders[i].Target.Name) {
-				covered = true
-				break
-			}
-		}
-		if !covered {
-			return false
-		}
-	}
-	return len(f.at) > 0
-}
-
 // step is the best continuation from a layer, for a request that comes from a data centre.
 type step struct {
 	cost   float64
--- a/pkg/decision/usage/meter.go
+++ b/pkg/decision/usage/meter.go
@@ -54,7 +54,6 @@
 	failures int
 	failing  float64 // failing is the smoothed share of failed requests.
 	latency  time.Duration
-	alive    time.Time // alive is when the target last showed that it works.
 }
 
 // remote is the load of another instance.
@@ -166,11 +165,11 @@
 }
 
 // Answered notes a good answer.
-func (m *Meter) Answered(name string, took time.Duration, now time.Time) {
+func (m *Meter) Answered(name string, took time.Duration) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.state(name)
-	s.alive, s.failures, s.avoided, s.dead = now, 0, time.Time{}, time.Time{}
+	s.failures, s.avoided, s.dead = 0, time.Time{}, time.Time{}
 	s.failing *= 1 - failureWeight
 	if s.latency == 0 {
 		s.latency = took
@@ -178,23 +177,6 @@
 	s.latency += time.Duration(latencyWeight * float64(took-s.latency))
 }
 
-// Alive notes that the target took part in something that worked.
-func (m *Meter) Alive(name string, now time.Time) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.state(name).alive = now
-}
-
-// LastAlive returns when the target last showed that it works.
-func (m *Meter) LastAlive(name string) time.Time {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if s := m.targets[name]; s != nil {
-		return s.alive
-	}
-	return time.Time{}
-}
-
 // Failed notes a failed request: the target is avoided for a while.
 func (m *Meter) Failed(name string, now time.Time) {
 	m.mu.Lock()
@@ -210,11 +192,10 @@
 
 // Errored notes an answer that the target gave as its own failure. It raises the share of failures only: some
 // requests fail wherever they run.
-func (m *Meter) Errored(name string, now time.Time) {
+func (m *Meter) Errored(name string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.state(name)
-	s.alive = now
 	s.failing += failureWeight * (1 - s.failing)
 }
 
@@ -223,7 +204,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.state(name)
-	s.alive, s.full = now, now.Add(fullTime)
+	s.full = now.Add(fullTime)
 }
 
 // Full reports whether the target had no room a moment ago.
@@ -276,7 +257,7 @@
 	return 0, 0
 }
 
-// Keep forgets all targets but these and those with requests.
+// Keep forgets all targets but the known ones and those with requests.
 func (m *Meter) Keep(known func(name string) bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/pkg/decision/usage/meter_test.go
+++ b/pkg/decision/usage/meter_test.go
@@ -59,7 +59,7 @@
 	}
 	qt.Assert(t, m.Avoided("w", start.Add(3*time.Second)), qt.IsTrue)
 	qt.Assert(t, m.Avoided("w", start.Add(5*time.Second)), qt.IsFalse)
-	m.Answered("w", time.Millisecond, start)
+	m.Answered("w", time.Millisecond)
 	qt.Assert(t, m.Avoided("w", start), qt.IsFalse)
 }
 
@@ -72,6 +72,24 @@
 	qt.Assert(t, m.Full("w", start.Add(time.Second)), qt.IsFalse)
 }
 
+// TestKeep guards against memory that grows with each target that ever answered, and against losing the load of one
+// that left with requests in progress.
+func TestKeep(t *testing.T) {
+	m := usage.New()
+	none := func(string) bool { return false }
+	release := m.Reserve(path.Path{{Target: target.Target{Name: "w"}, Layers: layer.Range{First: 10, End: 16}}}, 100)
+	m.Dead("w", start.Add(time.Second))
+	m.Dead("known", start.Add(time.Second))
+	m.Dead("left", start.Add(time.Second))
+	m.Keep(func(name string) bool { return name == "known" })
+	qt.Assert(t, m.IsDead("known", start), qt.IsTrue)
+	qt.Assert(t, m.IsDead("left", start), qt.IsFalse)
+	qt.Assert(t, m.Load("w"), qt.Equals, usage.Load{Cells: 600, Streams: 1})
+	release()
+	m.Keep(none)
+	qt.Assert(t, m.IsDead("w", start), qt.IsFalse)
+}
+
 // TestDead guards against a target that answers again and is still kept out of use.
 func TestDead(t *testing.T) {
 	m := usage.New()
--- a/pkg/exchange/plain.go
+++ b/pkg/exchange/plain.go
@@ -106,7 +106,7 @@
 		return false, r.failed(&Failure{Sent: true, Cause: err}, p)
 	}
 	if answer.Status >= http.StatusInternalServerError {
-		s.meter.Errored(t.Name, time.Now())
+		s.meter.Errored(t.Name)
 		r.attempts++
 		if whole && r.mayRepeat() {
 			answer.Finish()
@@ -114,7 +114,7 @@
 			return false, nil
 		}
 	} else {
-		s.meter.Answered(t.Name, time.Since(sent), time.Now())
+		s.meter.Answered(t.Name, time.Since(sent))
 		s.ledger.Completed(r.fingerprint)
 	}
 	return true, writeAnswer(w, answer, body, whole)
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -33,6 +33,8 @@
 	readerLife = 650 * time.Millisecond
 	// fetchTimeout bounds the reading of the configuration from another instance.
 	fetchTimeout = time.Second
+	// forgetInterval is how often what was measured of targets that left is dropped.
+	forgetInterval = time.Minute
 	// digestPatience is how long the list may differ from a reader's before it is read again.
 	digestPatience = 900 * time.Millisecond
 )
@@ -80,10 +82,14 @@
 func (p *peers) run(ctx context.Context) {
 	ticker := time.NewTicker(bulletinInterval)
 	defer ticker.Stop()
+	forget := time.NewTicker(forgetInterval)
+	defer forget.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-forget.C:
+			p.station.forget()
 		case <-ticker.C:
 			p.tellLoad()
 		}
--- a/pkg/station/settings.go
+++ b/pkg/station/settings.go
@@ -17,13 +17,9 @@
 	Store      netip.AddrPort
 	Memory     int64         // Memory is the limit of the process in bytes.
 	Grace      time.Duration // Grace is the time between the order to stop and the kill.
-	Drain      time.Duration // Drain is how soon a leaving target must get no more work.
-	Heartbeat  time.Duration // Heartbeat is how often targets renew their entries.
-	Stall      time.Duration // Stall is how long engines wait for a dead part of a path.
 	// ProofLife is how old the proof of the configuration may be for requests with a key; 0 means any age.
 	ProofLife time.Duration
 	Retries   Retries
-	Fenced    bool // Fenced means that targets refuse orders with an old fencing number.
 }
 
 // Retries bounds the repeated sendings of all instances together, for each service.
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -179,6 +179,18 @@
 	s.budget.SetRate(slackRate*part/r.Window.Seconds(), slackBurst*part)
 }
 
+// forget drops what was measured of targets that left. Without a list it drops nothing.
+func (s *Station) forget() {
+	known := s.knowledge.byKey()
+	if known == nil {
+		return
+	}
+	s.meter.Keep(func(name string) bool {
+		_, ok := known[usage.Key(name)]
+		return ok
+	})
+}
+
 // Wait returns when the instance has ended.
 func (s *Station) Wait() error {
 	<-s.done
--- a/pkg/station/station_test.go
+++ b/pkg/station/station_test.go
@@ -144,6 +144,17 @@
 	})
 }
 
+// TestForget guards against dropping what is known of a target in the list, or keeping that of one that left it.
+func TestForget(t *testing.T) {
+	s := start(t, "i1", filled(), &fakeOrders{store: newFakeStore()})
+	s.meter.Dead("left", time.Now().Add(time.Minute))
+	eventually(t, "the list", func() bool { return len(s.knowledge.byKey()) == 4 })
+	s.meter.Dead("w0", time.Now().Add(time.Minute))
+	s.forget()
+	qt.Assert(t, s.meter.IsDead("w0", time.Now()), qt.IsTrue)
+	qt.Assert(t, s.meter.IsDead("left", time.Now()), qt.IsFalse)
+}
+
 // TestState guards against a dump that leaves out what decides, or shows keys.
 func TestState(t *testing.T) {
 	store := filled()
