--- /dev/null
+++ b/pkg/exchange/failure.go
@@ -0,0 +1,87 @@
+package exchange
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+)
+
+// maxRefusals bounds the targets asked for one request that refuse without running it.
+const maxRefusals = 4
+
+// mayRepeat reports whether the request may be sent to another target after one that may have run it.
+func (r *request) mayRepeat() bool {
+	return r.route.Repeatable() && r.attempts < r.route.MaxAttempts && r.allowed()
+}
+
+// allowed takes a repeated sending out of the retry budget.
+func (r *request) allowed() bool {
+	if r.server.budget.Allow(r.service.Name, time.Now()) {
+		return true
+	}
+	r.server.counters.budget.Inc(1)
+	return false
+}
+
+// failed takes in an attempt without an answer. It returns the final refusal, or nil if the request may be sent again.
+func (r *request) failed(err error, p path.Path) error {
+	now := time.Now()
+	var f *Failure
+	if !errors.As(err, &f) {
+		f = &Failure{Sent: true, Cause: err}
+	}
+	r.blame(f, p, now)
+	if f.NotRun {
+		r.refusals++
+		if r.refusals < maxRefusals && time.Until(r.deadline) > 0 && r.allowed() {
+			return nil
+		}
+		return r.refused("targets_refused", "the targets have no room", f)
+	}
+	r.attempts++
+	if time.Until(r.deadline) <= 0 {
+		return refusal.New(http.StatusGatewayTimeout, "timeout", outcome.Unknown, "no answer within the time").Because(f)
+	}
+	if r.mayRepeat() {
+		return nil
+	}
+	return refusal.New(http.StatusBadGateway, "target_failed", outcome.Unknown, "the target gave no answer").Because(f)
+}
+
+// refused returns a refusal of a request that has not run, unless an earlier attempt may have.
+func (r *request) refused(code, message string, cause error) error {
+	if r.attempts > 0 && !r.route.Repeatable() {
+		return refusal.New(http.StatusBadGateway, code, outcome.Unknown, "%s", message).Because(cause)
+	}
+	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, "%s", message).Because(cause).After(r.server.retryAfter(r.service))
+}
+
+// blame notes which target failed.
+func (r *request) blame(f *Failure, p path.Path, now time.Time) {
+	culprit := p[0].Target
+	if t, ok := p.At(f.Culprit); ok {
+		culprit = t
+	}
+	if r.avoided == nil {
+		r.avoided = make(map[string]bool)
+	}
+	r.avoided[culprit.Name] = true
+	if f.Refused && !f.Misdirected {
+		r.server.meter.Refused(culprit.Name, now)
+	} else {
+		r.server.meter.Failed(culprit.Name, now)
+	}
+	r.server.logger.Info().Str("Request", r.ID).Str("Target", culprit.Name).Str("Address", culprit.Address.String()).
+		Bool("NotRun", f.NotRun).Bool("Misdirected", f.Misdirected).Err(f.Cause).Msg("attempt failed")
+}
+
+// avoid reports whether the request had better not use a target.
+func (r *request) avoid(name string) bool {
+	now := time.Now()
+	return r.avoided[name] || r.server.meter.Avoided(name, now) || r.server.meter.IsDead(name, now) ||
+		!r.server.ledger.MayRun(r.ID, r.fingerprint, name, now)
+}
