Keep trying to resume a begun stream while its caller waits

It gave up once the retry budget was used up, or 1.9 s after the last event. Test: TestPersists, with refusing targets and with an empty budget, failed on both. Change: a begun stream that may be resumed waits for room and for the budget until its caller leaves or the time of its route is over. No more is sent than before: each try takes from the budget.

--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -20,9 +20,6 @@
 	resumePause = 40 * time.Millisecond
 	// queueShare is the share of the time in which the first event is wanted that a request may wait for room.
 	queueShare = 0.6
-	// resumePatience bounds the time without an event in which a begun stream is resumed; its caller leaves soon
-	// after.
-	resumePatience = 1900 * time.Millisecond
 	// eventBuffer is the initial size in bytes of the buffer for events that are not whole yet.
 	eventBuffer = 2048
 	// maxEvent bounds one event in bytes.
@@ -114,10 +111,19 @@
 	}
 }
 
-// persists reports, after a pause, whether a begun stream is sent again beyond the tries of other requests. Each try
-// takes from the retry budget.
+// persists waits until a begun stream may be sent again, beyond the tries of other requests. It ends when the caller
+// leaves or the time of the route is over: the caller decides how long a pause may be. Each try takes from the retry
+// budget.
 func (s *session) persists(ctx context.Context) bool {
-	return s.begun && s.wait(ctx, nil) && s.allowed()
+	if !s.begun {
+		return false
+	}
+	for s.wait(ctx, nil) {
+		if s.server.budget.Allow(s.service.Name, time.Now()) {
+			return true
+		}
+	}
+	return false
 }
 
 // wait pauses before a stream that found no path is tried again, and reports whether it may be. One that has not begun
@@ -126,9 +132,6 @@
 	if !s.begun && (!errorx.IsOfType(cause, path.Full) || time.Since(s.Arrived) > time.Duration(queueShare*float64(s.route.Goal))) {
 		return false
 	}
-	if s.begun && time.Since(s.lastEvent()) > resumePatience {
-		return false
-	}
 	select {
 	case <-time.After(resumePause):
 		s.refresh()
@@ -177,7 +180,7 @@
 		// An attempt ended here was lost by another target of the path, which is known to be dead.
 		s.blame(&Failure{Sent: true, Cause: cause}, p, time.Now())
 	}
-	if !s.route.Resumable || s.resumes > maxResumes || !s.allowed() {
+	if !s.route.Resumable || s.resumes > maxResumes || !s.allowed() && !s.persists(ctx) {
 		return refusal.New(http.StatusBadGateway, "stream_lost", outcome.Unknown, "the stream was interrupted").Because(cause)
 	}
 	s.server.counters.resumed.Inc(1)
--- a/pkg/exchange/stream_test.go
+++ b/pkg/exchange/stream_test.go
@@ -13,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -115,6 +116,42 @@
 	qt.Assert(t, len(w.upstream.sent()) < 20, qt.IsTrue, qt.Commentf("%d attempts", len(w.upstream.sent())))
 }
 
+// TestPersists guards against breaking off a begun stream that could go on while its caller still waits: the caller
+// decides how long a pause may be.
+func TestPersists(t *testing.T) {
+	const pause = 2300 * time.Millisecond
+	for _, test := range []struct {
+		about  string
+		budget *retry.Budget // budget is refilled after the pause, unless it is nil.
+	}{
+		{"the targets refuse", nil},
+		{"the retry budget is used up", retry.New(retry.WithRatio(0), retry.WithRate(0))},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			var options []exchange.Option
+			if test.budget != nil {
+				options = append(options, exchange.WithBudget(test.budget))
+				time.AfterFunc(pause, func() { test.budget.SetRate(100, 10) })
+			}
+			w := newWorld(t, options...)
+			started := time.Now()
+			w.upstream.open = func(_ context.Context, n int, a exchange.Attempt) (*exchange.Answer, error) {
+				switch {
+				case n == 1:
+					return streaming(io.MultiReader(strings.NewReader(events(1, 2)), iotest.ErrReader(errReset))), nil
+				case time.Since(started) < pause:
+					return nil, errRefused
+				}
+				qt.Check(t, a.After, qt.Equals, "2")
+				return streaming(strings.NewReader(events(3, 4))), nil
+			}
+			recorder, err := w.call("/plan/1")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 4))
+		})
+	}
+}
+
 // TestNoRoom guards against holding back the refusal of a request that has not run, and a refusal at once where room
 // comes a moment later.
 func TestNoRoom(t *testing.T) {
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -18,7 +18,7 @@
 	// probeTries is how often a suspect is asked that neither accepts nor refuses: this process itself may have stood
 	// still.
 	probeTries = 2
-	// followTimeout bounds the later ones.
+	// followTimeout bounds the later questions to a target that was found dead.
 	followTimeout = 250 * time.Millisecond
 	// probeLife is how long the answer to a question counts.
 	probeLife = 100 * time.Millisecond
