Wait with one function in place of seven

Cause: configlog, orders, command, stream, soak, station and exchange each held their own wait that ends with its context; two were the same to the letter. Change: pause.For serves all of them. Where the time and the context ended together, some of the copies drew lots between them; now the end of the context counts, as soak already had it. Conclusion: no other behaviour changes.

--- a/pkg/command/command.go
+++ b/pkg/command/command.go
@@ -22,6 +22,8 @@
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/cuminroute/cuminroute/pkg/pause"
 )
 
 // Exit codes.
@@ -46,17 +48,11 @@
 
 // Process returns the environment of the running process.
 func Process() *Environment {
-	return &Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now, Pause: pause}
+	return &Environment{Stdin: os.Stdin, Stdout: os.Stdout, Stderr: os.Stderr, Now: time.Now, Pause: wait}
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
+// wait ends early with the context, which the caller sees by its next call.
+func wait(ctx context.Context, d time.Duration) { _ = pause.For(ctx, d) }
 
 // UsageError reports wrong arguments.
 type UsageError struct {
--- a/pkg/configlog/log.go
+++ b/pkg/configlog/log.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/pause"
 	"github.com/cuminroute/cuminroute/pkg/peer/table"
 )
 
@@ -75,24 +76,13 @@
 
 // New returns a log on the table.
 func New(t Table, opts ...Option) *Log {
-	l := &Log{table: t, objects: noObjects{}, patience: DefaultPatience, now: time.Now, wait: wait}
+	l := &Log{table: t, objects: noObjects{}, patience: DefaultPatience, now: time.Now, wait: pause.For}
 	for _, opt := range opts {
 		opt(l)
 	}
 	return l
 }
 
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Head returns the last change. Its version is 0 before the first one.
 func (l *Log) Head(ctx context.Context) (Head, error) {
 	head, _, err := l.head(ctx)
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -10,6 +10,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/pause"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
 )
 
@@ -132,13 +133,11 @@
 	if !s.begun && (!errorx.IsOfType(cause, path.Full) || time.Since(s.Arrived) > time.Duration(queueShare*float64(s.route.Goal))) {
 		return false
 	}
-	select {
-	case <-time.After(resumePause):
-		s.refresh()
-		return true
-	case <-ctx.Done():
+	if pause.For(ctx, resumePause) != nil {
 		return false
 	}
+	s.refresh()
+	return true
 }
 
 // refresh takes in what the instance has learned since the request was admitted.
--- a/pkg/orders/dispatcher.go
+++ b/pkg/orders/dispatcher.go
@@ -27,6 +27,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/decision/lease"
 	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+	"github.com/cuminroute/cuminroute/pkg/pause"
 	"github.com/cuminroute/cuminroute/pkg/peer/table"
 )
 
@@ -177,24 +178,13 @@
 			_, err := d.table.Commit(ctx, transaction(x))
 			return err
 		}
-		if err := pause(ctx, d.tick); err != nil {
+		if err := pause.For(ctx, d.tick); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func transaction(x lease.Transaction) table.Transaction {
 	return table.Transaction{
 		Conditions: []table.Condition{{Key: x.Key, Revision: x.Revision}},
--- a/pkg/orders/turn.go
+++ b/pkg/orders/turn.go
@@ -7,12 +7,13 @@
 
 	"github.com/cuminroute/cuminroute/pkg/decision/lease"
 	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+	"github.com/cuminroute/cuminroute/pkg/pause"
 	"github.com/cuminroute/cuminroute/pkg/peer/table"
 )
 
 // run takes a turn at each tick until ctx ends.
 func (d *Dispatcher) run(ctx context.Context) {
-	for pause(ctx, d.tick) == nil {
+	for pause.For(ctx, d.tick) == nil {
 		d.observe(ctx)
 		d.write(ctx)
 		d.dispatch(ctx)
--- a/pkg/soak/run.go
+++ b/pkg/soak/run.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"github.com/cuminroute/cuminroute/pkg/pause"
 	"github.com/cuminroute/cuminroute/pkg/standin/caller"
 	"github.com/cuminroute/cuminroute/pkg/standin/fleet"
 )
@@ -107,7 +108,7 @@
 	began := time.Now()
 	var playing sync.WaitGroup
 	for _, f := range faults {
-		if !sleep(r.ctx, time.Until(began.Add(f.at))) {
+		if pause.For(r.ctx, time.Until(began.Add(f.at))) != nil {
 			break
 		}
 		r.mu.Lock()
@@ -120,7 +121,7 @@
 
 // watch notes the version of every ready instance.
 func (r *run) watch(ctx context.Context) {
-	for sleep(ctx, watchInterval) {
+	for pause.For(ctx, watchInterval) == nil {
 		for _, m := range r.fleet.Ready() {
 			version := m.Version()
 			r.note(versionFact{at: time.Now(), entry: m.Name, version: version})
@@ -151,13 +152,3 @@
 		r.facts.arrivals[fmt.Sprintf("s%d", n)] = s.Arrivals()
 	}
 }
-
-// sleep waits and reports whether the context is still running.
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-time.After(d):
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/pause"
 )
 
 const (
@@ -47,15 +49,8 @@
 
 func (b *backoff) reset() { b.next = 0 }
 
-// sleep waits, but not beyond the end of the context.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
+// sleep waits. The loops that call it look at the context themselves.
+func sleep(ctx context.Context, d time.Duration) { _ = pause.For(ctx, d) }
 
 // followConfiguration keeps the configuration in force up to date. A reader waits at the store for changes; the others
 // hear of them from readers, and ask readers how old their proof is.
--- a/pkg/stream/retry.go
+++ b/pkg/stream/retry.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/pause"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -156,14 +157,7 @@
 	if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) <= wait {
 		return context.DeadlineExceeded
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return pause.For(ctx, wait)
 }
 
 // pauseApart waits shortly, since another suspect frees its targets with its first token.
