Remove what stood twice in exchanges, and what nothing uses

Cause: blame repeated exclude, failed repeated timedOut, and the watch copied its streams in two places. timedOut had a branch for a missing cause, but each of its callers gives one. Probes of targets were kept for the life of the process. Pool's option and Store.ConfigurationName had no caller. Change: one piece serves each pair; probes older than their use are dropped; the unreachable branch, the option and the method are removed. Result: the tests of pkg/exchange, pkg/connection and platform pass unchanged, with the race detector. Conclusion: answers and requests stay as they were.

--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -34,22 +34,9 @@
 	swept time.Time
 }
 
-// Option changes a pool.
-type Option func(*Pool)
-
-// WithDialTimeout replaces the bound on the set-up of a connection.
-func WithDialTimeout(d time.Duration) Option {
-	return func(p *Pool) { p.dialer.Timeout = d }
-}
-
 // New returns a pool without connections.
-func New(options ...Option) *Pool {
-	p := &Pool{idle: make(map[netip.AddrPort][]*Conn)}
-	p.dialer = NewDialer(dialTimeout, silenceTimeout)
-	for _, o := range options {
-		o(p)
-	}
-	return p
+func New() *Pool {
+	return &Pool{dialer: NewDialer(dialTimeout, silenceTimeout), idle: make(map[netip.AddrPort][]*Conn)}
 }
 
 // Get returns an idle connection that was used no longer than maxAge ago, or a new one. An error means that
--- a/pkg/exchange/failure.go
+++ b/pkg/exchange/failure.go
@@ -44,7 +44,7 @@
 	}
 	r.attempts++
 	if time.Until(r.deadline) <= 0 {
-		return refusal.New(http.StatusGatewayTimeout, "timeout", outcome.Unknown, "no answer within the time").Because(f)
+		return timedOut(f)
 	}
 	if r.mayRepeat() {
 		return nil
@@ -66,10 +66,7 @@
 	if t, ok := p.At(f.Culprit); ok {
 		culprit = t
 	}
-	if r.avoided == nil {
-		r.avoided = make(map[string]bool)
-	}
-	r.avoided[culprit.Name] = true
+	r.exclude(culprit.Name)
 	if f.Refused && !f.Misdirected {
 		r.server.meter.Refused(culprit.Name, now)
 	} else {
@@ -79,9 +76,22 @@
 		Bool("NotRun", f.NotRun).Bool("Misdirected", f.Misdirected).Err(f.Cause).Msg("attempt failed")
 }
 
+// exclude keeps the request from the target.
+func (r *request) exclude(name string) {
+	if r.avoided == nil {
+		r.avoided = make(map[string]bool)
+	}
+	r.avoided[name] = true
+}
+
 // avoid reports whether the request had better not use a target.
 func (r *request) avoid(name string) bool {
 	now := time.Now()
 	return r.avoided[name] || r.server.meter.Avoided(name, now) || r.server.meter.IsDead(name, now) ||
 		!r.server.ledger.MayRun(r.ID, r.fingerprint, name, now)
 }
+
+// timedOut is the final answer of a request that was sent and whose time has run out.
+func timedOut(cause error) error {
+	return refusal.New(http.StatusGatewayTimeout, "timeout", outcome.Unknown, "no answer within the time").Because(cause)
+}
--- a/pkg/exchange/move.go
+++ b/pkg/exchange/move.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
@@ -28,11 +29,7 @@
 func (s *Server) Vacate(t target.Target) {
 	s.watch.mu.Lock()
 	now := time.Now()
-	for name, until := range s.watch.vacated {
-		if now.After(until) {
-			delete(s.watch.vacated, name)
-		}
-	}
+	maps.DeleteFunc(s.watch.vacated, func(_ string, until time.Time) bool { return now.After(until) })
 	s.watch.vacated[t.Name] = now.Add(vacateTime)
 	s.watch.mu.Unlock()
 	s.watch.moveAll(t)
@@ -48,13 +45,7 @@
 
 // moveAll moves the streams that pass through a target.
 func (w *watch) moveAll(t target.Target) {
-	w.mu.Lock()
-	var affected []*session
-	for s := range w.sessions {
-		affected = append(affected, s)
-	}
-	w.mu.Unlock()
-	for _, s := range affected {
+	for _, s := range w.running() {
 		if s.currentPath().Passes(t.Name) {
 			go w.move(s, t)
 		}
--- a/pkg/exchange/plain.go
+++ b/pkg/exchange/plain.go
@@ -9,8 +9,6 @@
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
-	"github.com/cuminroute/cuminroute/pkg/outcome"
-	"github.com/cuminroute/cuminroute/pkg/refusal"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -120,14 +118,6 @@
 	return true, writeAnswer(w, answer, body, whole)
 }
 
-// exclude keeps the request from the target.
-func (r *request) exclude(name string) {
-	if r.avoided == nil {
-		r.avoided = make(map[string]bool)
-	}
-	r.avoided[name] = true
-}
-
 // readAnswer reads the body up to the bound and reports whether that was all of it.
 func readAnswer(a *Answer) (body []byte, whole bool, err error) {
 	if a.Length > bufferedAnswer {
@@ -176,12 +166,3 @@
 		to["Content-Type"] = nil
 	}
 }
-
-// timedOut is the final answer of a request whose time has run out.
-func (r *request) timedOut(cause error) error {
-	if r.attempts == 0 && r.events == 0 && cause == nil {
-		return refusal.New(http.StatusServiceUnavailable, "timeout", outcome.NotRun, "no target had room in time").
-			After(r.server.retryAfter(r.service))
-	}
-	return refusal.New(http.StatusGatewayTimeout, "timeout", outcome.Unknown, "no answer within the time").Because(cause)
-}
--- a/pkg/exchange/relay.go
+++ b/pkg/exchange/relay.go
@@ -28,7 +28,8 @@
 		switch {
 		case err == nil:
 		case isEnd(err) && len(buffer) == 0:
-			return s.complete(a)
+			s.begin(a) // A stream without events has an answer as well.
+			return nil
 		case isEnd(err):
 			return errIncomplete
 		default:
@@ -37,12 +38,6 @@
 	}
 }
 
-// complete begins the answer of a stream without events.
-func (s *session) complete(a *Answer) error {
-	s.begin(a)
-	return nil
-}
-
 // begin writes the head of the answer: the first target's, also if others go on.
 func (s *session) begin(a *Answer) {
 	if s.begun {
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -82,7 +82,7 @@
 func (s *session) open(ctx context.Context) (*Answer, error) {
 	for {
 		if ctx.Err() != nil {
-			return nil, s.timedOut(ctx.Err())
+			return nil, timedOut(ctx.Err())
 		}
 		p, err := s.find(path.Request{To: s.service.Engine.Layers})
 		if err != nil {
@@ -104,7 +104,7 @@
 		}
 		if ctx.Err() != nil {
 			s.attempts++
-			return nil, s.timedOut(err)
+			return nil, timedOut(err)
 		}
 		if final := s.failed(err, p); final != nil && !s.persists(ctx) {
 			return nil, final
@@ -172,7 +172,7 @@
 func (s *session) interrupted(ctx context.Context, cause error) error {
 	p := s.currentPath()
 	if ctx.Err() != nil {
-		return s.timedOut(cause)
+		return timedOut(cause)
 	}
 	s.resumes++
 	if !s.ownEnd() {
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -79,6 +81,13 @@
 	delete(w.sessions, s)
 }
 
+// running returns the streams, for use without the lock.
+func (w *watch) running() []*session {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.sessions))
+}
+
 // silent looks into a stream without an event for longer than usual.
 func (w *watch) silent(s *session) {
 	suspects, shared := w.suspects(s)
@@ -117,15 +126,10 @@
 	now := time.Now()
 	alive := make(map[string]bool)
 	silent := make(map[string]int)
-	w.mu.Lock()
-	others := make([]*session, 0, len(w.sessions))
-	for o := range w.sessions {
-		if o != s {
-			others = append(others, o)
+	for _, o := range w.running() {
+		if o == s {
+			continue
 		}
-	}
-	w.mu.Unlock()
-	for _, o := range others {
 		last := o.lastEvent()
 		for _, part := range o.currentPath() {
 			switch {
@@ -160,8 +164,9 @@
 // dead asks the target's machine whether it accepts connections. Questions at the same time share an answer.
 func (w *watch) dead(t target.Target) bool {
 	w.mu.Lock()
+	maps.DeleteFunc(w.probes, func(_ string, p *probe) bool { return time.Since(p.at) > probeLife })
 	p := w.probes[t.Name]
-	if p == nil || time.Since(p.at) > probeLife {
+	if p == nil {
 		p = &probe{at: time.Now(), done: make(chan struct{})}
 		w.probes[t.Name] = p
 		go w.ask(t, p)
