Look a target up without a map of all, and state the reader's rule once

Cause: to look one target up, an instance hashed the names of all into a new map, also for each loss told by another. The rule that the lowest address of a data centre reads for it stood in two places. The time of a failed question for the configuration was cleared before it was set again. Change: target walks the view; lowest serves the reader and those who tell readers; lostAt is cleared only after an answer. The pause of the feeds is named retry, since a package has the name pause. Result: the tests of pkg/station pass with their assertions, with the race detector. Conclusion: no decision changes.

--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -56,7 +56,7 @@
 // hear of them from readers, and ask readers how old their proof is.
 func (s *Station) followConfiguration(ctx context.Context) {
 	var revision uint64
-	var pause backoff
+	var retry backoff
 	for ctx.Err() == nil {
 		if !s.configurationDue(ctx) {
 			continue
@@ -68,16 +68,16 @@
 			revision = 0
 			continue
 		}
-		s.lostAt.Store(0)
 		if err != nil {
 			s.lostAt.Store(time.Now().UnixNano())
 			s.peers.tellAlone()
 			s.peers.ask()
 			s.peers.fetch(ctx)
-			pause.wait(ctx)
+			retry.wait(ctx)
 			continue
 		}
-		pause.reset()
+		s.lostAt.Store(0)
+		retry.reset()
 		before, _ := s.knowledge.version()
 		for _, row := range change.Rows {
 			if row.Name == s.platform.ConfigurationName {
@@ -87,7 +87,7 @@
 		revision = change.Revision
 		version, inForce := s.knowledge.version()
 		if version == 0 {
-			pause.wait(ctx) // No configuration has been written yet.
+			retry.wait(ctx) // No configuration has been written yet.
 			continue
 		}
 		if change.Revision >= inForce { // An older answer proves nothing.
@@ -137,7 +137,7 @@
 // followTargets keeps the list of targets up to date. A reader reads it from the store and tells the others.
 func (s *Station) followTargets(ctx context.Context) {
 	var revision uint64
-	var pause backoff
+	var retry backoff
 	var failing time.Time // failing is since when calls have had no answer; zero after an answer.
 	for ctx.Err() == nil {
 		now := time.Now()
@@ -171,10 +171,10 @@
 			}
 			s.polledAt.Store(0)
 			s.peers.tellAlone()
-			pause.wait(ctx)
+			retry.wait(ctx)
 			continue
 		}
-		pause.reset()
+		retry.reset()
 		silent := time.Duration(0)
 		if !failing.IsZero() {
 			silent = now.Sub(failing)
--- a/pkg/station/hearing.go
+++ b/pkg/station/hearing.go
@@ -50,7 +50,7 @@
 }
 
 func (p *peers) receiveLost(name string) {
-	if t, ok := p.station.knowledge.byKey()[usage.Key(name)]; ok {
+	if t, ok := p.station.knowledge.target(name); ok {
 		go p.station.server.Lost(t) // It may tell others, which waits for the node.
 	}
 }
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -161,15 +162,7 @@
 		}
 	}
 	if _, holds := p.station.leader.row(); holds {
-		lowest := make(map[string]netip.AddrPort)
-		for _, m := range members {
-			if l, ok := lowest[m.DataCentre]; !ok || m.Address.Compare(l) < 0 {
-				lowest[m.DataCentre] = m.Address
-			}
-		}
-		for _, reader := range lowest {
-			to = append(to, reader)
-		}
+		to = slices.AppendSeq(to, maps.Values(lowest(members)))
 	}
 	return to
 }
@@ -244,14 +237,19 @@
 }
 
 func (p *peers) reader(dataCentre string) (netip.AddrPort, bool) {
-	var lowest netip.AddrPort
-	found := false
-	for _, m := range p.node.Members() {
-		if m.DataCentre == dataCentre && (!found || m.Address.Compare(lowest) < 0) {
-			lowest, found = m.Address, true
+	reader, ok := lowest(p.node.Members())[dataCentre]
+	return reader, ok
+}
+
+// lowest returns the lowest address of each data centre.
+func lowest(members []membership.Member) map[string]netip.AddrPort {
+	found := make(map[string]netip.AddrPort)
+	for _, m := range members {
+		if l, ok := found[m.DataCentre]; !ok || m.Address.Compare(l) < 0 {
+			found[m.DataCentre] = m.Address
 		}
 	}
-	return lowest, found
+	return found
 }
 
 // tellAlone tells all instances that this reader has lost the store.
--- a/pkg/station/state.go
+++ b/pkg/station/state.go
@@ -47,7 +47,7 @@
 	if age, proven := s.knowledge.age(); proven {
 		state.ProofAge = age.Round(time.Millisecond).String()
 	}
-	for _, t := range s.knowledge.byKey() {
+	for _, t := range s.knowledge.all() {
 		state.Targets = append(state.Targets, TargetState{
 			Target: t, Load: s.meter.Load(t.Name), Avoided: s.meter.Avoided(t.Name, now), Dead: s.meter.IsDead(t.Name, now),
 		})
--- a/pkg/station/station.go
+++ b/pkg/station/station.go
@@ -181,14 +181,14 @@
 
 // forget drops what was measured of targets that left. Without a list it drops nothing.
 func (s *Station) forget() {
-	known := s.knowledge.byKey()
-	if known == nil {
+	if s.knowledge.View() == nil {
 		return
 	}
-	s.meter.Keep(func(name string) bool {
-		_, ok := known[usage.Key(name)]
-		return ok
-	})
+	known := make(map[string]bool)
+	for _, t := range s.knowledge.all() {
+		known[t.Name] = true
+	}
+	s.meter.Keep(func(name string) bool { return known[name] })
 }
 
 // Wait returns when the instance has ended.
--- a/pkg/station/station_test.go
+++ b/pkg/station/station_test.go
@@ -148,7 +148,7 @@
 func TestForget(t *testing.T) {
 	s := start(t, "i1", filled(), &fakeOrders{store: newFakeStore()})
 	s.meter.Dead("left", time.Now().Add(time.Minute))
-	eventually(t, "the list", func() bool { return len(s.knowledge.byKey()) == 4 })
+	eventually(t, "the list", func() bool { return len(s.knowledge.all()) == 4 })
 	s.meter.Dead("w0", time.Now().Add(time.Minute))
 	s.forget()
 	qt.Assert(t, s.meter.IsDead("w0", time.Now()), qt.IsTrue)
--- a/pkg/station/view.go
+++ b/pkg/station/view.go
@@ -1,11 +1,12 @@
 package station
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cuminroute/cuminroute/pkg/decision/usage"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -32,8 +33,12 @@
 
 // target returns what is known of a target.
 func (k *knowledge) target(name string) (target.Target, bool) {
-	t, ok := k.byKey()[usage.Key(name)]
-	return t, ok
+	all := k.all()
+	i := slices.IndexFunc(all, func(t target.Target) bool { return t.Name == name })
+	if i < 0 {
+		return target.Target{}, false
+	}
+	return all[i], true
 }
 
 // publish replaces the view. The lock must be held.
@@ -88,17 +93,11 @@
 	return xxhash.Sum64String(t.Name + " " + t.Address.String() + " " + string(t.State) + " " + t.Layers.String() + " " + t.Service)
 }
 
-// byKey returns the targets of all services by their keys.
-func (k *knowledge) byKey() map[uint64]target.Target {
+// all returns the targets of all services.
+func (k *knowledge) all() []target.Target {
 	view := k.View()
 	if view == nil {
 		return nil
 	}
-	all := make(map[uint64]target.Target)
-	for _, list := range view.Targets {
-		for _, t := range list {
-			all[usage.Key(t.Name)] = t
-		}
-	}
-	return all
+	return slices.Concat(slices.Collect(maps.Values(view.Targets))...)
 }
