--- a/pkg/decision/admission/class.go
+++ b/pkg/decision/admission/class.go
@@ -69,8 +69,8 @@
 	it.flow = f
 	if f.index < 0 {
 		f.weight = float64(it.ticket.Weight)
+		c.burst = c.burstWith(f.weight, meanCost)
 		c.weight += f.weight
-		c.burst = burstRequests * meanCost * float64(len(c.ready)+1) / c.weight
 		f.start = max(f.start, c.virtual-c.burst)
 		f.last, f.admitted, f.elapsed = it.arrived, 0, 0
 	}
@@ -82,6 +82,25 @@
 	}
 }
 
+// burstWith returns the burst once a flow of that weight has joined those with queued requests.
+func (c *class) burstWith(weight, meanCost float64) float64 {
+	return burstRequests * meanCost * float64(len(c.ready)+1) / (c.weight + weight)
+}
+
+// startOf returns the virtual time at which the first queued request of the ticket's workspace starts, or the ticket
+// itself would.
+func (c *class) startOf(t Ticket, meanCost float64) float64 {
+	f, known := c.flows[t.Workspace]
+	if known && f.index >= 0 {
+		return f.start
+	}
+	start := c.virtual - c.burstWith(float64(t.Weight), meanCost)
+	if known {
+		start = max(start, f.start)
+	}
+	return start
+}
+
 func (c *class) flow(workspace string) *flow {
 	f, ok := c.flows[workspace]
 	if !ok {
--- a/pkg/decision/admission/order.go
+++ b/pkg/decision/admission/order.go
@@ -39,8 +39,9 @@
 	}
 }
 
-// ahead returns the cost that is served before a request of that class and workspace: all of the
-// classes above, and of each workspace what falls into its share in the meantime.
+// ahead returns the cost that is served before a request of that class and workspace: all of the classes above, and of
+// each workspace what starts earlier in virtual time. A workspace that returns after a pause starts earlier than one
+// that has waited all along, so that its first requests go before the other's.
 func (q *Queue) ahead(c *class, t Ticket, own float64) float64 {
 	sum := 0.0
 	for _, other := range q.classes {
@@ -49,13 +50,13 @@
 		}
 		sum += other.cost
 	}
-	perWeight := (own + t.Cost) / float64(t.Weight)
+	end := c.startOf(t, q.pace.cost) + (own+t.Cost)/float64(t.Weight)
 	for _, f := range c.ready {
 		if f.workspace == t.Workspace {
 			sum += own
 			continue
 		}
-		sum += min(f.cost, perWeight*f.weight)
+		sum += min(f.cost, max(end-f.start, 0)*f.weight)
 	}
 	return sum
 }
@@ -69,15 +70,30 @@
 	}
 	ahead := q.ahead(c, t, own)
 	beside := min(q.capacity, q.running+ahead+t.Cost)
-	return now.Add(max(drain, q.wait(ahead))).Add(q.pace.service(t.Cost, beside))
+	return now.Add(max(drain, q.wait(now, ahead))).Add(q.pace.service(t.Cost, beside))
 }
 
 // wait estimates how long a request with that much work ahead of it waits.
-func (q *Queue) wait(ahead float64) time.Duration {
+func (q *Queue) wait(now time.Time, ahead float64) time.Duration {
 	if q.queued == 0 && q.running < q.capacity {
 		return 0
 	}
-	return time.Duration(waitMargin * float64(q.pace.drain(ahead, q.capacity)))
+	steady := q.pace.drain(ahead, q.capacity)
+	return time.Duration(waitMargin * float64(max(steady, q.freed(now, ahead))))
+}
+
+// freed estimates how long the running requests take to make room for a request with that much work ahead of it. After a
+// crowd has come at once, they have all just begun, and none ends for a while.
+func (q *Queue) freed(now time.Time, ahead float64) time.Duration {
+	over := q.running + ahead - q.capacity
+	for e := q.runs.Front(); e != nil && over >= 0; e = e.Next() {
+		it := e.Value.(*item)
+		over -= it.ticket.Cost
+		if over < 0 {
+			return max(it.admitted.Add(q.pace.service(it.ticket.Cost, q.running)).Sub(now), 0)
+		}
+	}
+	return 0 // More than what runs now is ahead, which takes long by the steady pace already.
 }
 
 // drainTime estimates how long the whole queue takes.
@@ -115,7 +131,7 @@
 			return
 		}
 		own := f.cost - it.ticket.Cost
-		wait := max(f.drain(own), q.wait(q.ahead(c, it.ticket, own)))
+		wait := max(f.drain(own), q.wait(now, q.ahead(c, it.ticket, own)))
 		if !now.Add(wait).After(it.due) {
 			return
 		}
--- a/pkg/decision/admission/pace.go
+++ b/pkg/decision/admission/pace.go
@@ -5,6 +5,10 @@
 // paceSmoothing is the weight of one finished request.
 const paceSmoothing = 0.05
 
+// crowdMargin scales how much slower requests are expected to become beside more others than were observed. A crowd that
+// comes at once reads its prompts together, which slows it down by more than its number.
+const crowdMargin = 1.5
+
 // pace is the observed speed of service, smoothed over finished requests.
 type pace struct {
 	cost     float64 // cost is the mean cost.
@@ -33,7 +37,7 @@
 	}
 	crowding := 1.0
 	if p.running > 0 {
-		crowding = max(1, running/p.running)
+		crowding += crowdMargin * max(running/p.running-1, 0)
 	}
 	return seconds(cost * p.seconds / p.cost * crowding)
 }
--- a/pkg/decision/admission/queue.go
+++ b/pkg/decision/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"container/list"
 	"time"
 )
 
@@ -12,6 +13,9 @@
 	// minimumRetryAfter and maximumRetryAfter bound what refused callers are told.
 	minimumRetryAfter = time.Second
 	maximumRetryAfter = time.Minute
+	// slowed is how many times slower than before the service must have become for the queued requests to be looked at
+	// again. Smoothed over the last requests, the pace of a steady service varies by less.
+	slowed = 1.25
 )
 
 // state is the state of a request that the queue knows.
@@ -32,6 +36,7 @@
 	admitted time.Time
 	due      time.Time // due is the latest start that meets the deadline; zero means none.
 	dueIndex int       // dueIndex is the place in the queue's heap of due times, -1 if absent.
+	run      *list.Element
 }
 
 // Queue decides on admission. Capacity is the cost that may run at once.
@@ -42,10 +47,11 @@
 	items    map[string]*item
 	due      dueHeap
 	queued   int
-	running  float64 // running is the cost of the requests that run.
-	active   int     // active is the number of requests that run.
+	running  float64    // running is the cost of the requests that run.
+	runs     *list.List // runs are the requests that run, in the order of their admission.
 	pace     pace
-	pending  []Decision // pending are decisions to be returned by Tick.
+	fastest  time.Duration // fastest is the shortest time for a unit of cost since the deadlines of all were looked at.
+	pending  []Decision    // pending are decisions to be returned by Tick.
 }
 
 // Option changes a Queue.
@@ -59,7 +65,7 @@
 
 // New returns an empty queue without capacity.
 func New(options ...Option) *Queue {
-	q := &Queue{limit: DefaultQueued, items: map[string]*item{}}
+	q := &Queue{limit: DefaultQueued, items: map[string]*item{}, runs: list.New()}
 	for i := range q.classes {
 		q.classes[i] = newClass()
 	}
@@ -126,6 +132,20 @@
 	}
 	q.pace.observe(it.ticket.Cost, now.Sub(it.admitted), q.running)
 	q.release(it)
+	q.noteSlowdown(now)
+}
+
+// noteSlowdown looks at all deadlines again if the service has become slower: requests that waited in vain would
+// otherwise learn it at their latest start only.
+func (q *Queue) noteSlowdown(now time.Time) {
+	unit := q.pace.drain(1, q.capacity)
+	switch {
+	case q.fastest == 0 || unit < q.fastest:
+		q.fastest = unit
+	case float64(unit) > slowed*float64(q.fastest):
+		q.fastest = unit
+		q.recheck(now)
+	}
 }
 
 // Cancel ends a request that waits, or that runs and was given up by its caller.
@@ -190,7 +210,7 @@
 		it.state = running
 		it.admitted = now
 		q.running += it.ticket.Cost
-		q.active++
+		it.run = q.runs.PushBack(it)
 		it.class.served(it)
 		q.pending = append(q.pending, Decision{ID: it.ticket.ID, Verdict: Admitted})
 	}
@@ -223,8 +243,8 @@
 func (q *Queue) release(it *item) {
 	delete(q.items, it.ticket.ID)
 	q.running -= it.ticket.Cost
-	q.active--
-	if q.active == 0 {
+	q.runs.Remove(it.run)
+	if q.runs.Len() == 0 {
 		q.running = 0 // Removes the rounding errors of the sum.
 	}
 }
--- a/pkg/decision/admission/queue_test.go
+++ b/pkg/decision/admission/queue_test.go
@@ -167,3 +167,123 @@
 	qt.Check(t, expired[0].ID, qt.Equals, "second")
 	qt.Check(t, expired[0].Reason, qt.Equals, admission.ReasonExpired)
 }
+
+// TestSlowService guards against holding requests until their latest start when the service has become too slow for
+// them: what the queue learns from the requests that end must reach those that wait. After soon it has learned enough.
+func TestSlowService(t *testing.T) {
+	const (
+		step     = 50 * time.Millisecond
+		patience = 3 * time.Second
+		soon     = patience / 2
+	)
+	q := admission.New()
+	q.SetCapacity(epoch, 10)
+	now := epoch
+	running := map[string]time.Time{} // running holds when each request ends.
+	service := 200 * time.Millisecond
+	started := map[string]time.Time{}
+	refused, late := 0, 0
+	take := func(decisions ...admission.Decision) {
+		for _, d := range decisions {
+			switch d.Verdict {
+			case admission.Admitted:
+				running[d.ID] = now.Add(service)
+			case admission.Refused:
+				refused++
+				if now.Sub(started[d.ID]) > soon {
+					late++
+				}
+			}
+		}
+	}
+	submit := func(id, workspace string) {
+		started[id] = now
+		take(q.Submit(now, admission.Ticket{ID: id, Workspace: workspace, Cost: 1, Deadline: now.Add(patience)}))
+	}
+	pass := func(length time.Duration) {
+		for end := now.Add(length); now.Before(end); now = now.Add(step) {
+			for _, id := range sortedKeys(running) {
+				if !running[id].After(now) {
+					delete(running, id)
+					q.Done(now, id)
+				}
+			}
+			take(q.Tick(now)...)
+		}
+	}
+	for i := range 100 { // 10 run at once for 0.2 s each.
+		submit(fmt.Sprint("warm-", i), fmt.Sprint(i%5))
+		if i%10 == 9 {
+			pass(200 * time.Millisecond)
+		}
+	}
+	service = 600 * time.Millisecond
+	for i := range 100 {
+		submit(fmt.Sprint("crowd-", i), fmt.Sprint(i%5))
+	}
+	pass(2 * patience)
+	t.Logf("%d were refused, %d of these after %v", refused, late, soon)
+	qt.Assert(t, refused > 0, qt.IsTrue)
+	qt.Assert(t, late, qt.Equals, 0)
+}
+
+// TestCrowdAtOnce guards against queueing requests behind a crowd that has just begun, as if some of it were about to end.
+func TestCrowdAtOnce(t *testing.T) {
+	q := admission.New()
+	q.SetCapacity(epoch, 10)
+	now := epoch
+	for wave := range 3 { // Each takes 1 s, 10 run at once.
+		for i := range 10 {
+			id := fmt.Sprint(wave, "-", i)
+			qt.Assert(t, q.Submit(now, admission.Ticket{ID: id, Workspace: "w", Cost: 1}).Verdict, qt.Equals, admission.Admitted)
+		}
+		if wave == 2 {
+			break
+		}
+		now = now.Add(time.Second)
+		for i := range 10 {
+			q.Done(now, fmt.Sprint(wave, "-", i))
+		}
+	}
+	for _, test := range []struct {
+		id       string
+		deadline time.Duration
+		want     admission.Verdict
+	}{
+		{"before the crowd ends", 1900 * time.Millisecond, admission.Refused},
+		{"long after it", 5 * time.Second, admission.Queued},
+	} {
+		d := q.Submit(now, admission.Ticket{ID: test.id, Workspace: "w", Cost: 1, Deadline: now.Add(test.deadline)})
+		qt.Check(t, d.Verdict, qt.Equals, test.want, qt.Commentf(test.id))
+	}
+}
+
+// TestReturningWorkspace guards against a wait estimated as if a workspace that returns after a pause took only its
+// share at once: its first requests go before those of one that has waited all along.
+func TestReturningWorkspace(t *testing.T) {
+	q := admission.New()
+	q.SetCapacity(epoch, 1)
+	now := epoch
+	next := ""
+	take := func(decisions ...admission.Decision) {
+		for _, d := range decisions {
+			if d.Verdict == admission.Admitted {
+				next = d.ID
+			}
+		}
+	}
+	for i := range 43 { // One request of 1 s at a time, up to 3 queued.
+		take(q.Submit(now, admission.Ticket{ID: fmt.Sprint("a", i), Workspace: "a", Cost: 1}))
+		if i >= 3 {
+			now = now.Add(time.Second)
+			q.Done(now, next)
+			take(q.Tick(now)...)
+		}
+	}
+	for i := range 9 {
+		qt.Assert(t, q.Submit(now, admission.Ticket{ID: fmt.Sprint("b", i), Workspace: "b", Cost: 1}).Verdict, qt.Equals, admission.Queued)
+	}
+	// 9 of b and 2 of a go first, and what runs now; of b, its share would be 3.
+	d := q.Submit(now, admission.Ticket{ID: "late", Workspace: "a", Cost: 1, Deadline: now.Add(10 * time.Second)})
+	qt.Assert(t, d.Verdict, qt.Equals, admission.Refused)
+}
--- a/pkg/proof/refusal_test.go
+++ b/pkg/proof/refusal_test.go
@@ -53,6 +53,7 @@
 		c.Assert(w.Ran(word(n)), qt.IsFalse, qt.Commentf("%s ran and was refused as NotRun", word(n)))
 		if a.Ended.Sub(a.Started) > atOnce {
 			late++
+			c.Logf("late refusal of %s by %s after %v: %d %s %v", word(n), w.Entries()[n%2].Callers(), a.Ended.Sub(a.Started), a.Status, a.Code, a.Err)
 		}
 	}
 	c.Assert(counts[outcome.NotRun] > questions/3, qt.IsTrue, qt.Commentf("%v", counts))
