--- a/pkg/exchange/failure.go
+++ b/pkg/exchange/failure.go
@@ -91,6 +91,20 @@
 		!r.server.ledger.MayRun(r.ID, r.fingerprint, name, now)
 }
 
+// notRun reports whether an attempt failed in a way that proves that the target did not run the request.
+func notRun(err error) bool {
+	var f *Failure
+	return errors.As(err, &f) && f.NotRun
+}
+
+// outOfTime is the final answer of a request whose time has run out while it was not at a target.
+func (r *request) outOfTime(cause error) error {
+	if r.attempts == 0 && len(r.ran) == 0 {
+		return r.refused("no_time", "the time ran out before the request was sent to a target that took it", cause)
+	}
+	return timedOut(cause)
+}
+
 // timedOut is the final answer of a request that was sent and whose time has run out.
 func timedOut(cause error) error {
 	return refusal.New(http.StatusGatewayTimeout, "timeout", outcome.Unknown, "no answer within the time").Because(cause)
--- a/pkg/exchange/find.go
+++ b/pkg/exchange/find.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -65,8 +64,7 @@
 
 // noteRun notes that a target may have run the stream.
 func (s *session) noteRun(name string, err error) {
-	var f *Failure
-	if errors.As(err, &f) && f.NotRun {
+	if notRun(err) {
 		return
 	}
 	s.mu.Lock()
--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -82,7 +82,7 @@
 func (s *session) open(ctx context.Context) (*Answer, error) {
 	for {
 		if ctx.Err() != nil {
-			return nil, timedOut(ctx.Err())
+			return nil, s.outOfTime(ctx.Err())
 		}
 		p, err := s.find(path.Request{To: s.service.Engine.Layers})
 		if err != nil {
@@ -103,8 +103,10 @@
 			return answer, nil
 		}
 		if ctx.Err() != nil {
-			s.attempts++
-			return nil, timedOut(err)
+			if !notRun(err) {
+				s.attempts++
+			}
+			return nil, s.outOfTime(err)
 		}
 		if final := s.failed(err, p); final != nil && !s.persists(ctx) {
 			return nil, final
--- a/pkg/exchange/stream_test.go
+++ b/pkg/exchange/stream_test.go
@@ -15,6 +15,8 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/exchange"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -179,6 +181,43 @@
 	qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 1))
 }
 
+// TestOutOfTime guards against a request that has not run and whose caller is not told so, nor when to come back.
+func TestOutOfTime(t *testing.T) {
+	const left = 30 * time.Millisecond
+	for _, test := range []struct {
+		about  string
+		open   func(ctx context.Context) error
+		status int
+	}{
+		{"the target cannot be reached", func(ctx context.Context) error {
+			<-ctx.Done()
+			return &exchange.Failure{NotRun: true, Cause: ctx.Err()}
+		}, http.StatusServiceUnavailable},
+		{"the target does not answer", func(ctx context.Context) error {
+			<-ctx.Done()
+			return &exchange.Failure{Sent: true, Cause: ctx.Err()}
+		}, http.StatusGatewayTimeout},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			w := newWorld(t)
+			w.upstream.open = func(ctx context.Context, _ int, _ exchange.Attempt) (*exchange.Answer, error) {
+				return nil, test.open(ctx)
+			}
+			_, err := w.call("/plan/1", func(c *exchange.Call) { c.Deadline = time.Now().Add(left) })
+			qt.Assert(t, status(err), qt.Equals, test.status)
+		})
+	}
+	t.Run("the deadline has passed on arrival", func(t *testing.T) {
+		w := newWorld(t)
+		_, err := w.call("/plan/1", func(c *exchange.Call) { c.Deadline = time.Now().Add(-left) })
+		qt.Assert(t, status(err), qt.Equals, http.StatusServiceUnavailable)
+		var refused *refusal.Error
+		qt.Assert(t, errors.As(err, &refused), qt.IsTrue)
+		qt.Assert(t, refused.Outcome, qt.Equals, outcome.NotRun)
+		qt.Assert(t, refused.RetryAfter > 0, qt.IsTrue)
+	})
+}
+
 // TestDeadPart guards against a stream that stays silent because of a dead target in the middle of its path.
 func TestDeadPart(t *testing.T) {
 	w := newWorld(t)
