--- a/pkg/decision/path/path.go
+++ b/pkg/decision/path/path.go
@@ -10,8 +10,9 @@
 //
 // Usage:
 //
-//	finder := path.New(engine, holders)
-//	p, err := finder.Find(random, path.Request{To: engine.Layers, Prompt: 700, Answer: 140, DataCentre: "lj-a"})
+//	finder := path.New(engine, targets)
+//	loads := ... // of each of finder.Targets()
+//	p, err := finder.Find(random, path.Request{To: engine.Layers, Prompt: 700, Answer: 140, DataCentre: "lj-a", Loads: loads})
 package path
 
 import (
@@ -39,19 +40,8 @@
 	// pipeWeight multiplies the time that a request takes the pipe between two data centres. All requests share it,
 	// one after another, so that each waits for those before it.
 	pipeWeight = 60
-	// waitFactor is the time that a token waits at each target, in steps over all of the target's layers.
-	waitFactor = 1.5
 	// entryCost is added, in seconds, for a path that begins in another data centre.
 	entryCost = 0.15
-	// spreadFactor is how far the random factor of a target lies from 1.
-	spreadFactor = 0.15
-	// fullShare is the share of a target's memory up to which it takes requests, counted with their whole answers. A
-	// request needs half of its answer's memory on average.
-	fullShare = 1.0
-	// noRoom is the memory share from which a target is avoided.
-	noRoom = 0.6
-	// pressure is the weight of the memory share above noRoom.
-	pressure = 12.0
 )
 
 // Part is a target and the layers that a request runs on it.
@@ -117,9 +107,8 @@
 	return target.Target{}, false
 }
 
-// Holder is a target with what is known of its load.
-type Holder struct {
-	Target  target.Target
+// Load is what is known of the load of a target.
+type Load struct {
 	Cells   int64   // Cells is the memory in use, in tokens times layers.
 	Streams int     // Streams counts the requests that pass through the target.
 	Slow    float64 // Slow multiplies the target's times; 0 means 1.
@@ -131,36 +120,50 @@
 	Prompt     int // Prompt is the number of tokens to read first.
 	Answer     int // Answer is the expected number of answer tokens.
 	DataCentre string
+	Loads      []Load // Loads are those of the finder's targets, in their order; none means idle targets.
 	Avoid      func(name string) bool
 	// Start restricts the targets of the first part, if it is set.
 	Start func(name string) bool
 }
 
-// Finder finds paths among the holders of one model. It is immutable and safe for concurrent use.
+// Finder finds paths among the targets of one model. It is immutable and safe for concurrent use: a list of targets needs
+// one finder, however many requests come.
 type Finder struct {
 	engine  *catalogue.Engine
-	holders []Holder
+	targets []*target.Target
+	speeds  []speed // speeds are those of the targets.
 	centres []string
-	centre  []int   // centre is the index of each holder's data centre.
-	at      [][]int // at lists the holders of each layer.
+	centre  []int   // centre is the index of each target's data centre.
+	at      [][]int // at lists the targets that hold each layer.
+	begins  []bool  // begins marks the layers at which a part can begin, since another can end before it.
 }
 
 // New returns a finder for the targets that hold layers and accept work.
-func New(engine *catalogue.Engine, holders []Holder) *Finder {
-	f := &Finder{engine: engine, at: make([][]int, engine.Layers)}
-	for _, h := range holders {
-		if !h.Target.Accepting() || !h.Target.Layers.Valid() || h.Target.Layers.End > engine.Layers {
+func New(engine *catalogue.Engine, targets []*target.Target) *Finder {
+	f := &Finder{engine: engine, at: make([][]int, engine.Layers), begins: make([]bool, engine.Layers+1)}
+	speeds := make(map[shape]speed)
+	for _, t := range targets {
+		if !t.Accepting() || !t.Layers.Valid() || t.Layers.End > engine.Layers {
 			continue
 		}
-		for l := h.Target.Layers.First; l < h.Target.Layers.End; l++ {
-			f.at[l] = append(f.at[l], len(f.holders))
+		for l := t.Layers.First; l < t.Layers.End; l++ {
+			f.at[l] = append(f.at[l], len(f.targets))
 		}
-		f.holders = append(f.holders, h)
-		f.centre = append(f.centre, f.centreOf(h.Target.DataCentre))
+		f.begins[t.Layers.End] = true
+		f.targets = append(f.targets, t)
+		of := shape{accelerator: t.Accelerator, layers: t.Layers.Len()}
+		if _, known := speeds[of]; !known {
+			speeds[of] = speedOf(engine, of)
+		}
+		f.speeds = append(f.speeds, speeds[of])
+		f.centre = append(f.centre, f.centreOf(t.DataCentre))
 	}
 	return f
 }
 
+// Targets returns the targets that paths may pass through. The caller does not change the list.
+func (f *Finder) Targets() []*target.Target { return f.targets }
+
 func (f *Finder) centreOf(name string) int {
 	for i, c := range f.centres {
 		if c == name {
@@ -174,44 +177,40 @@
 // step is the best continuation from a layer, for a request that comes from a data centre.
 type step struct {
 	cost   float64
-	holder int
+	target int
 }
 
 // Find returns the path with the least estimated time.
 func (f *Finder) Find(r *rand.Rand, q Request) (Path, error) {
-	factors := f.factors(r, q.Avoid)
+	estimates := f.estimates(r, q)
 	centres := len(f.centres)
 	best := make([]step, (q.To+1)*centres)
 	for i := range q.To * centres {
-		best[i] = step{cost: math.Inf(1), holder: -1}
+		best[i] = step{cost: math.Inf(1), target: -1}
 	}
+	entry, between := f.ways(q)
 	for l := q.To - 1; l >= q.From; l-- {
-		for _, i := range f.at[l] {
-			f.extend(best, factors, q, l, i)
-		}
-	}
-	return f.walk(best, factors, q)
-}
-
-// factors draws the random factor of each holder; 0 marks those to avoid.
-func (f *Finder) factors(r *rand.Rand, avoid func(string) bool) []float64 {
-	factors := make([]float64, len(f.holders))
-	for i := range f.holders {
-		if avoid != nil && avoid(f.holders[i].Target.Name) {
+		if l != q.From && !f.begins[l] {
 			continue
 		}
-		factors[i] = 1 - spreadFactor + 2*spreadFactor*r.Float64()
+		ways := between
+		if l == 0 {
+			ways = entry
+		}
+		for _, i := range f.at[l] {
+			if l == q.From && q.Start != nil && !q.Start(f.targets[i].Name) {
+				continue
+			}
+			f.extend(best, &estimates[i], ways, q, l, i)
+		}
 	}
-	return factors
+	return f.walk(best, estimates, q)
 }
 
-// extend tries to go on from layer l with a holder.
-func (f *Finder) extend(best []step, factors []float64, q Request, l, i int) {
-	if factors[i] == 0 || l == q.From && q.Start != nil && !q.Start(f.holders[i].Target.Name) {
-		return
-	}
+// extend tries to go on from layer l with a target.
+func (f *Finder) extend(best []step, e *estimate, ways []float64, q Request, l, i int) {
 	centres := len(f.centres)
-	end := min(f.holders[i].Target.Layers.End, q.To)
+	end := min(f.targets[i].Layers.End, q.To)
 	rest := 0.0
 	if end < q.To {
 		rest = best[end*centres+f.centre[i]].cost
@@ -219,53 +218,34 @@
 	if math.IsInf(rest, 1) {
 		return
 	}
-	cost := f.cost(i, layer.Range{First: l, End: end}, q)*factors[i] + rest
+	cost := e.cost(end-l) + rest
 	for from := range centres {
-		total := cost + f.way(from, f.centre[i], l, q)
+		total := cost + ways[from*centres+f.centre[i]]
 		if at := &best[l*centres+from]; total < at.cost {
-			*at = step{cost: total, holder: i}
+			*at = step{cost: total, target: i}
 		}
 	}
 }
 
-// way is the cost of the way between two data centres before a layer. Activations take it, but for the way to the
-// first layer, which only the request and its answer take.
-func (f *Finder) way(from, to, l int, q Request) float64 {
-	if from == to {
-		return 0
-	}
-	if l == 0 {
-		return entryCost
-	}
-	pipe := f.engine.TransferTime(q.Prompt + q.Answer).Seconds()
-	return pipeWeight*pipe + f.engine.Delay(f.centres[from], f.centres[to]).Seconds()*float64(q.Answer)
-}
-
-// cost estimates the time, in seconds, that a request spends on a holder's layers.
-func (f *Finder) cost(i int, layers layer.Range, q Request) float64 {
-	h := &f.holders[i]
-	kind := h.Target.Accelerator
-	share := float64(layers.Len()) / float64(f.engine.Layers)
-	pass := f.engine.StepTime(kind, layers).Seconds() +
-		float64(h.Streams)*f.engine.PerSequence.Seconds()*f.engine.Accelerators[kind].StepFactor*share
-	read := f.engine.ReadTime(kind, layers, q.Prompt).Seconds()
-	// A token waits for the pass that is under way, which may run all of the holder's layers.
-	wait := waitFactor * f.engine.StepTime(kind, h.Target.Layers).Seconds()
-	cost := (pass+wait)*float64(q.Answer) + read*(1+float64(h.Streams))
-	if h.Slow > 1 {
-		cost *= h.Slow
-	}
-	total := f.engine.Cells(kind, h.Target.Layers.Len())
-	need := int64(q.Prompt+q.Answer) * int64(layers.Len())
-	if total <= 0 || float64(h.Cells+need) > fullShare*float64(total) {
-		return math.Inf(1)
+// ways returns the costs of the ways between the data centres. Activations take those between layers; the entry to the
+// first layer is taken by the request and its answer only.
+func (f *Finder) ways(q Request) (entry, between []float64) {
+	centres := len(f.centres)
+	entry, between = make([]float64, centres*centres), make([]float64, centres*centres)
+	pipe := pipeWeight * f.engine.TransferTime(q.Prompt+q.Answer).Seconds()
+	for from := range centres {
+		for to := range centres {
+			if from != to {
+				entry[from*centres+to] = entryCost
+				between[from*centres+to] = pipe + f.engine.Delay(f.centres[from], f.centres[to]).Seconds()*float64(q.Answer)
+			}
+		}
 	}
-	fill := float64(h.Cells+need) / float64(total)
-	return cost * (1 + fill + pressure*max(fill-noRoom, 0))
+	return entry, between
 }
 
 // walk follows the best steps from the first layer.
-func (f *Finder) walk(best []step, factors []float64, q Request) (Path, error) {
+func (f *Finder) walk(best []step, estimates []estimate, q Request) (Path, error) {
 	var p Path
 	centres := len(f.centres)
 	from := -1
@@ -276,13 +256,13 @@
 	}
 	for l := q.From; l < q.To; {
 		s := f.first(best, l, from, centres)
-		if s.holder < 0 {
-			return nil, f.missing(factors, q)
+		if s.target < 0 {
+			return nil, f.missing(estimates, q)
 		}
-		h := f.holders[s.holder]
-		end := min(h.Target.Layers.End, q.To)
-		p = append(p, Part{Target: h.Target, Layers: layer.Range{First: l, End: end}})
-		l, from = end, f.centre[s.holder]
+		t := f.targets[s.target]
+		end := min(t.Layers.End, q.To)
+		p = append(p, Part{Target: *t, Layers: layer.Range{First: l, End: end}})
+		l, from = end, f.centre[s.target]
 	}
 	return p, nil
 }
@@ -292,7 +272,7 @@
 	if from >= 0 {
 		return best[l*centres+from]
 	}
-	found := step{cost: math.Inf(1), holder: -1}
+	found := step{cost: math.Inf(1), target: -1}
 	for c := range centres {
 		if s := best[l*centres+c]; s.cost < found.cost {
 			found = s
@@ -302,11 +282,11 @@
 }
 
 // missing tells a layer without a holder from a lack of room.
-func (f *Finder) missing(factors []float64, q Request) error {
+func (f *Finder) missing(estimates []estimate, q Request) error {
 	for l := q.From; l < q.To; l++ {
 		held := false
 		for _, i := range f.at[l] {
-			held = held || factors[i] > 0
+			held = held || estimates[i].factor > 0
 		}
 		if !held {
 			return Uncovered.New("no target holds layer %d", l)
--- a/pkg/decision/path/path_test.go
+++ b/pkg/decision/path/path_test.go
@@ -27,11 +27,11 @@
 	}
 }
 
-func holder(name, centre, kind string, first, end int) path.Holder {
-	return path.Holder{Target: target.Target{
+func holder(name, centre, kind string, first, end int) *target.Target {
+	return &target.Target{
 		Name: name, Kind: target.Engine, DataCentre: centre, Accelerator: kind, State: target.Live,
 		Layers: layer.Range{First: first, End: end}, Address: netip.MustParseAddrPort("10.0.0.1:80"),
-	}}
+	}
 }
 
 func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
@@ -47,7 +47,7 @@
 // TestFind guards against paths that leave a data centre without need, use what is to be avoided, or count a holder's
 // layers that a part does not run.
 func TestFind(t *testing.T) {
-	whole := []path.Holder{
+	whole := []*target.Target{
 		holder("a1", "a", "a100s", 0, 16), holder("a2", "a", "a100s", 16, 48), holder("a3", "a", "a100s", 40, 80),
 		holder("b1", "b", "a100s", 0, 40), holder("b2", "b", "a100s", 40, 80),
 	}
@@ -80,19 +80,19 @@
 
 // TestNoPath guards against confusing a lack of holders, which time mends slowly, with a lack of room.
 func TestNoPath(t *testing.T) {
-	half := []path.Holder{holder("a1", "a", "a100s", 0, 16)}
+	half := []*target.Target{holder("a1", "a", "a100s", 0, 16)}
 	_, err := path.New(engine(), half).Find(source(), path.Request{To: 80, Prompt: 10, Answer: 10})
 	qt.Assert(t, errorx.IsOfType(err, path.Uncovered), qt.IsTrue)
 
-	full := []path.Holder{holder("a1", "a", "a100s", 0, 16)}
-	full[0].Cells = engine().Cells("a100s", 16)
-	_, err = path.New(engine(), full).Find(source(), path.Request{To: 16, Prompt: 10, Answer: 10})
+	full := []*target.Target{holder("a1", "a", "a100s", 0, 16)}
+	loads := []path.Load{{Cells: engine().Cells("a100s", 16)}}
+	_, err = path.New(engine(), full).Find(source(), path.Request{To: 16, Prompt: 10, Answer: 10, Loads: loads})
 	qt.Assert(t, errorx.IsOfType(err, path.Full), qt.IsTrue)
 }
 
 // TestSpread guards against all instances choosing the same of two equal targets.
 func TestSpread(t *testing.T) {
-	equal := []path.Holder{holder("x", "a", "a100s", 0, 16), holder("y", "a", "a100s", 0, 16)}
+	equal := []*target.Target{holder("x", "a", "a100s", 0, 16), holder("y", "a", "a100s", 0, 16)}
 	finder, random := path.New(engine(), equal), source()
 	count := make(map[string]int)
 	for range 1000 {
@@ -105,9 +105,9 @@
 
 // TestLoaded guards against filling one holder while another has room.
 func TestLoaded(t *testing.T) {
-	holders := []path.Holder{holder("x", "a", "a100s", 0, 16), holder("y", "a", "a100s", 0, 16)}
-	holders[0].Cells = engine().Cells("a100s", 16) * 9 / 10
-	p, err := path.New(engine(), holders).Find(source(), path.Request{To: 16, Prompt: 700, Answer: 140, DataCentre: "a"})
+	holders := []*target.Target{holder("x", "a", "a100s", 0, 16), holder("y", "a", "a100s", 0, 16)}
+	loads := []path.Load{{Cells: engine().Cells("a100s", 16) * 9 / 10}, {}}
+	p, err := path.New(engine(), holders).Find(source(), path.Request{To: 16, Prompt: 700, Answer: 140, DataCentre: "a", Loads: loads})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, p[0].Target.Name, qt.Equals, "y")
 }
@@ -117,17 +117,17 @@
 func TestWholeProperty(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		e := engine()
-		var holders []path.Holder
+		var holders []*target.Target
+		var loads []path.Load
 		for i := range rapid.IntRange(1, 40).Draw(t, "targets") {
 			first := rapid.IntRange(0, 79).Draw(t, "first")
 			end := rapid.IntRange(first+1, min(80, first+12)).Draw(t, "end")
-			h := holder(fmt.Sprint("w", i), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "centre"), "l4", first, end)
-			h.Cells = rapid.Int64Range(0, 1200000).Draw(t, "cells")
-			holders = append(holders, h)
+			holders = append(holders, holder(fmt.Sprint("w", i), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "centre"), "l4", first, end))
+			loads = append(loads, path.Load{Cells: rapid.Int64Range(0, 1200000).Draw(t, "cells")})
 		}
 		avoided := rapid.IntRange(0, 45).Draw(t, "avoided")
 		q := path.Request{
-			To: 80, Prompt: 700, Answer: 140, DataCentre: "a",
+			To: 80, Prompt: 700, Answer: 140, DataCentre: "a", Loads: loads,
 			Avoid: func(name string) bool { return name == fmt.Sprint("w", avoided) },
 		}
 		p, err := path.New(e, holders).Find(source(), q)
--- a/pkg/decision/usage/meter.go
+++ b/pkg/decision/usage/meter.go
@@ -22,6 +22,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
 const (
@@ -33,6 +34,8 @@
 	remoteLife = 3 * time.Second
 	// fullTime is how long a target that had no room counts as full.
 	fullTime = 150 * time.Millisecond
+	// fullFactor makes such a target look slower.
+	fullFactor = 6
 	// latencyWeight is the weight of a new answer in the smoothed latency.
 	latencyWeight = 0.1
 	// failureWeight is the weight of a new answer in the smoothed share of failures.
@@ -130,30 +133,57 @@
 func (m *Meter) Told(instance string, loads map[uint64]Load, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.remotes[instance] = remote{at: now, loads: loads}
-	clear(m.others)
 	for name, r := range m.remotes {
-		if now.Sub(r.at) > remoteLife {
+		if name == instance || now.Sub(r.at) > remoteLife {
+			m.count(r, -1)
 			delete(m.remotes, name)
-			continue
-		}
-		for target, load := range r.loads {
-			sum := m.others[target]
-			sum.Cells += load.Cells
-			sum.Streams += load.Streams
-			m.others[target] = sum
 		}
 	}
+	m.remotes[instance] = remote{at: now, loads: loads}
+	m.count(m.remotes[instance], 1)
 	m.scale = 1
 	if heard := len(m.remotes); heard > 0 && m.members-1 > heard {
 		m.scale = float64(m.members-1) / float64(heard)
 	}
 }
 
+// count adds what an instance told to the sums, or takes it off.
+func (m *Meter) count(r remote, sign int) {
+	for target, load := range r.loads {
+		sum := m.others[target]
+		sum.Cells += int64(sign) * load.Cells
+		sum.Streams += sign * load.Streams
+		if sum == (Load{}) {
+			delete(m.others, target)
+			continue
+		}
+		m.others[target] = sum
+	}
+}
+
+// Loads returns the loads of all instances on the targets, for a path through them.
+func (m *Meter) Loads(targets []*target.Target, now time.Time) []path.Load {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	loads := make([]path.Load, len(targets))
+	for i, t := range targets {
+		load := m.load(t.Name)
+		loads[i] = path.Load{Cells: load.Cells, Streams: load.Streams}
+		if s := m.targets[t.Name]; s != nil && now.Before(s.full) {
+			loads[i].Slow = fullFactor
+		}
+	}
+	return loads
+}
+
 // Load returns the load of all instances on a target.
 func (m *Meter) Load(name string) Load {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	return m.load(name)
+}
+
+func (m *Meter) load(name string) Load {
 	load := m.others[Key(name)]
 	load.Cells = int64(m.scale * float64(load.Cells))
 	load.Streams = int(m.scale * float64(load.Streams))
--- a/pkg/exchange/call.go
+++ b/pkg/exchange/call.go
@@ -114,7 +114,7 @@
 // View is what an instance knows of the configuration and the targets.
 type View struct {
 	Catalogue *catalogue.Catalogue
-	Targets   map[string][]target.Target // Targets lists the targets of each service.
+	Targets   map[string]*Pool // Targets holds the targets of each service.
 }
 
 // Views gives the present view.
--- a/pkg/exchange/fake_test.go
+++ b/pkg/exchange/fake_test.go
@@ -144,9 +144,9 @@
 	c, err := catalogue.New(1, catalogue.Limits{}, routes, []catalogue.Service{{Name: "desk"}, {Name: "model", Engine: engine}},
 		[]catalogue.Workspace{{Name: "kiln", Keys: []string{"key"}, Ranked: true, Priority: 2}})
 	qt.Assert(t, err, qt.IsNil)
-	v := &exchange.View{Catalogue: c, Targets: map[string][]target.Target{
-		"desk":  {plainTarget("d1"), plainTarget("d2")},
-		"model": {engineTarget("m1", 0, 2), engineTarget("m2", 0, 2), engineTarget("m3", 2, 4), engineTarget("m4", 2, 4)},
+	v := &exchange.View{Catalogue: c, Targets: map[string]*exchange.Pool{
+		"desk":  exchange.NewPool(plainTarget("d1"), plainTarget("d2")),
+		"model": exchange.NewPool(engineTarget("m1", 0, 2), engineTarget("m2", 0, 2), engineTarget("m3", 2, 4), engineTarget("m4", 2, 4)),
 	}}
 	w := &world{upstream: &upstream{dead: make(map[string]bool)}, views: &views{view: v}, meter: usage.New()}
 	quiet := &log.Logger{Level: log.PanicLevel}
@@ -156,20 +156,28 @@
 
 var ports uint16 = 1000
 
-func plainTarget(name string) target.Target {
+func plainTarget(name string) *target.Target {
 	ports++
-	return target.Target{
+	return &target.Target{
 		Name: name, State: target.Live, Service: "desk", Slots: 4,
 		Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), ports),
 	}
 }
 
-func engineTarget(name string, first, end int) target.Target {
+func engineTarget(name string, first, end int) *target.Target {
 	t := plainTarget(name)
 	t.Kind, t.Service, t.Accelerator, t.Layers = target.Engine, "model", "k", layer.Range{First: first, End: end}
 	return t
 }
 
+// list replaces the targets of a service.
+func (w *world) list(service string, targets ...*target.Target) {
+	w.views.view.Targets[service] = exchange.NewPool(targets...)
+}
+
+// models returns the targets of the model.
+func (w *world) models() []*target.Target { return w.views.view.Targets["model"].All() }
+
 // call serves a request for a path and returns what its caller gets.
 func (w *world) call(path string, change ...func(*exchange.Call)) (*httptest.ResponseRecorder, error) {
 	c := &exchange.Call{
--- a/pkg/exchange/find.go
+++ b/pkg/exchange/find.go
@@ -4,7 +4,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 )
 
@@ -41,7 +40,8 @@
 // find returns a path among the targets of the view.
 func (s *Server) find(v *View, r *request, q path.Request) (path.Path, error) {
 	q.Prompt, q.Answer, q.DataCentre = r.Work.Prompt, r.expected(), s.dataCentre
-	finder := s.finder(v, r.service)
+	finder := v.Targets[r.service.Name].Finder(r.service.Engine)
+	q.Loads = s.meter.Loads(finder.Targets(), time.Now())
 	var found path.Path
 	var err error
 	s.draw(func(random *rand.Rand) { found, err = finder.Find(random, q) })
@@ -74,19 +74,3 @@
 	}
 	s.ran[name] = true
 }
-
-// finder returns the finder of a service's targets as they are loaded now.
-func (s *Server) finder(v *View, service *catalogue.Service) *path.Finder {
-	targets := v.Targets[service.Name]
-	holders := make([]path.Holder, 0, len(targets))
-	now := time.Now()
-	for _, t := range targets {
-		load := s.meter.Load(t.Name)
-		h := path.Holder{Target: t, Cells: load.Cells, Streams: load.Streams}
-		if s.meter.Full(t.Name, now) {
-			h.Slow = fullFactor
-		}
-		holders = append(holders, h)
-	}
-	return path.New(service.Engine, holders)
-}
--- a/pkg/exchange/plain.go
+++ b/pkg/exchange/plain.go
@@ -46,26 +46,26 @@
 // there is no other.
 func (r *request) choose() (target.Target, bool) {
 	now := time.Now()
-	var best target.Target
-	bestCost, found := 0.0, false
+	var best *target.Target
+	bestCost := 0.0
 	for _, avoided := range []bool{false, true} {
-		for _, t := range r.view.Targets[r.service.Name] {
+		for _, t := range r.view.Targets[r.service.Name].All() {
 			if !t.Accepting() || r.avoided[t.Name] || r.server.meter.Avoided(t.Name, now) != avoided {
 				continue
 			}
 			cost := r.plainCost(t)
-			if !found || cost < bestCost {
-				best, bestCost, found = t, cost, true
+			if best == nil || cost < bestCost {
+				best, bestCost = t, cost
 			}
 		}
-		if found {
-			break
+		if best != nil {
+			return *best, true
 		}
 	}
-	return best, found
+	return target.Target{}, false
 }
 
-func (r *request) plainCost(t target.Target) float64 {
+func (r *request) plainCost(t *target.Target) float64 {
 	latency, failing := r.server.meter.Health(t.Name)
 	load := r.server.meter.Load(t.Name)
 	slots := float64(max(t.Slots, 1))
--- a/pkg/exchange/plain_test.go
+++ b/pkg/exchange/plain_test.go
@@ -172,10 +172,7 @@
 // against refusing others with it.
 func TestCrashingRequest(t *testing.T) {
 	w := newWorld(t)
-	w.views.view.Targets["desk"] = nil
-	for _, name := range []string{"d1", "d2", "d3", "d4", "d5", "d6"} {
-		w.views.view.Targets["desk"] = append(w.views.view.Targets["desk"], plainTarget(name))
-	}
+	w.list("desk", plainTarget("d1"), plainTarget("d2"), plainTarget("d3"), plainTarget("d4"), plainTarget("d5"), plainTarget("d6"))
 	crashes := 0
 	w.upstream.open = func(_ context.Context, _ int, a exchange.Attempt) (*exchange.Answer, error) {
 		if string(a.Call.Body) == "poison" {
--- /dev/null
+++ b/pkg/exchange/pool.go
@@ -0,0 +1,45 @@
+package exchange
+
+import (
+	"sync"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// Pool is the targets of one service. It is immutable: a change makes a new one, and the views before keep theirs. A nil
+// pool has no targets.
+type Pool struct {
+	targets []*target.Target
+
+	mu     sync.Mutex
+	engine *catalogue.Engine // engine is the one that the finder was made for.
+	finder *path.Finder
+}
+
+// NewPool returns a pool of the targets, which must not change any more.
+func NewPool(targets ...*target.Target) *Pool {
+	return &Pool{targets: targets}
+}
+
+// All returns the targets. The caller does not change the list.
+func (p *Pool) All() []*target.Target {
+	if p == nil {
+		return nil
+	}
+	return p.targets
+}
+
+// Finder returns the finder of paths among the targets. All requests share it.
+func (p *Pool) Finder(engine *catalogue.Engine) *path.Finder {
+	if p == nil {
+		return path.New(engine, nil)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.finder == nil || p.engine != engine {
+		p.engine, p.finder = engine, path.New(engine, p.targets)
+	}
+	return p.finder
+}
--- a/pkg/exchange/stream_test.go
+++ b/pkg/exchange/stream_test.go
@@ -95,7 +95,7 @@
 		return streaming(io.MultiReader(strings.NewReader(events(n, n)), iotest.ErrReader(errReset))), nil
 	}
 	// Two more first targets than the two that the route allows.
-	w.views.view.Targets["model"] = append(w.views.view.Targets["model"], engineTarget("m5", 0, 2), engineTarget("m6", 0, 2))
+	w.list("model", append(w.models(), engineTarget("m5", 0, 2), engineTarget("m6", 0, 2))...)
 	_, _ = w.call("/plan/1")
 	ran := make(map[string]bool)
 	for _, a := range w.upstream.sent() {
@@ -161,12 +161,12 @@
 	w.upstream.open = func(context.Context, int, exchange.Attempt) (*exchange.Answer, error) {
 		return streaming(strings.NewReader(events(1, 1))), nil
 	}
-	release := w.meter.Reserve(path.Path{{Target: w.views.view.Targets["model"][0]}, {Target: w.views.view.Targets["model"][1]}}, 1)
+	release := w.meter.Reserve(path.Path{{Target: *w.models()[0]}, {Target: *w.models()[1]}}, 1)
 	defer release()
 	fill := func() func() {
 		var all path.Path
-		for _, m := range w.views.view.Targets["model"] {
-			all = append(all, path.Part{Target: m, Layers: m.Layers})
+		for _, m := range w.models() {
+			all = append(all, path.Part{Target: *m, Layers: m.Layers})
 		}
 		return w.meter.Reserve(all, 1<<20)
 	}
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -37,8 +37,6 @@
 	vacateTime = 10 * time.Second
 	// hearsayAge is how recent an event through a target must be to disprove what another instance says.
 	hearsayAge = 70 * time.Millisecond
-	// fullFactor makes a target that had no room a moment ago look slower.
-	fullFactor = 6
 	// lookAgainAfter is when a stream is looked into again whose targets all answer.
 	lookAgainAfter = 150 * time.Millisecond
 )
--- /dev/null
+++ b/pkg/station/bench_test.go
@@ -0,0 +1,49 @@
+package station
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/usage"
+	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// BenchmarkChange is the cost of one changed entry, with the finder that the next request needs.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{100, 1000, 7000} {
+		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
+			k := newTestKnowledge()
+			row := func(i int, revision uint64) Row {
+				first := int(revision) % 3 // No n is a multiple of 3, so that each change is one.
+				t := target.Target{Service: "model", State: target.Live, Address: netip.MustParseAddrPort("10.0.0.1:80"), Layers: layer.Range{First: first, End: first + 1}}
+				return Row{Name: fmt.Sprint("w", i), Value: []byte(encode(t)), Revision: revision}
+			}
+			all := Change{Whole: true}
+			for i := range n {
+				all.Rows = append(all.Rows, row(i, uint64(i+2)))
+			}
+			k.list(all, 0, epoch)
+			engine := k.View().Catalogue.Service("model").Engine
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				k.list(Change{Rows: []Row{row(i%n, uint64(n+i+2))}}, 0, epoch)
+				k.View().Targets["model"].Finder(engine)
+			}
+		})
+	}
+}
+
+// BenchmarkTold is the cost of one bulletin of loads, with as many instances heard lately as in a large fleet.
+func BenchmarkTold(b *testing.B) {
+	m := usage.New()
+	loads := make(map[uint64]usage.Load)
+	for i := range maxLoads {
+		loads[usage.Key(fmt.Sprint("w", i))] = usage.Load{Cells: 100, Streams: 1}
+	}
+	for i := 0; b.Loop(); i++ {
+		m.Told(fmt.Sprint("i", i%300), loads, epoch.Add(time.Duration(i)*10*time.Millisecond))
+	}
+}
--- a/pkg/station/knowledge.go
+++ b/pkg/station/knowledge.go
@@ -35,11 +35,13 @@
 	revision  uint64 // revision is the store's, of the configuration in force.
 	content   []byte
 	targets   map[string]*listed
-	gone      map[string]uint64   // gone holds the revisions at which entries were removed.
-	heard     map[string]heard    // heard holds the layers that targets reported before their entries.
-	digest    atomic.Uint64       // digest is a hash of the targets in the view.
-	vacated   func(target.Target) // vacated takes the targets that give up layers or leave.
-	news      func(rows []Row)    // news takes the entries that changed something.
+	shown     map[string]*target.Target // shown are the targets in the view.
+	changed   map[string]bool           // changed names the targets that may differ from the view.
+	gone      map[string]uint64         // gone holds the revisions at which entries were removed.
+	heard     map[string]heard          // heard holds the layers that targets reported before their entries.
+	digest    atomic.Uint64             // digest is a hash of the targets listed.
+	vacated   func(target.Target)       // vacated takes the targets that give up layers or leave.
+	news      func(rows []Row)          // news takes the entries that changed something.
 }
 
 // heardLife is how long a report goes before the target's entry.
@@ -52,12 +54,14 @@
 	revision uint64
 	missing  time.Time // missing is when an entry that is kept will be dropped; zero if it is there.
 	refused  bool      // refused entries cannot be decoded.
+	digest   uint64    // digest is a hash of the target, 0 if it is refused.
 }
 
 func newKnowledge(p Platform, logger *log.Logger, proofLife time.Duration) *knowledge {
 	return &knowledge{
 		platform: p, logger: logger, proofLife: proofLife,
-		targets: make(map[string]*listed), gone: make(map[string]uint64), heard: make(map[string]heard), news: func([]Row) {}, vacated: func(target.Target) {},
+		targets: make(map[string]*listed), shown: make(map[string]*target.Target), changed: make(map[string]bool),
+		gone: make(map[string]uint64), heard: make(map[string]heard), news: func([]Row) {}, vacated: func(target.Target) {},
 	}
 }
 
@@ -179,10 +183,10 @@
 		if old == nil || !old.refused {
 			k.logger.Warn().Str("Target", row.Name).Uint64("Revision", row.Revision).Err(err).Msg("entry skipped")
 		}
-		k.targets[row.Name] = &listed{revision: row.Revision, content: row.Value, refused: true}
+		k.put(row.Name, &listed{revision: row.Revision, content: row.Value, refused: true})
 		return old != nil && !old.refused
 	}
-	k.targets[row.Name] = &listed{target: t, revision: row.Revision, content: row.Value}
+	k.put(row.Name, &listed{target: t, revision: row.Revision, content: row.Value, digest: digestOf(t)})
 	if old != nil && old.target.Layers != t.Layers {
 		delete(k.heard, t.Name)
 	}
@@ -218,11 +222,12 @@
 	if len(k.gone) >= maxGone {
 		clear(k.gone)
 	}
-	delete(k.targets, name)
+	k.put(name, nil)
+	delete(k.heard, name)
 	k.gone[name] = revision
 }
 
-// expire drops the missing entries whose time has come.
+// expire drops the missing entries and the reports whose time has come.
 func (k *knowledge) expire(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -234,8 +239,16 @@
 			news = append(news, Row{Name: name, Revision: l.revision, Removed: true})
 		}
 	}
-	if len(news) > 0 {
+	for name, h := range k.heard {
+		if now.After(h.until) {
+			delete(k.heard, name)
+			k.changed[name] = true
+		}
+	}
+	if len(k.changed) > 0 {
 		k.publish()
+	}
+	if len(news) > 0 {
 		k.news(news)
 	}
 }
--- a/pkg/station/knowledge_test.go
+++ b/pkg/station/knowledge_test.go
@@ -1,11 +1,13 @@
 package station
 
 import (
+	"maps"
 	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -135,3 +137,67 @@
 	k.list(Change{Whole: true}, 0, epoch)
 	qt.Assert(t, k.View(), qt.IsNotNil)
 }
+
+// TestShared guards against making the targets of a service anew, and the finder of its paths with them, for each change
+// of another service.
+func TestShared(t *testing.T) {
+	k := newTestKnowledge()
+	row := func(name, service string, revision uint64, layers layer.Range) Row {
+		entry := target.Target{Service: service, State: target.Live, Address: netip.MustParseAddrPort("10.0.0.1:80"), Layers: layers}
+		return Row{Name: name, Value: []byte(encode(entry)), Revision: revision}
+	}
+	whole := layer.Range{First: 0, End: 4}
+	k.list(Change{Rows: []Row{row("a", "one", 2, whole), row("b", "one", 3, whole), row("c", "two", 4, whole)}}, 0, epoch)
+	before := k.View()
+	k.list(Change{Rows: []Row{row("c", "two", 5, layer.Range{First: 0, End: 2})}}, 0, epoch)
+	after := k.View()
+	qt.Assert(t, after.Targets["one"], qt.Equals, before.Targets["one"])
+	qt.Assert(t, after.Targets["two"], qt.Not(qt.Equals), before.Targets["two"])
+	qt.Assert(t, before.Targets["two"].All()[0].Layers, qt.Equals, whole)
+	k.list(Change{Rows: []Row{row("c", "one", 6, whole)}}, 0, epoch) // The target moves to the other service.
+	moved := k.View()
+	qt.Assert(t, moved.Targets["one"].All(), qt.HasLen, 3)
+	qt.Assert(t, moved.Targets["two"].All(), qt.HasLen, 0)
+}
+
+// TestViewProperty guards against a view that differs from the entries after any changes, and against a digest that
+// depends on their order.
+func TestViewProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := newTestKnowledge()
+		k.list(Change{Whole: true}, 0, epoch)
+		want := make(map[string]target.Target)
+		for revision := range uint64(rapid.IntRange(1, 40).Draw(t, "changes")) {
+			name := rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name")
+			if rapid.Bool().Draw(t, "removed") {
+				k.list(Change{Rows: []Row{{Name: name, Revision: revision + 2, Removed: true}}}, 0, epoch)
+				delete(want, name)
+				continue
+			}
+			entry := target.Target{
+				Name: name, State: target.Live, Address: netip.MustParseAddrPort("10.0.0.1:80"),
+				Service: rapid.SampledFrom([]string{"one", "two"}).Draw(t, "service"),
+				Layers:  layer.Range{First: 0, End: rapid.IntRange(1, 4).Draw(t, "end")},
+			}
+			want[name] = entry
+			k.list(Change{Rows: []Row{{Name: name, Value: []byte(encode(entry)), Revision: revision + 2}}}, 0, epoch)
+		}
+		found := make(map[string]target.Target)
+		digest := uint64(0)
+		for service, pool := range k.View().Targets {
+			for _, listed := range pool.All() {
+				if listed.Service != service {
+					t.Fatalf("%s of %s is in %s", listed.Name, listed.Service, service)
+				}
+				found[listed.Name] = *listed
+				digest ^= digestOf(*listed)
+			}
+		}
+		if !maps.Equal(found, want) {
+			t.Fatalf("the view has %v, the entries are %v", found, want)
+		}
+		if digest != k.digest.Load() {
+			t.Fatalf("the digest is %x, that of the view %x", k.digest.Load(), digest)
+		}
+	})
+}
--- a/pkg/station/plan.go
+++ b/pkg/station/plan.go
@@ -45,12 +45,13 @@
 		if service.Engine == nil || service.Engine.Layers == 0 {
 			continue
 		}
-		targets := l.overlay(view.Targets[service.Name], time.Now())
+		listed := view.Targets[service.Name].All()
+		targets := l.overlay(listed, time.Now())
 		if !l.settled(service.Name, targets, time.Now()) {
 			continue
 		}
 		var group sync.WaitGroup
-		for _, o := range layout.New(service.Engine).Plan(targets, l.returning(service.Name, view.Targets[service.Name], time.Now())) {
+		for _, o := range layout.New(service.Engine).Plan(targets, l.returning(service.Name, listed, time.Now())) {
 			group.Go(func() { l.order(ctx, service.Engine, o, fence) })
 		}
 		group.Wait()
@@ -59,7 +60,7 @@
 
 // returning counts, for each data centre, the targets that were lost a moment ago. They may come back; and until then no
 // new streams pass through their data centre, so that dealing out its layers anew interrupts few.
-func (l *leader) returning(service string, targets []target.Target, now time.Time) map[string]int {
+func (l *leader) returning(service string, targets []*target.Target, now time.Time) map[string]int {
 	present := make(map[string]bool, len(targets))
 	for _, t := range targets {
 		if l.station.meter.IsDead(t.Name, now) || !t.Accepting() {
@@ -108,14 +109,15 @@
 }
 
 // overlay returns the targets with the layers that they were last ordered to hold.
-func (l *leader) overlay(targets []target.Target, now time.Time) []target.Target {
+func (l *leader) overlay(targets []*target.Target, now time.Time) []target.Target {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	planned := make([]target.Target, 0, len(targets))
-	for _, t := range targets {
-		if l.station.meter.IsDead(t.Name, now) {
+	for _, entry := range targets {
+		if l.station.meter.IsDead(entry.Name, now) {
 			continue
 		}
+		t := *entry
 		if p, ok := l.pending[t.Name]; ok {
 			if now.After(p.until) || !p.started.Equal(t.Started) || t.Layers == p.layers {
 				delete(l.pending, t.Name)
--- a/pkg/station/station_test.go
+++ b/pkg/station/station_test.go
@@ -46,7 +46,7 @@
 		return false
 	}
 	var held [4]bool
-	for _, t := range view.Targets["model"] {
+	for _, t := range view.Targets["model"].All() {
 		for l := t.Layers.First; l < t.Layers.End; l++ {
 			held[l] = true
 		}
@@ -128,14 +128,14 @@
 	s := start(t, "i1", store, orders)
 	eventually(t, "all layers", func() bool { return covered(s) })
 	var lost target.Target
-	for _, w := range s.knowledge.View().Targets["model"] {
+	for _, w := range s.knowledge.View().Targets["model"].All() {
 		if w.Layers == (layer.Range{First: 0, End: 2}) {
 			s.meter.Dead(w.Name, time.Now().Add(time.Minute))
-			lost = w
+			lost = *w
 		}
 	}
 	eventually(t, "another holder", func() bool {
-		for _, w := range s.knowledge.View().Targets["model"] {
+		for _, w := range s.knowledge.View().Targets["model"].All() {
 			if w.Name != lost.Name && w.Layers.First == 0 && w.Layers.Valid() && !s.meter.IsDead(w.Name, time.Now()) {
 				return true
 			}
--- a/pkg/station/view.go
+++ b/pkg/station/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,65 +26,105 @@
 		return
 	}
 	k.heard[name] = heard{layers: layers, until: now.Add(heardLife)}
+	k.changed[name] = true
 	k.logger.Info().Str("Target", name).Str("Layers", layers.String()).Msg("target reported its layers")
 	k.publish()
 }
 
 // target returns what is known of a target.
 func (k *knowledge) target(name string) (target.Target, bool) {
-	all := k.all()
-	i := slices.IndexFunc(all, func(t target.Target) bool { return t.Name == name })
-	if i < 0 {
-		return target.Target{}, false
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if t := k.shown[name]; t != nil {
+		return *t, true
+	}
+	return target.Target{}, false
+}
+
+// put replaces an entry, or drops it if the new one is nil.
+func (k *knowledge) put(name string, l *listed) {
+	digest := k.digest.Load()
+	if old := k.targets[name]; old != nil {
+		digest ^= old.digest
+	}
+	if l == nil {
+		delete(k.targets, name)
+	} else {
+		k.targets[name] = l
+		digest ^= l.digest
+	}
+	k.digest.Store(digest)
+	k.changed[name] = true
+}
+
+// current returns a target as its entry and its last report say, or nil if it is not there.
+func (k *knowledge) current(name string) *target.Target {
+	l := k.targets[name]
+	if l == nil || l.refused {
+		return nil
+	}
+	t := l.target
+	if h, ok := k.heard[name]; ok {
+		if t.Layers == h.layers {
+			delete(k.heard, name)
+		}
+		t.Layers = h.layers
 	}
-	return all[i], true
+	return &t
 }
 
-// publish replaces the view. The lock must be held.
+// publish replaces the view by one with the entries that have changed. What has not changed is shared with the view
+// before. The lock must be held.
 func (k *knowledge) publish() {
 	if k.catalogue == nil || !k.listed {
 		return // Without a list, requests would be refused for want of targets that are there.
 	}
-	v := &exchange.View{Catalogue: k.catalogue, Targets: make(map[string][]target.Target)}
-	digest := uint64(0)
-	for _, l := range k.targets {
-		if l.refused {
-			continue
-		}
-		t := l.target
-		digest ^= digestOf(t)
-		if h, ok := k.heard[t.Name]; ok {
-			if t.Layers == h.layers || time.Now().After(h.until) {
-				delete(k.heard, t.Name)
-			} else {
-				t.Layers = h.layers
+	v := &exchange.View{Catalogue: k.catalogue, Targets: make(map[string]*exchange.Pool)}
+	if old := k.view.Load(); old != nil {
+		maps.Copy(v.Targets, old.Targets)
+	}
+	vacated, added := k.update()
+	for service, list := range added {
+		kept := make([]*target.Target, 0, len(v.Targets[service].All())+len(list))
+		for _, t := range v.Targets[service].All() {
+			if k.shown[t.Name] == t {
+				kept = append(kept, t)
 			}
 		}
-		v.Targets[t.Service] = append(v.Targets[t.Service], t)
+		v.Targets[service] = exchange.NewPool(append(kept, list...)...)
+	}
+	k.view.Store(v)
+	for _, t := range vacated {
+		k.vacated(*t)
 	}
-	k.digest.Store(digest)
-	k.vacate(k.view.Swap(v), v)
 }
 
-// vacate tells of targets that gave up layers or are leaving.
-func (k *knowledge) vacate(old, now *exchange.View) {
-	if old == nil {
-		return
-	}
-	present := make(map[string]target.Target)
-	for _, list := range now.Targets {
-		for _, t := range list {
-			present[t.Name] = t
+// update takes the changed entries into the targets shown. It returns those that gave up layers or are leaving, and
+// what is new in each service that has changed.
+func (k *knowledge) update() (vacated []*target.Target, added map[string][]*target.Target) {
+	added = make(map[string][]*target.Target)
+	for name := range k.changed {
+		before, after := k.shown[name], k.current(name)
+		if before != nil && after != nil && *before == *after {
+			continue
 		}
-	}
-	for _, list := range old.Targets {
-		for _, before := range list {
-			after, ok := present[before.Name]
-			if before.Layers.Valid() && before.Accepting() && (!ok || !after.Accepting() || !after.Layers.Contains(before.Layers)) {
-				k.vacated(before)
+		if before != nil {
+			delete(k.shown, name)
+			if _, ok := added[before.Service]; !ok {
+				added[before.Service] = nil // The service has changed, though nothing may be added.
 			}
 		}
+		if after != nil {
+			k.shown[name] = after
+			added[after.Service] = append(added[after.Service], after)
+		}
+		if before != nil && before.Layers.Valid() && before.Accepting() &&
+			(after == nil || !after.Accepting() || !after.Layers.Contains(before.Layers)) {
+			vacated = append(vacated, before)
+		}
 	}
+	clear(k.changed)
+	return vacated, added
 }
 
 // digestOf is a hash of what other instances must know of a target.
@@ -99,5 +138,11 @@
 	if view == nil {
 		return nil
 	}
-	return slices.Concat(slices.Collect(maps.Values(view.Targets))...)
+	var all []target.Target
+	for _, pool := range view.Targets {
+		for _, t := range pool.All() {
+			all = append(all, *t)
+		}
+	}
+	return all
 }
