--- a/pkg/command/commands.go
+++ b/pkg/command/commands.go
@@ -25,5 +25,6 @@
 	newDemo,
 	newSoak,
 	newBench,
+	newExperiment,
 	newStandin,
 }
--- a/pkg/command/proving.go
+++ b/pkg/command/proving.go
@@ -5,6 +5,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/bench"
 	"github.com/cuminroute/cuminroute/pkg/demo"
+	"github.com/cuminroute/cuminroute/pkg/experiment"
 	"github.com/cuminroute/cuminroute/pkg/soak"
 	"github.com/cuminroute/cuminroute/pkg/standin"
 	"github.com/cuminroute/cuminroute/pkg/standin/entry"
@@ -25,3 +26,7 @@
 func newStandin(e *Environment) *ffcli.Command {
 	return standin.NewCommand(e.Stdout)
 }
+
+func newExperiment(e *Environment) *ffcli.Command {
+	return experiment.NewCommand(e.Stdout)
+}
