--- a/pkg/command/commands.go
+++ b/pkg/command/commands.go
@@ -26,5 +26,6 @@
 	newSoak,
 	newBench,
 	newExperiment,
+	newLosses,
 	newStandin,
 }
--- a/pkg/command/proving.go
+++ b/pkg/command/proving.go
@@ -6,6 +6,7 @@
 	"github.com/cuminroute/cuminroute/pkg/bench"
 	"github.com/cuminroute/cuminroute/pkg/demo"
 	"github.com/cuminroute/cuminroute/pkg/experiment"
+	"github.com/cuminroute/cuminroute/pkg/losses"
 	"github.com/cuminroute/cuminroute/pkg/soak"
 	"github.com/cuminroute/cuminroute/pkg/standin"
 	"github.com/cuminroute/cuminroute/pkg/standin/entry"
@@ -30,3 +31,7 @@
 func newExperiment(e *Environment) *ffcli.Command {
 	return experiment.NewCommand(e.Stdout)
 }
+
+func newLosses(e *Environment) *ffcli.Command {
+	return losses.NewCommand(e.Stdin, e.Stdout)
+}
--- a/pkg/exchange/record.go
+++ b/pkg/exchange/record.go
@@ -44,7 +44,8 @@
 		entry = entry.Uint64("Version", r.view.Catalogue.Version).Dur("ProofAge", s.views.ProofAge())
 	}
 	if r.route != nil {
-		entry = entry.Str("Route", r.route.Name).Str("Workspace", r.workspace).Int("Attempts", r.attempts).Int("Refusals", r.refusals)
+		entry = entry.Str("Route", r.route.Name).Str("Workspace", r.workspace).Int("Attempts", r.attempts).Int("Refusals", r.refusals).
+			Dur("Goal", r.route.Goal).Dur("PauseGoal", r.route.PauseGoal)
 	}
 	if len(r.targets) > 0 {
 		entry = entry.Str("Targets", strings.Join(r.targets, "; "))
@@ -71,6 +72,6 @@
 			Dur("RetryAfter", refused.RetryAfter).Err(refused.Cause).Msg("request ended")
 	default:
 		s.counters.failed.Inc(1)
-		entry.Str("Outcome", string(refusal.OutcomeOf(err))).Err(err).Msg("request ended")
+		entry.Str("Outcome", string(refusal.OutcomeOf(err))).Str("Reason", refusal.From(err).Code).Err(err).Msg("request ended")
 	}
 }
