--- a/pkg/exchange/stream_test.go
+++ b/pkg/exchange/stream_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -331,3 +332,116 @@
 	qt.Assert(t, w.upstream.sent(), qt.HasLen, 1)
 	qt.Assert(t, w.upstream.changes, qt.HasLen, 0)
 }
+
+// TestSureSuspect guards against long questions to a target when several streams show that it, and nothing else, has
+// fallen silent, and against short ones when this process itself may stand still.
+func TestSureSuspect(t *testing.T) {
+	for _, test := range []struct {
+		about  string
+		others bool // others means that a stream through another target goes on.
+		asked  int  // asked is the number of questions to the silent target.
+		within time.Duration
+	}{
+		{"others go on", true, 1, 30 * time.Millisecond},
+		{"all stand still", false, 2, 60 * time.Millisecond},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			w := newWorld(t)
+			d := &darkTarget{name: "dark", others: test.others, moved: make(chan struct{})}
+			w.list("model", engineTarget(d.name, 0, 4), engineTarget("sound", 0, 4))
+			w.upstream.probe, w.upstream.open = d.probe, d.open
+			var group sync.WaitGroup
+			call := func(full int, streams int) { // Streams take the target that has room.
+				whole := path.Path{{Target: *w.models()[full], Layers: w.models()[full].Layers}}
+				release := w.meter.Reserve(whole, 1<<20)
+				before := len(w.upstream.sent())
+				for range streams {
+					group.Go(func() { _, _ = w.call("/plan/1") })
+				}
+				eventually(t, func() bool { return len(w.upstream.sent()) == before+streams })
+				release()
+			}
+			call(1, darkStreams)
+			call(0, 1)
+			group.Wait()
+			asked, longest := d.questions()
+			qt.Assert(t, asked, qt.Equals, test.asked)
+			qt.Assert(t, longest <= test.within, qt.IsTrue, qt.Commentf("%v", longest))
+		})
+	}
+}
+
+// darkStreams is the number of streams through a darkTarget.
+const darkStreams = 4
+
+// darkTarget falls silent after three events of each stream, and answers no questions.
+type darkTarget struct {
+	name   string
+	others bool          // others means that the streams through other targets go on.
+	moved  chan struct{} // moved is closed when the first stream goes on elsewhere.
+	once   sync.Once
+
+	mu      sync.Mutex
+	asked   int
+	longest time.Duration // longest is the longest time that a question had.
+}
+
+func (d *darkTarget) probe(ctx context.Context, t target.Target) error {
+	select {
+	case <-d.moved: // Questions after the loss do not count.
+		return nil
+	default:
+	}
+	if t.Name != d.name {
+		return nil
+	}
+	deadline, _ := ctx.Deadline()
+	d.mu.Lock()
+	d.asked, d.longest = d.asked+1, max(d.longest, time.Until(deadline))
+	d.mu.Unlock()
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (d *darkTarget) open(ctx context.Context, _ int, a exchange.Attempt) (*exchange.Answer, error) {
+	if a.After != "" {
+		d.once.Do(func() { close(d.moved) })
+		return streaming(strings.NewReader(events(4, 4))), nil
+	}
+	reader, writer := io.Pipe()
+	context.AfterFunc(ctx, func() { _ = writer.CloseWithError(errReset) })
+	go func() {
+		_, _ = io.WriteString(writer, events(1, 3))
+		if a.Path[0].Target.Name == d.name {
+			return
+		}
+		for i := 4; d.others; i++ {
+			select {
+			case <-d.moved:
+				_ = writer.Close()
+				return
+			case <-time.After(10 * time.Millisecond):
+				_, _ = io.WriteString(writer, events(i, i)) // The stream may have been moved.
+			}
+		}
+		<-d.moved
+		_ = writer.Close()
+	}()
+	return streaming(reader), nil
+}
+
+func (d *darkTarget) questions() (asked int, longest time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.asked, d.longest
+}
+
+// eventually waits for a condition, for longer than any bound that a test of it states.
+func eventually(t *testing.T, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !condition(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the condition did not come true")
+		}
+	}
+}
--- a/pkg/exchange/watch.go
+++ b/pkg/exchange/watch.go
@@ -15,11 +15,15 @@
 const (
 	// probeTimeout bounds the question to a suspect. Machines accept connections within a millisecond or two.
 	probeTimeout = 40 * time.Millisecond
-	// slowFactor is how many probeTimeouts may pass, by this process's own clock, until it notices that one has.
+	// slowFactor is how many times the bound of a question may pass, by this process's own clock, until it notices.
 	slowFactor = 1.4
 	// probeTries is how often a suspect is asked that neither accepts nor refuses: this process itself may have stood
 	// still.
 	probeTries = 2
+	// sureProbeTimeout bounds the only question to a suspect where sureStreams streams or more have fallen silent with it
+	// and others have not: then neither this process nor its links stand still.
+	sureProbeTimeout = 15 * time.Millisecond
+	sureStreams      = 3
 	// followTimeout bounds the later questions to a target that was found dead.
 	followTimeout = 250 * time.Millisecond
 	// probeLife is how long the answer to a question counts.
@@ -88,16 +92,16 @@
 
 // silent looks into a stream without an event for longer than usual.
 func (w *watch) silent(s *session) {
-	suspects, shared := w.suspects(s)
-	if silence := time.Since(s.lastEvent()); !shared && silence < loneSilence {
+	found := w.suspects(s)
+	if silence := time.Since(s.lastEvent()); found.streams <= 1 && silence < loneSilence {
 		s.lookAgain(loneSilence - silence)
 		return
 	}
 	var dead atomic.Bool
 	var group sync.WaitGroup
-	for _, t := range suspects {
+	for _, t := range found.targets {
 		group.Go(func() {
-			if w.dead(t) {
+			if w.dead(t, found.sure()) {
 				dead.Store(true)
 				w.lost(t, "Silence")
 			}
@@ -112,18 +116,29 @@
 // suspect asks a target whose connection broke in the middle of an exchange whether it has crashed.
 func (w *watch) suspect(t target.Target, err error) {
 	var f *Failure
-	if errors.As(err, &f) && f.Sent && !f.Refused && w.dead(t) {
+	if errors.As(err, &f) && f.Sent && !f.Refused && w.dead(t, false) {
 		w.lost(t, "Broken")
 	}
 }
 
-// suspects are the targets of the stream's path that no other stream shows alive since its last event. Those that
-// other silent streams have in common come alone, with shared set.
-func (w *watch) suspects(s *session) (suspects []target.Target, shared bool) {
+// suspicion is what the streams tell of a silent one.
+type suspicion struct {
+	targets []target.Target
+	streams int  // streams is the number of silent streams that have the targets in common, 1 if the stream is alone.
+	others  bool // others means that streams through other targets have had events since.
+}
+
+// sure reports whether the fault must lie with the targets or their links.
+func (s suspicion) sure() bool { return s.others && s.streams >= sureStreams }
+
+// suspects returns the targets of the stream's path that no other stream shows alive since its last event; only those
+// that other silent streams have in common, if there are any.
+func (w *watch) suspects(s *session) suspicion {
 	p, since := s.currentPath(), s.lastEvent()
 	now := time.Now()
 	alive := make(map[string]bool)
 	silent := make(map[string]int)
+	found := suspicion{streams: 1}
 	for _, o := range w.running() {
 		if o == s {
 			continue
@@ -133,6 +148,7 @@
 			switch {
 			case last.After(since.Add(minSilence / 3)):
 				alive[part.Target.Name] = true
+				found.others = true
 			case now.Sub(last) > minSilence*2/3:
 				silent[part.Target.Name]++
 			}
@@ -145,7 +161,7 @@
 		if alive[name] {
 			continue
 		}
-		suspects = append(suspects, part.Target)
+		found.targets = append(found.targets, part.Target)
 		if n := silent[name]; n > most {
 			most, common = n, nil
 		}
@@ -154,31 +170,35 @@
 		}
 	}
 	if len(common) > 0 {
-		return common, true
+		found.targets, found.streams = common, most+1
 	}
-	return suspects, false
+	return found
 }
 
 // dead asks the target's machine whether it accepts connections. Questions at the same time share an answer.
-func (w *watch) dead(t target.Target) bool {
+func (w *watch) dead(t target.Target, sure bool) bool {
 	w.mu.Lock()
 	maps.DeleteFunc(w.probes, func(_ string, p *probe) bool { return time.Since(p.at) > probeLife })
 	p := w.probes[t.Name]
 	if p == nil {
 		p = &probe{at: time.Now(), done: make(chan struct{})}
 		w.probes[t.Name] = p
-		go w.ask(t, p)
+		go w.ask(t, p, sure)
 	}
 	w.mu.Unlock()
 	<-p.done
 	return p.err != nil
 }
 
-func (w *watch) ask(t target.Target, p *probe) {
+func (w *watch) ask(t target.Target, p *probe, sure bool) {
 	defer close(p.done)
-	for range probeTries {
+	tries, wait := probeTries, probeTimeout
+	if sure {
+		tries, wait = 1, sureProbeTimeout
+	}
+	for range tries {
 		var late, slow bool
-		late, slow, p.err = w.question(t)
+		late, slow, p.err = w.question(t, wait)
 		if slow {
 			// This process stands still at times: the silence says nothing of the target.
 			p.err = nil
@@ -193,12 +213,12 @@
 }
 
 // question asks a target once. Late reports that its time ran out, slow that this process noticed that too late.
-func (w *watch) question(t target.Target) (late, slow bool, err error) {
+func (w *watch) question(t target.Target, wait time.Duration) (late, slow bool, err error) {
 	started := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
 	defer cancel()
 	err = w.server.upstream.Probe(ctx, t)
-	return ctx.Err() != nil, time.Since(started) > time.Duration(slowFactor*float64(probeTimeout)), err
+	return ctx.Err() != nil, time.Since(started) > time.Duration(slowFactor*float64(wait)), err
 }
 
 // aliveSince reports whether a stream through the target has had an event since then.
