--- a/pkg/decision/retry/retry.go
+++ b/pkg/decision/retry/retry.go
@@ -11,12 +11,11 @@
 //	budget := retry.New()
 //	budget.Request("workspace-1", now)
 //	if budget.AllowAll(now, "workspace-1", "target-7") {
-//		delay := retry.Backoff(attempt, random)
+//		delay := retry.Backoff(attempt, rand.Int64N)
 //	}
 package retry
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 )
@@ -34,7 +33,7 @@
 	// backoffBase and backoffCap bound the delay before a retry. The cap keeps retries within
 	// usual deadlines.
 	backoffBase = 25 * time.Millisecond
-	backoffCap  = 2 * time.Second
+	backoffCap  = time.Second
 )
 
 // bucket holds the retries that one key may make.
@@ -148,10 +147,11 @@
 
 // Backoff returns the delay before the retry of that number (1 for the first): a random time up
 // to an exponentially growing bound. Full jitter spreads retries of requests that failed together.
-func Backoff(attempt int, r *rand.Rand) time.Duration {
+// Random returns a number in [0, n), as rand.Int64N does.
+func Backoff(attempt int, random func(n int64) int64) time.Duration {
 	bound := backoffBase
 	for i := 1; i < attempt && bound < backoffCap; i++ {
 		bound *= 2
 	}
-	return time.Duration(r.Int64N(int64(min(bound, backoffCap)) + 1))
+	return time.Duration(random(int64(min(bound, backoffCap)) + 1))
 }
--- a/pkg/decision/retry/retry_test.go
+++ b/pkg/decision/retry/retry_test.go
@@ -42,7 +42,7 @@
 						sent++
 					}
 					if attempt < 10 {
-						at := ms + 1 + int(retry.Backoff(attempt, random).Milliseconds())
+						at := ms + 1 + int(retry.Backoff(attempt, random.Int64N).Milliseconds())
 						waiting[at] = append(waiting[at], attempt+1)
 					}
 				}
@@ -81,10 +81,10 @@
 // TestBackoff guards against delays without jitter or beyond their bound.
 func TestBackoff(t *testing.T) {
 	random := rand.New(rand.NewPCG(1, 1))
-	for attempt, bound := range map[int]time.Duration{1: 25 * time.Millisecond, 3: 100 * time.Millisecond, 50: 2 * time.Second} {
+	for attempt, bound := range map[int]time.Duration{1: 25 * time.Millisecond, 3: 100 * time.Millisecond, 50: time.Second} {
 		low, high := bound, time.Duration(0)
 		for range 1000 {
-			delay := retry.Backoff(attempt, random)
+			delay := retry.Backoff(attempt, random.Int64N)
 			low, high = min(low, delay), max(high, delay)
 		}
 		qt.Check(t, low < bound/20 && high > bound*19/20 && high <= bound, qt.IsTrue, qt.Commentf("attempt %d: %v to %v", attempt, low, high))
--- a/pkg/station/knowledge_test.go
+++ b/pkg/station/knowledge_test.go
@@ -113,6 +113,55 @@
 	qt.Assert(t, has(k, "x"), qt.IsFalse)
 }
 
+// TestDiscovery guards against a view that differs from what the list says of a target through its life.
+func TestDiscovery(t *testing.T) {
+	whole := layer.Range{First: 0, End: 4}
+	entry := func(state target.State, port uint16, layers layer.Range, started int64) Row {
+		return Row{Name: "w", Value: []byte(encode(target.Target{
+			Service: "model", State: state, Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port), Layers: layers,
+			Started: time.Unix(started, 0).UTC(),
+		}))}
+	}
+	live := entry(target.Live, 80, whole, 1)
+	for _, test := range []struct {
+		about  string
+		news   []Row // news follow the entry of a live target.
+		listed bool
+		want   func(target.Target) bool
+	}{
+		{"the same again", []Row{live}, true, func(w target.Target) bool { return w.Accepting() && w.Layers == whole }},
+		{"it leaves", []Row{entry(target.Leaving, 80, whole, 1)}, true, func(w target.Target) bool { return !w.Accepting() }},
+		{"it has left", []Row{{Name: "w", Removed: true}}, false, nil},
+		{"it left without a word and comes back", []Row{{Name: "w", Removed: true}, live}, true, target.Target.Accepting},
+		{
+			"it starts anew, elsewhere and empty",
+			[]Row{entry(target.Live, 81, layer.Range{}, 2)},
+			true,
+			func(w target.Target) bool {
+				return w.Address.Port() == 81 && !w.Layers.Valid() && w.Started.Unix() == 2
+			},
+		},
+		{"another writer's entry in its place", []Row{{Name: "w", Value: []byte("?")}}, false, nil},
+		{"its own again after that", []Row{{Name: "w", Value: []byte("?")}, live}, true, target.Target.Accepting},
+		{"the address of another service", []Row{{Name: "w", Value: []byte(encode(target.Target{
+			Service: "orders", State: target.Live, Address: netip.MustParseAddrPort("10.0.0.1:80"),
+		}))}}, true, func(w target.Target) bool { return w.Service == "orders" }},
+	} {
+		t.Run(test.about, func(t *testing.T) {
+			k := newTestKnowledge()
+			for i, row := range append([]Row{live}, test.news...) {
+				row.Revision = uint64(i + 2)
+				k.list(Change{Rows: []Row{row}, Revision: row.Revision}, 0, epoch)
+			}
+			w, listed := k.target("w")
+			qt.Assert(t, listed, qt.Equals, test.listed)
+			if listed {
+				qt.Assert(t, test.want(w), qt.IsTrue, qt.Commentf("%+v", w))
+			}
+		})
+	}
+}
+
 // TestHear guards against keeping a report for longer than its target's next entry.
 func TestHear(t *testing.T) {
 	k := newTestKnowledge()
--- a/pkg/station/peers.go
+++ b/pkg/station/peers.go
@@ -201,12 +201,12 @@
 	p.send(addressesOf(p.others()), &instancepb.Bulletin{Lost: []string{t.Name}})
 }
 
-// tellNews tells all instances of entries that changed, if this one reads the list from the store.
+// tellNews tells others of entries that changed, if this one reads the list from the store.
 func (p *peers) tellNews(rows []Row) {
 	if !p.station.polled(time.Now()) {
 		return
 	}
-	others := addressesOf(p.others())
+	others := addressesOf(newsReach(p.others(), p.station.settings.DataCentre))
 	for some := range slices.Chunk(rows, maxNews) {
 		b := &instancepb.Bulletin{}
 		for _, r := range some {
@@ -218,6 +218,15 @@
 	}
 }
 
+// newsReach returns the instances that a reader tells of changed entries. In a large fleet these are the ones of its data
+// centre, since the others have readers of their own; otherwise each would hear everything once from each data centre.
+func newsReach(others []membership.Member, dataCentre string) []membership.Member {
+	if len(others) <= bulletinReach {
+		return others
+	}
+	return slices.DeleteFunc(others, func(m membership.Member) bool { return m.DataCentre != dataCentre })
+}
+
 // tellPlaced tells all instances that a target has loaded its layers.
 func (p *peers) tellPlaced(name string, layers layer.Range) {
 	placed := &instancepb.Placement{Target: name, First: uint32(layers.First), End: uint32(layers.End)}
--- a/pkg/stream/retry.go
+++ b/pkg/stream/retry.go
@@ -10,6 +10,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/pause"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
@@ -33,16 +34,10 @@
 	noRouteRetryAfter = 2 * time.Second
 	// overloadRetryAfter is the time in which a full queue drains to an extent.
 	overloadRetryAfter = time.Second
-
-	firstBackoff = 25 * time.Millisecond
-	lastBackoff  = time.Second
 )
 
-// fullJitter returns a random wait below a bound that doubles with each attempt.
-func fullJitter(attempt int) time.Duration {
-	bound := min(firstBackoff<<min(attempt, 10), lastBackoff)
-	return rand.N(bound)
-}
+// pauseBefore returns the wait after that many others.
+func pauseBefore(waits int) time.Duration { return retry.Backoff(waits+1, rand.Int64N) }
 
 func workspaceKey(workspace string) string { return "workspace/" + workspace }
 func targetKey(name string) string         { return "target/" + name }
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -66,7 +66,7 @@
 func NewRunner(router Router, stages func(target.Target) Stage, options ...Option) *Runner {
 	r := &Runner{
 		router: router, stages: stages, ledger: noLedger{}, budget: noBudget{},
-		now: time.Now, backoff: fullJitter, logger: &log.DefaultLogger,
+		now: time.Now, backoff: pauseBefore, logger: &log.DefaultLogger,
 		deadlines: newDeadlines(), crashes: newCrashes(),
 	}
 	for _, option := range options {
