--- a/pkg/exchange/stream.go
+++ b/pkg/exchange/stream.go
@@ -21,6 +21,9 @@
 	resumePause = 40 * time.Millisecond
 	// queueShare is the share of the time in which the first event is wanted that a request may wait for room.
 	queueShare = 0.6
+	// firstRank goes before all others at targets. Callers in the middle of an answer wait for a much shorter pause than
+	// for a first event.
+	firstRank = 0
 	// eventBuffer is the initial size in bytes of the buffer for events that are not whole yet.
 	eventBuffer = 2048
 	// maxEvent bounds one event in bytes.
@@ -156,6 +159,9 @@
 	s.crossings = p.Crossings()
 	a := s.attempt(p)
 	a.Reuse = reuse
+	if s.begun {
+		a.Rank = firstRank
+	}
 	opened, cancel := context.WithCancel(ctx)
 	s.opened(cancel)
 	answer, err := s.server.upstream.Open(opened, a)
--- a/pkg/exchange/stream_test.go
+++ b/pkg/exchange/stream_test.go
@@ -445,3 +445,20 @@
 		}
 	}
 }
+
+// TestResumeRank guards against a caller in the middle of an answer who waits behind new requests.
+func TestResumeRank(t *testing.T) {
+	w := newWorld(t)
+	w.upstream.open = func(_ context.Context, n int, _ exchange.Attempt) (*exchange.Answer, error) {
+		if n == 1 {
+			return streaming(io.MultiReader(strings.NewReader(events(1, 3)), iotest.ErrReader(errReset))), nil
+		}
+		return streaming(strings.NewReader(events(4, 6))), nil
+	}
+	_, err := w.call("/plan/1")
+	qt.Assert(t, err, qt.IsNil)
+	sent := w.upstream.sent()
+	qt.Assert(t, sent, qt.HasLen, 2)
+	qt.Assert(t, sent[0].Rank, qt.Equals, 2) // The workspace's own.
+	qt.Assert(t, sent[1].Rank, qt.Equals, 0)
+}
