--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/pause"
@@ -37,14 +38,14 @@
 	maxBackoff   = 800 * time.Millisecond
 )
 
-// backoff is the pause after failed calls.
+// backoff is the pause after failed calls. It is drawn, so that instances that failed together do not come back together.
 type backoff struct {
 	next time.Duration
 }
 
 func (b *backoff) wait(ctx context.Context) {
 	b.next = min(max(2*b.next, firstBackoff), maxBackoff)
-	sleep(ctx, b.next)
+	sleep(ctx, b.next/2+rand.N(b.next))
 }
 
 func (b *backoff) reset() { b.next = 0 }
