--- a/pkg/decision/admission/queue.go
+++ b/pkg/decision/admission/queue.go
@@ -36,7 +36,7 @@
 	admitted time.Time
 	due      time.Time // due is the latest start that meets the deadline; zero means none.
 	dueIndex int       // dueIndex is the place in the queue's heap of due times, -1 if absent.
-	run      *list.Element
+	run      *list.Element // run is the place among the requests that run.
 }
 
 // Queue decides on admission. Capacity is the cost that may run at once.
