--- a/pkg/decision/admission/queue.go
+++ b/pkg/decision/admission/queue.go
@@ -34,8 +34,8 @@
 	state    state
 	arrived  time.Time
 	admitted time.Time
-	due      time.Time // due is the latest start that meets the deadline; zero means none.
-	dueIndex int       // dueIndex is the place in the queue's heap of due times, -1 if absent.
+	due      time.Time     // due is the latest start that meets the deadline; zero means none.
+	dueIndex int           // dueIndex is the place in the queue's heap of due times, -1 if absent.
 	run      *list.Element // run is the place among the requests that run.
 }
 
