--- a/pkg/emulator/emulator.go
+++ b/pkg/emulator/emulator.go
@@ -45,12 +45,11 @@
 	stride   int
 	chunk    int
 
-	now     time.Duration
-	events  eventHeap
-	order   int                         // order numbers the events, so that those of one moment run in the order of their making.
-	pipes   map[[2]string]time.Duration // pipes holds until when the pipe between two data centres is taken.
-	started int                         // started numbers the requests.
-	counts  Counts
+	now    time.Duration
+	events eventHeap
+	order  int                         // order numbers the events, so that those of one moment run in the order of their making.
+	pipes  map[[2]string]time.Duration // pipes holds until when the pipe between two data centres is taken.
+	counts Counts
 }
 
 // Counts sums up what the targets did.
--- a/pkg/emulator/machine.go
+++ b/pkg/emulator/machine.go
@@ -123,6 +123,9 @@
 // take reserves memory for a stream; the newest is preempted where there is none left.
 func (m *machine) take(s *Stream, part, tokens int) {
 	n := cells(s.path[part], tokens)
+	if n <= 0 {
+		return
+	}
 	if s.held[part] == 0 {
 		m.streams = append(m.streams, s)
 	}
--- a/pkg/emulator/stream.go
+++ b/pkg/emulator/stream.go
@@ -8,7 +8,7 @@
 
 // Work is what a request wants.
 type Work struct {
-	Prompt, Answer int // Prompt and Answer are numbers of tokens.
+	Prompt, Answer int // Prompt and Answer are numbers of tokens, 1 or more.
 }
 
 // Watcher is told how a stream goes on.
@@ -42,7 +42,6 @@
 	for i := range p {
 		e.machines[p[i].Target.Name].take(s, i, w.Prompt)
 	}
-	e.started++
 	s.read(0)
 	return s, nil
 }
@@ -61,7 +60,7 @@
 	e := s.emulator
 	held := make([]int64, len(p))
 	for i, part := range p {
-		if old := s.index(part); old >= 0 && s.held[old] > 0 {
+		if old := indexOf(s.path, part); old >= 0 && s.held[old] > 0 {
 			held[i] = s.held[old]
 		} else if err := e.check(part, s.tokens); err != nil {
 			return err
@@ -79,8 +78,7 @@
 	return nil
 }
 
-func (s *Stream) index(part path.Part) int { return indexOf(s.path, part) }
-
+// indexOf returns the place of a part in a path, or -1.
 func indexOf(p path.Path, part path.Part) int {
 	for i := range p {
 		if p[i].Target.Name == part.Target.Name && p[i].Layers == part.Layers {
@@ -90,26 +88,26 @@
 	return -1
 }
 
-// read lets a part read what it does not hold, before the first token and after it has lost its memory.
+// read lets a part work: it writes a step, or first reads what it does not hold.
 func (s *Stream) read(part int) {
 	s.at = part
 	m := s.machine(part)
-	want := cells(s.path[part], s.tokens)
-	switch {
-	case m.dead:
+	if m.dead {
 		return
-	case s.held[part] == 0:
+	}
+	w := work{stream: s, part: part, epoch: s.epoch}
+	switch {
+	case s.held[part] == 0: // The part is new on the path, or was preempted.
 		m.take(s, part, s.tokens)
 		s.emulator.counts.Again += s.tokens
-		m.want(work{stream: s, part: part, epoch: s.epoch, read: s.tokens})
+		w.read = s.tokens
 	case s.written == 0:
-		m.want(work{stream: s, part: part, epoch: s.epoch, read: max(s.tokens, 1)})
-	case s.held[part] < want:
-		m.take(s, part, int((want-s.held[part])/int64(s.path[part].Layers.Len())))
-		fallthrough
+		w.read = s.tokens
 	default:
-		m.want(work{stream: s, part: part, epoch: s.epoch})
+		grown := cells(s.path[part], s.tokens) - s.held[part]
+		m.take(s, part, int(grown)/s.path[part].Layers.Len())
 	}
+	m.want(w)
 }
 
 // advance goes on after a part has done its work.
--- a/pkg/experiment/play.go
+++ b/pkg/experiment/play.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -136,7 +137,7 @@
 		}
 		for j, to := range p.instances {
 			if i != j {
-				to.meter.Told(string(rune('a'+i)), loads, now)
+				to.meter.Told(fmt.Sprint("instance-", i), loads, now)
 			}
 		}
 	}
