--- a/pkg/station/knowledge_test.go
+++ b/pkg/station/knowledge_test.go
@@ -1,6 +1,7 @@
 package station
 
 import (
+	"fmt"
 	"maps"
 	"net/netip"
 	"testing"
@@ -47,6 +48,49 @@
 	}
 }
 
+// TestConfigurationProperty guards against a configuration that goes back, or a newest one that is not taken, in whatever
+// order readers, peers and the store tell of them, and against a proof that an older one shortens.
+func TestConfigurationProperty(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := newKnowledge(fakePlatform(newFakeStore(), nil), silent(), 5*time.Second)
+		now := bootTime()
+		version, revision, newest := uint64(0), uint64(0), time.Duration(0)
+		t.Repeat(map[string]func(*rapid.T){
+			"told of a configuration": func(t *rapid.T) {
+				row := Row{Name: "config", Revision: rapid.Uint64Range(1, 20).Draw(t, "revision")}
+				told := rapid.Uint64Range(1, 20).Draw(t, "version")
+				row.Value = []byte(fmt.Sprint(told))
+				valid := rapid.IntRange(0, 4).Draw(t, "fault") > 0
+				if !valid {
+					row.Value = []byte("broken")
+				}
+				k.configure(row)
+				if valid && row.Revision > revision {
+					revision, version = row.Revision, max(version, told)
+				}
+			},
+			"told of a proof": func(t *rapid.T) {
+				at := now - time.Duration(rapid.IntRange(0, 9000).Draw(t, "age, ms"))*time.Millisecond
+				k.prove(at)
+				newest = max(newest, at)
+			},
+			"": func(t *rapid.T) {
+				if got, at := k.version(); got != version || version > 0 && at != revision {
+					t.Fatalf("version %d of revision %d is in force, want %d of %d", got, at, version, revision)
+				}
+				// The test's own time is far below the margin.
+				const margin = 500 * time.Millisecond
+				if age := now - newest; newest > 0 && age < 5*time.Second-margin && !k.Fresh() {
+					t.Fatalf("a proof of %v ago does not hold", age)
+				}
+				if age := now - newest; (newest == 0 || age > 5*time.Second) && k.Fresh() {
+					t.Fatalf("a proof of %v ago holds", age)
+				}
+			},
+		})
+	})
+}
+
 // TestFresh guards against serving keys on a proof that is too old, also after the machine was suspended.
 func TestFresh(t *testing.T) {
 	k := newTestKnowledge()
