--- a/pkg/experiment/settings.go
+++ b/pkg/experiment/settings.go
@@ -149,12 +149,12 @@
 }
 
 func (s *Settings) checkModel(c *checker) {
-	for path, value := range map[string]int{
-		"Layers": s.Model.Layers, "LayerMegabytes": s.Model.LayerMegabytes, "CacheBytes": s.Model.CacheBytes,
-		"Capacity": s.Model.Capacity, "ReadRate": s.Model.ReadRate, "PipeMegabits": s.Model.PipeMegabits,
-	} {
-		c.positive("$.Model."+path, value)
-	}
+	c.positive("$.Model.Layers", s.Model.Layers)
+	c.positive("$.Model.LayerMegabytes", s.Model.LayerMegabytes)
+	c.positive("$.Model.CacheBytes", s.Model.CacheBytes)
+	c.positive("$.Model.Capacity", s.Model.Capacity)
+	c.positive("$.Model.ReadRate", s.Model.ReadRate)
+	c.positive("$.Model.PipeMegabits", s.Model.PipeMegabits)
 	c.duration("$.Model.Step", s.Model.Step)
 }
 
--- a/pkg/losses/losses.go
+++ b/pkg/losses/losses.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"slices"
 	"text/tabwriter"
 	"time"
@@ -169,8 +168,8 @@
 	var below *plotter.BarChart
 	for i, c := range l.Causes() {
 		values := make(plotter.Values, n)
-		for _, at := range slices.Collect(maps.Keys(l.times[c.Cause])) {
-			values[l.index(at)] += l.times[c.Cause][at]
+		for at, lost := range l.times[c.Cause] {
+			values[l.index(at)] += lost
 		}
 		bars, err := plotter.NewBarChart(values, vg.Points(max(1, 500/float64(n))))
 		if err != nil {
--- a/pkg/station/feeds.go
+++ b/pkg/station/feeds.go
@@ -33,7 +33,7 @@
 	// again each lostTick.
 	lostLife = 2 * time.Second
 	lostTick = 50 * time.Millisecond
-	// firstBackoff and maxBackoff bound the pause after a call without an answer.
+	// firstBackoff and maxBackoff bound the mean pause after a call without an answer.
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = 800 * time.Millisecond
 )
