Close the stand-in's listener when it is closed before it serves

Cause: Close closed the HTTP server, which does not know its listener before its goroutine has called Serve. A stand-in that was closed at once kept listening, and a client got a reset connection instead of a refused one. Change: Close closes the listener itself.

--- a/pkg/standin/platform/server.go
+++ b/pkg/standin/platform/server.go
@@ -120,8 +120,10 @@
 	return "http://" + s.listener.Addr().String()
 }
 
-// Close stops the server and closes its connections.
+// Close stops the server and closes its connections. It closes the listener itself: the HTTP server does not know the
+// listener before its goroutine has started.
 func (s *Server) Close() {
+	_ = s.listener.Close()
 	_ = s.http.Close()
 }
 
