Probe suspected targets by a few monitors, in running time, against a control host

Each stalled stream of each of 146 instances probed its suspects by new connections, again every 150 ms, so that the probes of one target grew with the fleet. At the change to a large configuration (19.8 s) every instance was busy or had a busy link, 43 instances declared 73 sound targets dead within a second, and what they moved and read again filled the others. Ruled out: one slow instance as the source (43 different ones reported); dead targets (none was down). Change: pkg/decision/monitor chooses two monitors of a target by rendezvous hashing, which probe it for all instances; pkg/probe measures the timeout of a probe in ticks of the process's running time, and takes silence for death only if a connection to another instance succeeds in the same time; a stall is examined only after the process had a tick to read what arrived; a target that answers again is reported. A target that only does not respond counts against MaxAttempts, since it may still run the stream: only one whose host refuses connections has ended. A request asks a target that has just refused one again only after the others, and waits for it.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -116,7 +116,12 @@
 	g.server = proxy.New(g.cache, platform.Upstream, g.targetStats, proxy.WithRetryBudget(g.retryBudget),
 		proxy.WithDataCentre(settings.DataCentre), proxy.WithLogger(g.logger), proxy.WithRegistry(g.registry),
 		proxy.WithStopping(g.stopsSoon), proxy.WithCrashTracker(g.crashTracker),
-		proxy.WithDeadTargetHandler(func(t target.Target) { g.peers.sendDead(t) }))
+		proxy.WithDeadTargetHandler(func(t target.Target, ended bool) { g.peers.sendDead(t, ended) }),
+		proxy.WithAliveTargetHandler(func(t target.Target) { g.peers.sendAlive(t) }),
+		proxy.WithControlProbe(func(ctx context.Context) error { return g.peers.connectToAny(ctx) }),
+		proxy.WithProbeDelegate(func(suspects []target.Target, round int, conclusive bool) []target.Target {
+			return g.peers.requestProbes(suspects, round, conclusive)
+		}))
 	g.peers = newPeers(g)
 	g.cache.onDrain = func(t target.Target) { go g.server.DrainTarget(t) }
 	g.leader = newLeader(g, fmt.Sprintf("%s/%08x", settings.Instance, rand.Uint32()))
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -14,7 +14,6 @@
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
-	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
 const (
@@ -203,11 +202,6 @@
 	}
 }
 
-// sendDead informs all instances that a target is dead.
-func (p *peers) sendDead(t target.Target) {
-	p.send(addressesOf(p.others()), &instancepb.StatusUpdate{Lost: []string{t.Name}})
-}
-
 // sendTargets sends changed entries to other instances, if this instance reads the target list from the store.
 func (p *peers) sendTargets(rows []Row) {
 	if !p.gateway.readsTargetsFromStore(time.Now()) {
--- a/pkg/gateway/receive.go
+++ b/pkg/gateway/receive.go
@@ -21,9 +21,8 @@
 		}
 		g.targetStats.SetRemoteLoads(from.String(), loads, now)
 	}
-	for _, name := range u.GetLost() { // Lost names the targets that the sender found dead.
-		p.receiveDead(name)
-	}
+	p.receiveVerdicts(u)
+	p.receiveSuspects(u)
 	if rows := u.GetTargets(); len(rows) > 0 && g.targetsLoaded.Load() {
 		var c Change
 		for _, r := range rows {
@@ -49,13 +48,6 @@
 	p.receiveConfirmation(from, u)
 }
 
-// receiveDead handles another instance's report that a target is dead.
-func (p *peers) receiveDead(name string) {
-	if t, ok := p.gateway.cache.target(name); ok {
-		go p.gateway.server.TargetDead(t) // TargetDead may send status updates, which wait for the node.
-	}
-}
-
 // compareDigest records whether the target list matches the digest of an instance that reads the list from the store.
 func (p *peers) compareDigest(digest uint64, now time.Time) {
 	p.mu.Lock()
--- a/pkg/proxy/active_request.go
+++ b/pkg/proxy/active_request.go
@@ -11,21 +11,22 @@
 // activeRequest is a request that the server is handling.
 type activeRequest struct {
 	*Request
-	server              *Server
-	snapshot            *Snapshot
-	route               *catalogue.Route
-	service             *catalogue.Service
-	workspace           string
-	priority            int
-	fingerprint         uint64          // fingerprint is the hash of the request's content for crash tracking.
-	deadline            time.Time       // deadline is when the final response is due.
-	excluded            map[string]bool // excluded holds the names of targets that the request must not use again.
-	refusals            int             // refusals counts the attempts that provably did not run.
-	attempts            int             // attempts counts the attempts that may have run and did not succeed.
-	mayHaveRun          map[string]bool // mayHaveRun holds the names of first-stage targets that may have run the stream.
-	targets             []string        // targets lists the target or the path of each attempt, for the log.
-	crossDataCentreHops int             // crossDataCentreHops is the number of cross-data-centre hops of the last attempt's path.
-	firstEventLatency   time.Duration   // firstEventLatency is the time to the first event.
+	server      *Server
+	snapshot    *Snapshot
+	route       *catalogue.Route
+	service     *catalogue.Service
+	workspace   string
+	priority    int
+	fingerprint uint64          // fingerprint is the hash of the request's content for crash tracking.
+	deadline    time.Time       // deadline is when the final response is due.
+	excluded    map[string]bool // excluded holds the names of targets that the request must not use again.
+	refusals    int             // refusals counts the attempts that provably did not run.
+	attempts    int             // attempts counts the attempts that may have run and did not succeed.
+	// mayHaveRun holds when the stream was last sent to each first-stage target that may have run it.
+	mayHaveRun          map[string]time.Time
+	targets             []string      // targets lists the target or the path of each attempt, for the log.
+	crossDataCentreHops int           // crossDataCentreHops is the number of cross-data-centre hops of the last attempt's path.
+	firstEventLatency   time.Duration // firstEventLatency is the time to the first event.
 	eventCount          int
 	longestGap          time.Duration // longestGap is the longest gap between two events.
 	resumes             int
--- a/pkg/proxy/active_stream.go
+++ b/pkg/proxy/active_stream.go
@@ -38,6 +38,7 @@
 	lastEventAt      time.Time          // lastEventAt is when the last event arrived or, before the first, the attempt was sent.
 	smoothedGap      time.Duration      // smoothedGap is the exponentially smoothed event gap.
 	stallTimer       *time.Timer
+	stallChecks      int // stallChecks counts the checks of the current stall.
 	ended            bool
 	cancelledLocally bool // cancelledLocally means that this instance cancelled the current attempt.
 	migrating        bool // migrating means that a change of the path is in progress.
@@ -92,6 +93,7 @@
 	if !s.headerSent {
 		s.lastEventAt = time.Now()
 	}
+	s.stallChecks = 0
 	s.stallTimer.Reset(firstEventStall)
 }
 
@@ -100,7 +102,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	gap := now.Sub(s.lastEventAt)
-	s.lastEventAt = now
+	s.lastEventAt, s.stallChecks = now, 0
 	if s.eventCount > 1 {
 		s.longestGap = max(s.longestGap, gap)
 		if s.smoothedGap == 0 {
@@ -125,6 +127,23 @@
 	return s.lastEventAt
 }
 
+// receivesEventWithin waits for d and reports whether an event has arrived meanwhile, or the stream has ended.
+func (s *activeStream) receivesEventWithin(d time.Duration) bool {
+	before := s.lastEvent()
+	time.Sleep(d)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ended || s.lastEventAt.After(before)
+}
+
+// nextStallCheck returns the number of the current stall's checks so far and counts another one.
+func (s *activeStream) nextStallCheck() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stallChecks++
+	return s.stallChecks - 1
+}
+
 func (s *activeStream) currentPath() path.Path {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/proxy/failure_detector.go
+++ b/pkg/proxy/failure_detector.go
@@ -9,26 +9,14 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cuminroute/cuminroute/pkg/probe"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
 const (
-	// probeTimeout bounds a probe of a suspect. A live host accepts a connection within one or two milliseconds.
-	probeTimeout = 40 * time.Millisecond
-	// lateProbeRatio is the ratio of a probe's measured duration to its timeout above which this process must have
-	// stalled.
-	lateProbeRatio = 1.4
-	// probeAttempts is the number of probes of a suspect that neither accepts nor refuses the connection: this process
-	// itself may have stalled during the first probe.
-	probeAttempts = 2
-	// conclusiveProbeTimeout bounds the only probe of a suspect through which at least conclusiveStreams streams have
-	// stalled while streams through other targets have not: then neither this process nor its links can have stalled.
-	conclusiveProbeTimeout = 15 * time.Millisecond
-	conclusiveStreams      = 3
-	// reprobeTimeout bounds the later probes of a dead target.
-	reprobeTimeout = 250 * time.Millisecond
-	// probeTTL is how long the result of a probe is reused.
-	probeTTL = 100 * time.Millisecond
+	// conclusiveStreams is the number of streams that must have stalled at a suspect, while streams through other targets
+	// have not, to rule out that this process or its links have stalled.
+	conclusiveStreams = 3
 	// deadTTL is how long a target stays marked dead without further reports. The instance that found the target dead
 	// probes it every reprobeInterval for reprobeDuration, and reports it dead to the other instances after each probe
 	// without a response.
@@ -44,39 +32,52 @@
 	// maxRefutingEventAge is the maximum age of an event through a target that refutes another instance's report that
 	// the target is dead.
 	maxRefutingEventAge = 70 * time.Millisecond
-	// stallRecheckInterval is the time until a stalled stream is checked again if its suspects all respond to probes.
-	stallRecheckInterval = 150 * time.Millisecond
+	// stallRecheckInterval is the time until a stalled stream is checked again if no suspect is found dead. It doubles
+	// with each check, up to maxStallRecheckInterval, since further probes seldom find what the first ones did not.
+	stallRecheckInterval    = 150 * time.Millisecond
+	maxStallRecheckInterval = 600 * time.Millisecond
+	// endedTTL is how long it is remembered that a target has ended. No request runs longer.
+	endedTTL = time.Minute
 )
 
 // failureDetector finds dead targets that stall streams, and migrates the streams off them.
 //
 // The suspects of a stalled stream are the targets of its path through which no other stream has received an event
-// since the stalled stream's last event. A suspect whose host does not accept a connection is dead: the path of every
-// stream of this instance through the dead target is changed, and the target is reported to the other instances.
+// since the stalled stream's last event. The suspects are probed by their monitors, see package monitor: if each instance
+// probed all of its own suspects, the connections of a large fleet would stall the targets. A suspect whose host does not
+// accept a connection is dead: the path of every stream through the dead target is changed.
 type failureDetector struct {
 	server *Server
-	onDead func(t target.Target) // onDead reports a dead target to the other instances.
+	prober *probe.Prober
+	// onDead reports a dead target to the other instances. ended means that its host refuses connections.
+	onDead func(t target.Target, ended bool)
+	// onAlive reports to the other instances that a target that was reported dead responds again.
+	onAlive func(t target.Target)
+	// control connects to a host that is expected to respond, for comparison with a target that does not.
+	control func(ctx context.Context) error
+	// delegate asks the monitors of suspects to probe them, and returns the suspects that this instance monitors itself.
+	// The round counts the checks of the same stall.
+	delegate func(suspects []target.Target, round int, conclusive bool) (own []target.Target)
 
 	mu           sync.Mutex
 	streams      map[*activeStream]struct{}
-	probes       map[string]*probe    // probes holds the recent probe of each target.
 	drainedUntil map[string]time.Time // drainedUntil holds until when changed paths avoid a drained target.
-}
-
-// probe is a running or finished probe of a target.
-type probe struct {
-	startedAt time.Time
-	done      chan struct{} // done is closed when the probe has finished.
-	err       error         // err is the result; nil means that the target is not dead.
+	ended        map[string]time.Time // ended holds when a target was last found to have ended.
 }
 
 func newFailureDetector(s *Server) *failureDetector {
-	return &failureDetector{
-		server: s, onDead: func(target.Target) {}, streams: make(map[*activeStream]struct{}),
-		probes: make(map[string]*probe), drainedUntil: make(map[string]time.Time),
+	d := &failureDetector{
+		server: s, onDead: func(target.Target, bool) {}, onAlive: func(target.Target) {}, delegate: probeAll,
+		control: func(context.Context) error { return nil },
+		streams: make(map[*activeStream]struct{}), drainedUntil: make(map[string]time.Time), ended: make(map[string]time.Time),
 	}
+	d.prober = probe.New(s.upstream, d.aliveSince, probe.WithControl(func(ctx context.Context) error { return d.control(ctx) }))
+	return d
 }
 
+// probeAll makes the instance probe all suspects itself.
+func probeAll(suspects []target.Target, _ int, _ bool) []target.Target { return suspects }
+
 func (d *failureDetector) add(s *activeStream) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -96,35 +97,48 @@
 	return slices.Collect(maps.Keys(d.streams))
 }
 
-// streamStalled probes the suspects of a stream that has received no event for longer than its stall timeout.
+// streamStalled has the suspects probed of a stream that has received no event for longer than its stall timeout.
 func (d *failureDetector) streamStalled(s *activeStream) {
+	if s.receivesEventWithin(probe.Tick) {
+		return // The process was paused, and the event arrived meanwhile.
+	}
 	analysis := d.findSuspects(s)
 	if stalled := time.Since(s.lastEvent()); analysis.stalledStreams <= 1 && stalled < loneStall {
 		s.resetStallTimer(loneStall - stalled)
 		return
 	}
+	round := s.nextStallCheck()
 	var dead atomic.Bool
 	var group sync.WaitGroup
-	for _, t := range analysis.suspects {
+	for _, t := range d.delegate(analysis.suspects, round, analysis.conclusive()) {
 		group.Go(func() {
-			if d.confirmDead(t, analysis.conclusive()) {
+			if d.examine(t, analysis.conclusive(), "Silence") {
 				dead.Store(true)
-				d.targetDead(t, "Silence")
 			}
 		})
 	}
 	group.Wait()
 	if !dead.Load() {
-		s.resetStallTimer(stallRecheckInterval)
+		s.resetStallTimer(min(stallRecheckInterval<<min(round, 8), maxStallRecheckInterval))
 	}
 }
 
+// examine probes a target, marks it dead if it does not accept a connection, and reports whether it is dead.
+func (d *failureDetector) examine(t target.Target, conclusive bool, reason string) bool {
+	verdict := d.prober.Judge(t, conclusive)
+	if verdict == probe.Alive {
+		return false
+	}
+	d.targetDead(t, verdict == probe.Ended, reason)
+	return true
+}
+
 // probeAfterError probes a target whose connection broke after the request was sent. If the probe fails, the target
 // counts as dead.
 func (d *failureDetector) probeAfterError(t target.Target, err error) {
 	var attemptErr *AttemptError
-	if errors.As(err, &attemptErr) && attemptErr.Sent && !attemptErr.Refused && d.confirmDead(t, false) {
-		d.targetDead(t, "Broken")
+	if errors.As(err, &attemptErr) && attemptErr.Sent && !attemptErr.Refused {
+		d.examine(t, false, "Broken")
 	}
 }
 
@@ -185,54 +199,6 @@
 	return analysis
 }
 
-// confirmDead probes a target and reports whether it is dead. Calls within probeTTL share the result of one probe.
-func (d *failureDetector) confirmDead(t target.Target, conclusive bool) bool {
-	d.mu.Lock()
-	maps.DeleteFunc(d.probes, func(_ string, p *probe) bool { return time.Since(p.startedAt) > probeTTL })
-	p := d.probes[t.Name]
-	if p == nil {
-		p = &probe{startedAt: time.Now(), done: make(chan struct{})}
-		d.probes[t.Name] = p
-		go d.runProbe(t, p, conclusive)
-	}
-	d.mu.Unlock()
-	<-p.done
-	return p.err != nil
-}
-
-// runProbe probes a target until the result is certain or the attempts are used up, and stores the result in p.
-func (d *failureDetector) runProbe(t target.Target, p *probe, conclusive bool) {
-	defer close(p.done)
-	attempts, timeout := probeAttempts, probeTimeout
-	if conclusive {
-		attempts, timeout = 1, conclusiveProbeTimeout
-	}
-	for range attempts {
-		var late, slow bool
-		late, slow, p.err = d.probeOnce(t, timeout)
-		if slow {
-			// This process itself stalled, so the missing response says nothing about the target.
-			p.err = nil
-		}
-		if p.err == nil || !late || d.aliveSince(t.Name, p.startedAt) {
-			break
-		}
-	}
-	if d.aliveSince(t.Name, p.startedAt) {
-		p.err = nil
-	}
-}
-
-// probeOnce probes a target once. late reports that the probe timed out; slow reports that this process noticed the end
-// of the probe much later than the timeout.
-func (d *failureDetector) probeOnce(t target.Target, timeout time.Duration) (late, slow bool, err error) {
-	started := time.Now()
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	err = d.server.upstream.Probe(ctx, t)
-	return ctx.Err() != nil, time.Since(started) > time.Duration(lateProbeRatio*float64(timeout)), err
-}
-
 // aliveSince reports whether a stream through the target has received an event after the given time.
 func (d *failureDetector) aliveSince(name string, since time.Time) bool {
 	d.mu.Lock()
@@ -247,35 +213,55 @@
 
 // targetDead marks a target dead and migrates all streams off it. If the target was not marked dead before, it is also
 // reported to the other instances and probed again; see reprobe.
-func (d *failureDetector) targetDead(t target.Target, reason string) {
-	now := time.Now()
-	alreadyDead := d.server.stats.IsDead(t.Name, now)
-	d.server.stats.MarkDead(t.Name, now.Add(deadTTL))
-	d.server.crashTracker.TargetCrashed(t.Name, now)
+func (d *failureDetector) targetDead(t target.Target, ended bool, reason string) {
+	alreadyDead := d.markDead(t, ended)
 	if alreadyDead {
 		d.migrateAll(t)
 		return
 	}
-	d.server.logger.Info().Str("Target", t.Name).Str("Address", t.Address.String()).Str("Reason", reason).Msg("target lost")
-	d.onDead(t)
+	d.server.logger.Info().Str("Target", t.Name).Str("Address", t.Address.String()).Str("Reason", reason).Bool("Ended", ended).Msg("target lost")
+	d.onDead(t, ended)
 	d.migrateAll(t)
 	go d.reprobe(t)
 }
 
+// markDead marks a target dead for deadTTL, and reports whether it was marked dead before.
+func (d *failureDetector) markDead(t target.Target, ended bool) (before bool) {
+	now := time.Now()
+	before = d.server.stats.IsDead(t.Name, now)
+	d.server.stats.MarkDead(t.Name, now.Add(deadTTL))
+	if !before {
+		d.server.crashTracker.TargetCrashed(t.Name, now)
+	}
+	if ended {
+		d.mu.Lock()
+		maps.DeleteFunc(d.ended, func(_ string, at time.Time) bool { return now.Sub(at) > endedTTL })
+		d.ended[t.Name] = now
+		d.mu.Unlock()
+	}
+	return before
+}
+
+// hasEndedSince reports whether the target was found to have ended after the given time.
+func (d *failureDetector) hasEndedSince(name string, since time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ended[name].After(since)
+}
+
 // reprobe probes a dead target until it responds or reprobeDuration is over.
 func (d *failureDetector) reprobe(t target.Target) {
 	for end := time.Now().Add(reprobeDuration); time.Now().Before(end); {
 		time.Sleep(reprobeInterval)
-		ctx, cancel := context.WithTimeout(context.Background(), reprobeTimeout)
-		err := d.server.upstream.Probe(ctx, t)
-		cancel()
-		if err == nil {
+		verdict := d.prober.Repeat(t)
+		if verdict == probe.Alive {
 			d.server.stats.MarkAlive(t.Name)
+			d.onAlive(t)
 			d.server.logger.Info().Str("Target", t.Name).Msg("target answers again")
 			return
 		}
-		d.server.stats.MarkDead(t.Name, time.Now().Add(deadTTL))
-		d.onDead(t)
+		d.markDead(t, verdict == probe.Ended)
+		d.onDead(t, verdict == probe.Ended)
 	}
 }
 
--- a/pkg/proxy/find_path.go
+++ b/pkg/proxy/find_path.go
@@ -8,34 +8,44 @@
 )
 
 // findPath returns a path without the targets that the request must avoid. If there is none, it excludes only dead
-// targets. A stream that has reached the target limit of its route gets a path that starts at one of the targets that
-// may have run it.
+// targets and those that have just refused a request; if all remaining paths need such a target, it returns a NoCapacity
+// error, so that the request waits for them. A stream that has reached the target limit of its route gets a path that
+// starts at one of the targets that may have run it.
 func (s *activeStream) findPath(q path.Request) (path.Path, error) {
 	q.Excluded = s.isExcluded
 	if s.targetLimitReached() {
-		q.FirstAllowed = func(name string) bool { return s.mayHaveRun[name] }
+		q.FirstAllowed = func(name string) bool { return !s.mayHaveRun[name].IsZero() }
 		q.Excluded = s.server.isDead
 	}
 	p, err := s.server.findPath(s.snapshot, s.activeRequest, q)
 	if err == nil {
 		return p, nil
 	}
+	q.Excluded = s.server.isDeadOrSaturated
+	p, err = s.server.findPath(s.snapshot, s.activeRequest, q)
+	if err == nil {
+		return p, nil
+	}
 	q.Excluded = s.server.isDead
-	return s.server.findPath(s.snapshot, s.activeRequest, q)
+	if _, unsaturatedErr := s.server.findPath(s.snapshot, s.activeRequest, q); unsaturatedErr == nil {
+		return nil, path.NoCapacity.Wrap(err, "the remaining targets have just refused requests")
+	}
+	return nil, err
 }
 
-// targetLimitReached reports whether the number of live targets that may have run the stream has reached the
-// MaxAttempts of its route. The stream may then be resumed only on one of these targets. Dead targets do not count.
+// targetLimitReached reports whether the number of targets that may have run the stream has reached the MaxAttempts of
+// its route. The stream may then be resumed only on one of these targets. Targets that have ended since do not count. A
+// target that only does not respond counts: it may be slow, and still run the stream.
 func (s *activeStream) targetLimitReached() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	alive := 0
-	for name := range s.mayHaveRun {
-		if !s.server.isDead(name) {
-			alive++
+	running := 0
+	for name, at := range s.mayHaveRun {
+		if !s.server.detector.hasEndedSince(name, at) {
+			running++
 		}
 	}
-	return alive >= s.route.MaxAttempts
+	return running >= s.route.MaxAttempts
 }
 
 // findPath returns a path over the targets of the snapshot for a request. It fills in the token counts, the data centre
@@ -64,15 +74,15 @@
 	}
 }
 
-// recordPossibleRun records that a target may have run the stream, unless err proves that it did not.
-func (s *activeStream) recordPossibleRun(name string, err error) {
+// recordPossibleRun records that a target may have run the stream that was sent to it, unless err proves that it did not.
+func (s *activeStream) recordPossibleRun(name string, sentAt time.Time, err error) {
 	if didNotRun(err) {
 		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.mayHaveRun == nil {
-		s.mayHaveRun = make(map[string]bool)
+		s.mayHaveRun = make(map[string]time.Time)
 	}
-	s.mayHaveRun[name] = true
+	s.mayHaveRun[name] = sentAt
 }
--- a/pkg/proxy/migration.go
+++ b/pkg/proxy/migration.go
@@ -12,19 +12,31 @@
 )
 
 // TargetDead handles a report of another instance that a target is dead: it marks the target dead and migrates streams
-// off it. The report is ignored if a stream of this instance received an event through the target within
-// maxRefutingEventAge, since the reporting instance itself may be slow or partitioned.
-func (s *Server) TargetDead(t target.Target) {
+// off it. ended means that the target's host refuses connections. The report is ignored if a stream of this instance
+// received an event through the target within maxRefutingEventAge, since the reporting instance itself may be slow or
+// partitioned.
+func (s *Server) TargetDead(t target.Target, ended bool) {
 	if s.detector.aliveSince(t.Name, time.Now().Add(-maxRefutingEventAge)) {
 		s.counters.reportsRefuted.Inc(1)
 		return
 	}
-	now := time.Now()
-	s.stats.MarkDead(t.Name, now.Add(deadTTL))
-	s.crashTracker.TargetCrashed(t.Name, now)
+	s.detector.markDead(t, ended)
 	s.detector.migrateAll(t)
 }
 
+// TargetAlive handles a report of another instance that a target that it reported dead responds again.
+func (s *Server) TargetAlive(name string) {
+	s.stats.MarkAlive(name)
+}
+
+// ExamineTarget probes a target on behalf of another instance whose stream has stalled. A dead target is reported to all
+// instances. conclusive means that the other instance has ruled out that it has stalled itself.
+func (s *Server) ExamineTarget(t target.Target, conclusive bool) {
+	if !s.detector.aliveSince(t.Name, time.Now().Add(-maxRefutingEventAge)) {
+		s.detector.examine(t, conclusive, "Silence")
+	}
+}
+
 // DrainTarget migrates streams off a target that releases layers or leaves, and keeps changed paths off it for
 // drainDuration. Streams that cannot be migrated stay: the target serves them until they end.
 func (s *Server) DrainTarget(t target.Target) {
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -76,11 +76,31 @@
 	return func(s *Server) { s.stopping = stopping }
 }
 
-// WithDeadTargetHandler sets the function that is called for targets that this instance finds dead.
-func WithDeadTargetHandler(handle func(t target.Target)) Option {
+// WithDeadTargetHandler sets the function that is called for targets that this instance finds dead. ended means that
+// the target's host refuses connections.
+func WithDeadTargetHandler(handle func(t target.Target, ended bool)) Option {
 	return func(s *Server) { s.detector.onDead = handle }
 }
 
+// WithAliveTargetHandler sets the function that is called for targets that this instance found dead and that respond
+// again.
+func WithAliveTargetHandler(handle func(t target.Target)) Option {
+	return func(s *Server) { s.detector.onAlive = handle }
+}
+
+// WithControlProbe sets the function that connects to a host that is expected to respond. If it fails, a target that does
+// not respond either is not taken for dead.
+func WithControlProbe(control func(ctx context.Context) error) Option {
+	return func(s *Server) { s.detector.control = control }
+}
+
+// WithProbeDelegate sets the function that asks the monitors of suspected targets to probe them, and returns the targets
+// that this instance is to probe itself. The round counts the checks of the same stall. Without this option, the
+// instance probes all suspects itself.
+func WithProbeDelegate(delegate func(suspects []target.Target, round int, conclusive bool) (own []target.Target)) Option {
+	return func(s *Server) { s.detector.delegate = delegate }
+}
+
 // New returns a server.
 func New(snapshots SnapshotSource, upstream Upstream, stats *targetstats.Tracker, options ...Option) *Server {
 	s := &Server{
@@ -120,6 +140,12 @@
 	return s.stats.IsDead(name, time.Now())
 }
 
+// isDeadOrSaturated reports whether a target is marked dead or has just refused a request for lack of capacity.
+func (s *Server) isDeadOrSaturated(name string) bool {
+	now := time.Now()
+	return s.stats.IsDead(name, now) || s.stats.Saturated(name, now)
+}
+
 // retryAfter returns the Retry-After of a refusal for lack of capacity: short because overload is usually brief, and
 // with jitter so that clients do not retry at the same time.
 func (s *Server) retryAfter(service *catalogue.Service) time.Duration {
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -166,8 +166,9 @@
 	}
 	attemptCtx, cancel := context.WithCancel(ctx)
 	s.attemptStarted(cancel)
+	sentAt := time.Now()
 	response, err := s.server.upstream.Open(attemptCtx, attempt)
-	s.recordPossibleRun(p[0].Target.Name, err)
+	s.recordPossibleRun(p[0].Target.Name, sentAt, err)
 	if err != nil {
 		cancel()
 		return nil, err
