Keep the fleet's retries within one budget while members are uncertain

An instance divides the fleet's retries by the number of members that it knows. After a restart it knows few, and an overloaded one loses members that are alive, so that its part was too large; a new bucket held 3 retries at once. Change: pkg/decision/retryshare uses the highest number of members of the last 30 s, and a small fixed part for 3 s after a start.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -20,6 +20,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
+	"github.com/cuminroute/cuminroute/pkg/decision/retryshare"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 	"github.com/cuminroute/cuminroute/pkg/listener"
 	"github.com/cuminroute/cuminroute/pkg/logqueue"
@@ -44,14 +45,9 @@
 	closeTimeout = 200 * time.Millisecond
 	// flushTimeout bounds the writing of the last log lines.
 	flushTimeout = 100 * time.Millisecond
-	// ratioFraction is the fraction of RetryBudget.Ratio that is used. burstFraction and minRateFraction are the
-	// fractions of RetryBudget.MinRetries that may be used at once and over the window. Their sum is less than 1, since
-	// requests and their retries may fall into different windows.
-	ratioFraction   = 0.8
-	burstFraction   = 0.6
-	minRateFraction = 0.25
-	// initialRetryRate is the minimum rate of retries per second until the number of instances is known.
-	initialRetryRate = 3
+	// ratioFraction is the fraction of RetryBudget.Ratio that is used, since requests and their retries may fall into
+	// different windows.
+	ratioFraction = 0.8
 )
 
 // Gateway is one running instance.
@@ -66,6 +62,7 @@
 	cache        *stateCache
 	targetStats  *targetstats.Tracker
 	retryBudget  *retry.Budget
+	retryShare   *retryshare.Share
 	crashTracker *quarantinesync.Tracker
 	server       *proxy.Server
 	leader       *leader
@@ -112,7 +109,9 @@
 	g.logger = newLogger(settings, g.logQueue)
 	g.cache = newStateCache(platform, g.logger, settings.MaxConfigurationAge)
 	g.crashTracker = quarantinesync.New(func(items []membership.Item) { g.peers.broadcastItems(items) })
-	g.retryBudget = retry.New(retry.WithRatio(ratioFraction*settings.RetryBudget.Ratio), retry.WithMinRate(initialRetryRate))
+	g.retryShare = retryshare.New(settings.RetryBudget.MinRetries, settings.RetryBudget.Window, time.Now())
+	g.retryBudget = retry.New(retry.WithRatio(ratioFraction*settings.RetryBudget.Ratio), retry.WithMinRate(0))
+	g.retryBudget.SetMinRate(g.retryShare.Limits(time.Now()))
 	g.server = proxy.New(g.cache, platform.Upstream, g.targetStats, proxy.WithRetryBudget(g.retryBudget),
 		proxy.WithDataCentre(settings.DataCentre), proxy.WithLogger(g.logger), proxy.WithRegistry(g.registry),
 		proxy.WithStopping(g.stopsSoon), proxy.WithCrashTracker(g.crashTracker),
@@ -180,16 +179,6 @@
 	return nil
 }
 
-// setRetryRate sets the minimum retry rate to this instance's part of the budget of all instances.
-func (g *Gateway) setRetryRate(instances int) {
-	r := g.settings.RetryBudget
-	if r.Window <= 0 {
-		return
-	}
-	part := r.MinRetries / float64(instances)
-	g.retryBudget.SetMinRate(minRateFraction*part/r.Window.Seconds(), burstFraction*part)
-}
-
 // pruneTargets drops the statistics of targets that are no longer listed, unless the list has not been read yet.
 func (g *Gateway) pruneTargets() {
 	if g.cache.Snapshot() == nil {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -127,7 +127,9 @@
 	members := p.others()
 	others := addressesOf(members)
 	p.gateway.targetStats.SetInstanceCount(len(others) + 1)
-	p.gateway.setRetryRate(len(others) + 1)
+	now := time.Now()
+	p.gateway.retryShare.ObserveInstances(len(others)+1, now)
+	p.gateway.retryBudget.SetMinRate(p.gateway.retryShare.Limits(now))
 	u := p.status()
 	if len(others) > statusFanout {
 		p.sendToDependants(members)
