Bound what each instance sends between data centres, and keep memory back from new requests

In sound operation some 50 hops a second cross data centres. When hanging and slow targets held memory (12 to 14 s), paths left their data centre: 550 hops a second at 14 s, 1,300 at 30 s, of 23 MB of activations each, on links that carry about 1 GB a second. Streams that waited for the links held memory in all data centres, so that still more had to cross; from 26 s on nearly all streams ended without an event, while less than half of the memory was in use. Beside it, instances that see each other's loads late filled targets beyond their memory: 3,811 attempts refused by targets, 455 requests preempted and read again. Ruled out: gaps in the layers (7 replicas throughout), targets taken for dead (18, none wrongly), one slow target (the streams that failed used all targets alike). New requests may use 0.8 of a target's KV cache, streams that have begun all of it. Load reports of more than 48 targets are a sample that is scaled up, instead of being cut off. Repeated probes of a target that answers are spaced further, up to 0.8 s.

--- a/pkg/decision/path/cost.go
+++ b/pkg/decision/path/cost.go
@@ -16,6 +16,10 @@
 	// maxUtilization is the largest fraction of a target's KV cache that requests may use. A request counts with its whole
 	// output, although it needs half of its output's memory on average.
 	maxUtilization = 1.0
+	// maxNewUtilization is the largest fraction that requests may use which have not started. The rest is for streams that
+	// must continue elsewhere, and for requests of other instances that are not known here yet: a target that runs out of
+	// memory preempts streams and prefills them again, which slows all others.
+	maxNewUtilization = 0.8
 	// pressureThreshold is the fraction of the KV cache in use above which the cost of a target rises steeply.
 	pressureThreshold = 0.6
 	// pressureWeight is the weight of the fraction above pressureThreshold.
@@ -59,6 +63,7 @@
 	perLayer float64 // perLayer is the time, in seconds, for each layer.
 	used     float64 // used is the fraction of the KV cache in use.
 	need     float64 // need is the fraction of the KV cache that the request takes for each layer.
+	limit    float64 // limit is the largest fraction of the KV cache that may be in use with the request.
 }
 
 // estimates returns the estimate for each of the finder's targets, in the same order.
@@ -70,6 +75,10 @@
 			continue
 		}
 		e, s := &list[i], &f.profiles[i]
+		e.limit = maxNewUtilization
+		if q.Started {
+			e.limit = maxUtilization
+		}
 		e.factor = 1 - jitter + 2*jitter*r.Float64()
 		var load Load
 		if i < len(q.Loads) {
@@ -91,7 +100,7 @@
 // KV cache utilization including the request. It is infinite if the target is excluded or has too little memory.
 func (e *estimate) cost(layers int) float64 {
 	utilization := e.used + e.need*float64(layers)
-	if e.factor == 0 || utilization > maxUtilization {
+	if e.factor == 0 || utilization > e.limit {
 		return math.Inf(1)
 	}
 	return e.factor * (e.fixed + e.perLayer*float64(layers)) * (1 + utilization + pressureWeight*max(utilization-pressureThreshold, 0))
--- a/pkg/decision/path/path.go
+++ b/pkg/decision/path/path.go
@@ -93,6 +93,27 @@
 	return n
 }
 
+// NewHops calls f with the data centres of each cross-data-centre hop of the path that is not between the same targets of
+// the previous path.
+func (p Path) NewHops(previous Path, f func(from, to string)) {
+	for i := 1; i < len(p); i++ {
+		from, to := p[i-1].Target, p[i].Target
+		if from.DataCentre != to.DataCentre && !previous.hasHop(from.Name, to.Name) {
+			f(from.DataCentre, to.DataCentre)
+		}
+	}
+}
+
+// hasHop reports whether the path passes from one target directly to another.
+func (p Path) hasHop(from, to string) bool {
+	for i := 1; i < len(p); i++ {
+		if p[i-1].Target.Name == from && p[i].Target.Name == to {
+			return true
+		}
+	}
+	return false
+}
+
 // Contains reports whether the path passes through the target.
 func (p Path) Contains(name string) bool {
 	for _, stage := range p {
@@ -128,6 +149,11 @@
 	// DataCentre is the data centre from which the request enters the path. If the finder has no target there, the path
 	// may begin in any data centre.
 	DataCentre string
+	// Started means that the request is a stream that its client has begun to receive. It may use memory that is kept back
+	// from new requests.
+	Started bool
+	// LinkAllowed reports whether the path may cross the link between two data centres. A nil function allows all.
+	LinkAllowed func(from, to string) bool
 	// Loads holds the loads of Finder.Targets, in the same order. Targets without an entry count as idle.
 	Loads []Load
 	// Excluded reports whether the path must not contain the target. A nil function excludes none.
@@ -246,9 +272,13 @@
 	link := linkWeight * f.engine.TransferTime(q.PromptTokens+q.OutputTokens).Seconds()
 	for from := range centres {
 		for to := range centres {
-			if from != to {
-				entry[from*centres+to] = remoteEntryCost
-				between[from*centres+to] = link + f.engine.Delay(f.centres[from], f.centres[to]).Seconds()*float64(q.OutputTokens)
+			if from == to {
+				continue
+			}
+			entry[from*centres+to] = remoteEntryCost
+			between[from*centres+to] = link + f.engine.Delay(f.centres[from], f.centres[to]).Seconds()*float64(q.OutputTokens)
+			if q.LinkAllowed != nil && !q.LinkAllowed(f.centres[from], f.centres[to]) {
+				between[from*centres+to] = math.Inf(1)
 			}
 		}
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/linkbudget"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/retryshare"
@@ -63,6 +64,7 @@
 	targetStats  *targetstats.Tracker
 	retryBudget  *retry.Budget
 	retryShare   *retryshare.Share
+	linkBudget   *linkbudget.Budget
 	crashTracker *quarantinesync.Tracker
 	server       *proxy.Server
 	leader       *leader
@@ -99,7 +101,7 @@
 func New(ctx context.Context, settings Settings, platform Platform, options ...Option) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, platform: platform, registry: metrics.NewRegistry(), output: os.Stdout,
-		targetStats: targetstats.New(), done: make(chan struct{}), storeFailing: make(map[string]bool),
+		targetStats: targetstats.New(), linkBudget: linkbudget.New(), done: make(chan struct{}), storeFailing: make(map[string]bool),
 	}
 	for _, o := range options {
 		o(g)
@@ -112,7 +114,7 @@
 	g.retryShare = retryshare.New(settings.RetryBudget.MinRetries, settings.RetryBudget.Window, time.Now())
 	g.retryBudget = retry.New(retry.WithRatio(ratioFraction*settings.RetryBudget.Ratio), retry.WithMinRate(0))
 	g.retryBudget.SetMinRate(g.retryShare.Limits(time.Now()))
-	g.server = proxy.New(g.cache, platform.Upstream, g.targetStats, proxy.WithRetryBudget(g.retryBudget),
+	g.server = proxy.New(g.cache, platform.Upstream, g.targetStats, proxy.WithRetryBudget(g.retryBudget), proxy.WithLinkBudget(g.linkBudget),
 		proxy.WithDataCentre(settings.DataCentre), proxy.WithLogger(g.logger), proxy.WithRegistry(g.registry),
 		proxy.WithStopping(g.stopsSoon), proxy.WithCrashTracker(g.crashTracker),
 		proxy.WithDeadTargetHandler(func(t target.Target, ended bool) { g.peers.sendDead(t, ended) }),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -130,6 +131,7 @@
 	now := time.Now()
 	p.gateway.retryShare.ObserveInstances(len(others)+1, now)
 	p.gateway.retryBudget.SetMinRate(p.gateway.retryShare.Limits(now))
+	p.gateway.linkBudget.SetInstances(p.instancesByDataCentre())
 	u := p.status()
 	if len(others) > statusFanout {
 		p.sendToDependants(members)
@@ -137,15 +139,35 @@
 		others = others[:statusFanout]
 	}
 	u.HasLoads = true
-	for name, load := range p.gateway.targetStats.LocalLoads() {
-		if len(u.GetLoads()) == maxLoads {
-			break
-		}
-		u.Loads = append(u.Loads, &instancepb.TargetLoad{Target: targetstats.TargetHash(name), Cells: load.KVCells, Streams: uint32(load.Streams)})
-	}
+	u.Loads = sampleLoads(p.gateway.targetStats.LocalLoads())
 	p.send(others, u)
 }
 
+// instancesByDataCentre returns the number of live instances in each data centre, this one included.
+func (p *peers) instancesByDataCentre() map[string]int {
+	counts := make(map[string]int)
+	for _, m := range p.node.Members() {
+		counts[m.DataCentre]++
+	}
+	return counts
+}
+
+// sampleLoads returns the loads for a status update. If there are more than maxLoads, it returns a random sample, scaled up
+// so that the sum over many updates of many instances is right.
+func sampleLoads(loads map[string]targetstats.Load) []*instancepb.TargetLoad {
+	scale := max(1, float64(len(loads))/maxLoads)
+	names := slices.Collect(maps.Keys(loads))
+	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+	sample := make([]*instancepb.TargetLoad, 0, maxLoads)
+	for _, name := range names[:min(len(names), maxLoads)] {
+		load := loads[name]
+		sample = append(sample, &instancepb.TargetLoad{
+			Target: targetstats.TargetHash(name), Cells: int64(scale * float64(load.KVCells)), Streams: uint32(math.Round(scale * float64(load.Streams))),
+		})
+	}
+	return sample
+}
+
 // sendToDependants sends a status update without loads to the instances that depend on it: in a large fleet the regular
 // updates reach only a random sample. A watcher relays the row of the lease to its data centre only, so that watchers
 // do not send the row back to each other.
--- a/pkg/probe/prober.go
+++ b/pkg/probe/prober.go
@@ -40,8 +40,10 @@
 	// attempts is the number of probes of a suspect that neither accepts nor refuses the connection: the packets of
 	// the first probe may have been lost.
 	attempts = 2
-	// resultTTL is how long the result of a probe is reused.
-	resultTTL = 100 * time.Millisecond
+	// resultTTL is how long the result of a probe is reused. It doubles with each further probe that finds the target
+	// alive, up to maxResultTTL: a target that is suspected again and again is slow, and connections make it slower.
+	resultTTL    = 100 * time.Millisecond
+	maxResultTTL = 800 * time.Millisecond
 )
 
 // Verdict is the conclusion of a probe.
@@ -86,6 +88,7 @@
 // probe is a running or finished probe of a target.
 type probe struct {
 	startedAt time.Time
+	ttl       time.Duration // ttl is how long the result is reused.
 	done      chan struct{} // done is closed when the probe has finished.
 	verdict   Verdict
 }
@@ -113,10 +116,11 @@
 // its links have stalled, and one short probe is enough.
 func (r *Prober) Judge(t target.Target, conclusive bool) Verdict {
 	r.mu.Lock()
-	maps.DeleteFunc(r.probes, func(_ string, p *probe) bool { return time.Since(p.startedAt) > resultTTL })
+	now := time.Now()
+	maps.DeleteFunc(r.probes, func(_ string, p *probe) bool { return p.finished() && now.Sub(p.startedAt) > 2*p.ttl })
 	p := r.probes[t.Name]
-	if p == nil {
-		p = &probe{startedAt: time.Now(), done: make(chan struct{})}
+	if p == nil || p.finished() && now.Sub(p.startedAt) > p.ttl {
+		p = nextProbe(p, now)
 		r.probes[t.Name] = p
 		go r.run(t, p, conclusive)
 	}
@@ -125,6 +129,25 @@
 	return p.verdict
 }
 
+// finished reports whether the verdict is known.
+func (p *probe) finished() bool {
+	select {
+	case <-p.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// nextProbe returns a new probe after the previous one, which has finished, or is nil if there was none recently.
+func nextProbe(previous *probe, now time.Time) *probe {
+	p := &probe{startedAt: now, ttl: resultTTL, done: make(chan struct{})}
+	if previous != nil && previous.verdict == Alive {
+		p.ttl = min(2*previous.ttl, maxResultTTL)
+	}
+	return p
+}
+
 // run probes a target until the verdict is certain or the attempts are used up, and stores the verdict in p.
 func (r *Prober) run(t target.Target, p *probe, conclusive bool) {
 	defer close(p.done)
--- a/pkg/probe/prober_test.go
+++ b/pkg/probe/prober_test.go
@@ -97,3 +97,23 @@
 		qt.Assert(t, h.probes, qt.Equals, 1)
 	})
 }
+
+// TestRepeatedSuspicion guards against many connections to a target that works but is slow, and is therefore suspected
+// all the time.
+func TestRepeatedSuspicion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &host{responds: true, after: time.Millisecond}
+		prober := probe.New(h, func(string, time.Time) bool { return false })
+		for range 500 { // 10 s
+			prober.Judge(target.Target{Name: "w"}, false)
+			time.Sleep(20 * time.Millisecond)
+		}
+		qt.Assert(t, h.probes <= 16, qt.IsTrue, qt.Commentf("%d probes", h.probes))
+		time.Sleep(2 * time.Second)
+		h.probes = 0
+		prober.Judge(target.Target{Name: "w"}, false)
+		time.Sleep(110 * time.Millisecond)
+		prober.Judge(target.Target{Name: "w"}, false)
+		qt.Assert(t, h.probes, qt.Equals, 2)
+	})
+}
--- a/pkg/proxy/find_path.go
+++ b/pkg/proxy/find_path.go
@@ -12,7 +12,7 @@
 // error, so that the request waits for them. A stream that has reached the target limit of its route gets a path that
 // starts at one of the targets that may have run it.
 func (s *activeStream) findPath(q path.Request) (path.Path, error) {
-	q.Excluded = s.isExcluded
+	q.Excluded, q.Started = s.isExcluded, s.headerSent
 	if s.targetLimitReached() {
 		q.FirstAllowed = func(name string) bool { return !s.mayHaveRun[name].IsZero() }
 		q.Excluded = s.server.isDead
@@ -53,13 +53,23 @@
 func (s *Server) findPath(snapshot *Snapshot, r *activeRequest, q path.Request) (path.Path, error) {
 	q.PromptTokens, q.OutputTokens, q.DataCentre = r.Tokens.Prompt, r.expectedOutput(), s.dataCentre
 	finder := snapshot.Targets[r.service.Name].PathFinder(r.service.Engine)
-	q.Loads = s.stats.Loads(finder.Targets(), time.Now())
+	now := time.Now()
+	q.Loads = s.stats.Loads(finder.Targets(), now)
+	q.LinkAllowed = func(from, to string) bool { return s.linkBudget.Allows(from, to, q.Started, now) }
 	var found path.Path
 	var err error
 	s.withRandom(func(random *rand.Rand) { found, err = finder.Find(random, q) })
 	return found, err
 }
 
+// takeLinks records the transfers between data centres that a path adds to the previous path of the stream, which is nil
+// if the stream is sent to new targets.
+func (s *activeStream) takeLinks(p, previous path.Path) {
+	now := time.Now()
+	occupied := s.service.Engine.TransferTime(s.Tokens.Prompt + s.expectedOutput())
+	p.NewHops(previous, func(from, to string) { s.server.linkBudget.Take(from, to, occupied, now) })
+}
+
 // expectedOutput returns the number of output tokens to plan for.
 func (r *activeRequest) expectedOutput() int {
 	switch {
--- a/pkg/proxy/migration.go
+++ b/pkg/proxy/migration.go
@@ -114,6 +114,7 @@
 		if err == nil {
 			s.pathChanges.Add(1)
 			s.reserve(changed)
+			s.takeLinks(changed, p)
 			return nil
 		}
 		var attemptErr *AttemptError
@@ -157,5 +158,5 @@
 	excluded := func(name string) bool {
 		return p.Contains(name) || d.unusable(name) || d.server.stats.Saturated(name, time.Now())
 	}
-	return d.server.findPath(d.server.snapshots.Snapshot(), s.activeRequest, path.Request{From: gap.First, To: gap.End, Excluded: excluded})
+	return d.server.findPath(d.server.snapshots.Snapshot(), s.activeRequest, path.Request{From: gap.First, To: gap.End, Excluded: excluded, Started: true})
 }
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/linkbudget"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
@@ -31,6 +32,7 @@
 	upstream     Upstream
 	stats        *targetstats.Tracker
 	retryBudget  *retry.Budget
+	linkBudget   *linkbudget.Budget
 	crashTracker CrashTracker
 	dataCentre   string
 	logger       *log.Logger
@@ -50,6 +52,11 @@
 	return func(s *Server) { s.retryBudget = b }
 }
 
+// WithLinkBudget sets the budget of transfers between data centres.
+func WithLinkBudget(b *linkbudget.Budget) Option {
+	return func(s *Server) { s.linkBudget = b }
+}
+
 // WithCrashTracker sets the crash tracker.
 func WithCrashTracker(t CrashTracker) Option {
 	return func(s *Server) { s.crashTracker = t }
@@ -104,7 +111,7 @@
 // New returns a server.
 func New(snapshots SnapshotSource, upstream Upstream, stats *targetstats.Tracker, options ...Option) *Server {
 	s := &Server{
-		snapshots: snapshots, upstream: upstream, stats: stats, retryBudget: retry.New(),
+		snapshots: snapshots, upstream: upstream, stats: stats, retryBudget: retry.New(), linkBudget: linkbudget.New(),
 		crashTracker: quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
 		stopping: func() bool { return false },
 		counters: newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -157,6 +157,7 @@
 // send reserves KV cells on a path and sends the request along the path.
 func (s *activeStream) send(ctx context.Context, p path.Path) (*Response, error) {
 	s.reserve(p)
+	s.takeLinks(p, nil)
 	s.targets = append(s.targets, p.String())
 	s.crossDataCentreHops = p.Crossings()
 	attempt := s.newAttempt(p)
