--- a/pkg/decision/lease/elector.go
+++ b/pkg/decision/lease/elector.go
@@ -23,8 +23,15 @@
 // older desired state until the successor receives the engine's next report and sends another assignment. Until
 // then, requests routed to that engine may find layers missing, and are refused by it or resumed on other
 // targets. The same applies if the holder's host is suspended and neither its monotonic clock nor its wall clock
-// advances, until the first renewal fails. If the platform loses the row, the fencing tokens
-// start again at 1.
+// advances, until the first renewal fails.
+//
+// # Stores that come back from a copy
+//
+// A store may come back from an older copy, with a higher era; see package revision. The row of the new era replaces the
+// known one, whatever its number. The holder of the older era is no longer the holder: it acquires the lease again like
+// all others. Fencing tokens stay above all that the instance has seen, in rows of any era or by ObserveFencingToken. If
+// neither the copy nor any live instance knows the highest token, an engine that checks tokens refuses the assignments,
+// and the holder raises its token with ObserveFencingToken.
 //
 // Usage:
 //
@@ -41,6 +48,8 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/revision"
 )
 
 const (
@@ -58,16 +67,16 @@
 	maxAttempts = 64
 )
 
-// Row is the lease row as read from the store. Revision 0 means that it is absent.
+// Row is the lease row as read from the store. A revision without a number means that the row is absent.
 type Row struct {
-	Revision uint64
+	Revision revision.Revision
 	Value    []byte
 }
 
 // Transaction writes Value to the row Key if the row has the Revision.
 type Transaction struct {
 	Key      string
-	Revision uint64
+	Revision revision.Revision
 	Value    []byte
 }
 
@@ -79,6 +88,12 @@
 	Released bool   `json:"Released,omitempty"`
 }
 
+// attempt is a transaction that was returned to the caller.
+type attempt struct {
+	sentAt time.Time
+	era    uint64 // era is the era of the row that the transaction replaces.
+}
+
 // Elector decides for one instance when to acquire, renew and use the lease. It is not safe for concurrent use.
 type Elector struct {
 	key               string
@@ -88,17 +103,21 @@
 	assignmentTimeout time.Duration
 	clockMargin       time.Duration
 
-	rowKnown     bool // rowKnown is set if the row was read at least once.
-	revision     uint64
-	row          rowValue
+	rowKnown bool // rowKnown is set if the row was read at least once.
+	revision revision.Revision
+	row      rowValue
+	// fromCopy is set if the row is the first one seen of its era. A row of the era before may be lost, and its holder may
+	// not have seen the new era yet.
+	fromCopy     bool
+	highestToken uint64    // highestToken is the highest fencing token seen.
 	revisionSeen time.Time // revisionSeen is when the current revision was first seen.
 
-	attemptsSent map[string]time.Time // attemptsSent maps the IDs of attempts since revisionSeen to their times.
-	attemptCount uint64               // attemptCount is the number of the last attempt.
-	isHolder     bool                 // isHolder is described at IsHolder.
-	released     bool                 // released is set after Release returned a transaction.
-	lastRenewal  time.Time            // lastRenewal is when the attempt in the row was sent.
-	lastAssigned time.Time            // lastAssigned is when AuthorizeAssignment last allowed an assignment.
+	attemptsSent map[string]attempt // attemptsSent holds the attempts since revisionSeen by their IDs.
+	attemptCount uint64             // attemptCount is the number of the last attempt.
+	isHolder     bool               // isHolder is described at IsHolder.
+	released     bool               // released is set after Release returned a transaction.
+	lastRenewal  time.Time          // lastRenewal is when the attempt in the row was sent.
+	lastAssigned time.Time          // lastAssigned is when AuthorizeAssignment last allowed an assignment.
 }
 
 // Option configures an Elector.
@@ -117,7 +136,7 @@
 	e := &Elector{
 		key: key, instance: instance, incarnation: incarnation,
 		leaseDuration: DefaultLeaseDuration, assignmentTimeout: DefaultAssignmentTimeout, clockMargin: DefaultClockMargin,
-		attemptsSent: map[string]time.Time{},
+		attemptsSent: map[string]attempt{},
 	}
 	for _, opt := range opts {
 		opt(e)
@@ -133,48 +152,68 @@
 // Observe records the row as read from the store. This instance is the holder afterwards if one of its own attempts
 // wrote the row and did not release the lease.
 func (e *Elector) Observe(now time.Time, row Row) {
-	if e.rowKnown && row.Revision <= e.revision {
+	if e.rowKnown && !row.Revision.After(e.revision) {
 		// The row is already known, or is the result of a slow earlier read.
 		return
 	}
+	e.fromCopy = row.Revision.Era > 0 && !(e.rowKnown && row.Revision.SameEra(e.revision))
 	e.rowKnown, e.revision, e.revisionSeen, e.row = true, row.Revision, now, rowValue{}
-	if err := json.Unmarshal(row.Value, &e.row); err != nil && row.Revision != 0 {
-		// A row that cannot be parsed counts as another holder's. Its fencing token is the revision,
-		// which is higher than every earlier token because each token took a write.
-		e.row = rowValue{Holder: "unreadable", Fence: row.Revision}
+	if err := json.Unmarshal(row.Value, &e.row); err != nil && row.Revision.Exists() {
+		// A row that cannot be parsed counts as another holder's. Its fencing token is the revision's number,
+		// which is higher than every earlier token of its era because each token took a write.
+		e.row = rowValue{Holder: "unreadable", Fence: row.Revision.Number}
 	}
-	e.lastRenewal, e.isHolder = e.attemptsSent[e.row.Attempt]
-	e.isHolder = e.isHolder && !e.row.Released
+	e.highestToken = max(e.highestToken, e.row.Fence)
+	// An attempt that names a row of an older era may have replaced the row of another holder.
+	own, ok := e.attemptsSent[e.row.Attempt]
+	e.lastRenewal, e.isHolder = own.sentAt, ok && !e.row.Released && own.era == row.Revision.Era
 	clear(e.attemptsSent)
 }
 
 // ObserveCommit records that the transaction took effect with the revision.
-func (e *Elector) ObserveCommit(now time.Time, t Transaction, revision uint64) {
-	e.Observe(now, Row{Revision: revision, Value: t.Value})
+func (e *Elector) ObserveCommit(now time.Time, t Transaction, at revision.Revision) {
+	e.Observe(now, Row{Revision: at, Value: t.Value})
 }
 
+// ObserveFencingToken records a fencing token that another instance or an engine has seen. Leases that this instance
+// acquires or renews later have a higher one.
+func (e *Elector) ObserveFencingToken(token uint64) {
+	e.highestToken = max(e.highestToken, token)
+}
+
+// Era returns the era of the row that was last seen.
+func (e *Elector) Era() uint64 { return e.revision.Era }
+
+// HighestFencingToken returns the highest fencing token that this instance has seen.
+func (e *Elector) HighestFencingToken() uint64 { return e.highestToken }
+
 // Acquire returns the transaction that acquires the lease, if the lease may be acquired now, and records the attempt.
 func (e *Elector) Acquire(now time.Time) (Transaction, bool) {
 	if !e.rowKnown || e.isHolder || e.released || !e.available(now) {
 		return Transaction{}, false
 	}
-	return e.newAttempt(now, rowValue{Fence: e.row.Fence + 1}), true
+	return e.newAttempt(now, rowValue{Fence: e.highestToken + 1}), true
 }
 
 // available reports whether the lease may be acquired: no earlier holder may send assignments any more, and those
-// already sent have ended.
+// already sent have ended. That a row was released says nothing if it comes from a copy: it may have been acquired since.
 func (e *Elector) available(now time.Time) bool {
-	return e.revision == 0 || e.row.Released ||
+	free := !e.revision.Exists() || e.row.Released
+	return free && !e.fromCopy ||
 		now.Sub(e.revisionSeen) >= e.leaseDuration+e.assignmentTimeout+e.clockMargin
 }
 
 // Renew returns the transaction that renews the lease, if a renewal is due, and records the attempt. An expired lease
-// that no other instance acquired is renewed with its old fencing token.
+// that no other instance acquired is renewed with its old fencing token, unless a higher one was seen.
 func (e *Elector) Renew(now time.Time) (Transaction, bool) {
 	if !e.isHolder || e.released || elapsed(e.lastRenewal, now) < e.leaseDuration/renewalsPerLease {
 		return Transaction{}, false
 	}
-	return e.newAttempt(now, rowValue{Fence: e.row.Fence}), true
+	token := e.row.Fence
+	if token < e.highestToken {
+		token = e.highestToken + 1
+	}
+	return e.newAttempt(now, rowValue{Fence: token}), true
 }
 
 // Release returns the transaction that releases the lease for a planned stop, so that a successor
@@ -192,7 +231,7 @@
 func (e *Elector) newAttempt(now time.Time, v rowValue) Transaction {
 	e.attemptCount++
 	v.Holder, v.Attempt = e.instance, e.attemptID(e.attemptCount)
-	e.attemptsSent[v.Attempt] = now
+	e.attemptsSent[v.Attempt] = attempt{sentAt: now, era: e.revision.Era}
 	delete(e.attemptsSent, e.attemptID(e.attemptCount-maxAttempts))
 	content, err := json.Marshal(v)
 	if err != nil {
--- a/pkg/decision/lease/simulation_test.go
+++ b/pkg/decision/lease/simulation_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/decision/lease"
 	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
+	"github.com/cuminroute/cuminroute/pkg/revision"
 )
 
 func init() {
@@ -61,6 +62,7 @@
 type simulation struct {
 	now         time.Duration
 	row         lease.Row
+	history     []lease.Row // history holds the earlier rows, from which the store may come back.
 	engines     map[string]*engine
 	instances   []*instance
 	inFlight    []inFlight
@@ -135,18 +137,39 @@
 }
 
 func (s *simulation) write(transaction lease.Transaction) bool {
-	if transaction.Revision != s.row.Revision {
+	if transaction.Revision.Number != s.row.Revision.Number { // The store compares numbers, whatever the era.
 		return false
 	}
-	s.row = lease.Row{Revision: s.row.Revision + 1, Value: transaction.Value}
+	s.history = append(s.history, s.row)
+	s.row = lease.Row{Revision: revision.New(s.row.Revision.Era, s.row.Revision.Number+1), Value: transaction.Value}
 	return true
 }
 
+// restore brings the store back from a copy, which is some writes old. Numbers are given out again.
+func (s *simulation) restore(t *rapid.T) {
+	if len(s.history) == 0 || s.faultFree {
+		return
+	}
+	lost := rapid.IntRange(1, min(len(s.history), 4)).Draw(t, "lost writes")
+	era := s.row.Revision.Era + 1
+	s.row = s.history[len(s.history)-lost]
+	s.row.Revision.Era = era
+	s.history = s.history[:len(s.history)-lost]
+}
+
+// exchangeTokens tells an instance the highest fencing tokens that the others have seen.
+func (s *simulation) exchangeTokens(i *instance) {
+	for _, other := range s.instances {
+		i.elector.ObserveFencingToken(other.elector.HighestFencingToken())
+	}
+}
+
 // step runs one iteration of an instance's loop: it reads the row, executes due transactions and sends assignments.
 func (s *simulation) step(t *rapid.T, i *instance) {
 	if !s.inject(t, 5, "read fails") {
 		i.elector.Observe(s.clock(i), s.row)
 	}
+	s.exchangeTokens(i)
 	if transaction, ok := i.elector.Acquire(s.clock(i)); ok {
 		s.commit(t, i, transaction)
 	}
@@ -244,7 +267,8 @@
 }
 
 // TestHolders guards against two holders whose assignments overlap, against engines that accept an older
-// assignment after a newer one, and against a desired state that is never reached.
+// assignment after a newer one, and against a desired state that is never reached, also if the store comes back from an
+// older copy.
 func TestHolders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
@@ -260,7 +284,8 @@
 			"outage": func(t *rapid.T) {
 				s.advance(t, time.Duration(rapid.IntRange(5, 20).Draw(t, "seconds"))*time.Second)
 			},
-			"resume": s.resume,
+			"resume":  s.resume,
+			"restore": s.restore,
 			"delayed writes": func(*rapid.T) {
 				for _, transaction := range s.delayed {
 					s.write(transaction)
--- a/pkg/dispatch/dispatcher.go
+++ b/pkg/dispatch/dispatcher.go
@@ -192,7 +192,7 @@
 
 func transaction(x lease.Transaction) table.Transaction {
 	return table.Transaction{
-		Conditions: []table.Condition{{Key: x.Key, Revision: x.Revision}},
+		Conditions: []table.Condition{{Key: x.Key, Revision: x.Revision.Number}},
 		Writes:     []table.Write{{Key: x.Key, Value: x.Value}},
 	}
 }
--- a/pkg/dispatch/loop.go
+++ b/pkg/dispatch/loop.go
@@ -8,6 +8,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/lease"
 	"github.com/cuminroute/cuminroute/pkg/decision/reconcile"
 	"github.com/cuminroute/cuminroute/pkg/peer/table"
+	"github.com/cuminroute/cuminroute/pkg/revision"
 	"github.com/cuminroute/cuminroute/pkg/sleep"
 )
 
@@ -37,7 +38,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rowKnown, d.lastRead = true, time.Now()
-	d.elector.Observe(d.lastRead, lease.Row{Revision: row.Revision, Value: row.Value})
+	d.elector.Observe(d.lastRead, lease.Row{Revision: tableRevision(row.Revision), Value: row.Value})
 }
 
 // writeLease acquires or renews the lease if this instance is a candidate and the acquisition or renewal is due.
@@ -58,7 +59,7 @@
 	defer d.mu.Unlock()
 	d.rowKnown = err == nil && res.Committed
 	if d.rowKnown {
-		d.elector.ObserveCommit(time.Now(), x, res.Revision)
+		d.elector.ObserveCommit(time.Now(), x, tableRevision(res.Revision))
 	}
 }
 
@@ -106,3 +107,6 @@
 	defer d.mu.Unlock()
 	d.reconciler.Acknowledge(assignment)
 }
+
+// tableRevision returns a revision of the product's own table, which has no eras.
+func tableRevision(number uint64) revision.Revision { return revision.New(0, number) }
--- a/pkg/gateway/assign.go
+++ b/pkg/gateway/assign.go
@@ -21,7 +21,7 @@
 	l.gateway.logger.Info().Str("Target", a.Target.Name).Str("Layers", a.Layers.String()).Uint64("Fence", token).
 		Uint64("Orders", a.Target.Assignments).Err(err).Msg("layers ordered")
 	if err != nil {
-		l.resolveUncertain(a, err)
+		l.resolveUncertain(a, token, err)
 		return
 	}
 	if a.Target.Layers.Valid() && !a.Layers.Contains(a.Target.Layers) {
@@ -60,20 +60,23 @@
 	}
 }
 
-// stopAssigning stops assignments under the current fencing token, because a target has seen a higher one.
-func (l *leader) stopAssigning(target string) {
+// stopAssigning stops assignments under a fencing token, because a target has seen a higher one. If the store has come back
+// from a copy, it may have lost the row with the highest token, so the next renewal of the lease has a higher one.
+func (l *leader) stopAssigning(target string, token uint64) {
 	l.mu.Lock()
-	l.refusedToken, _ = l.elector.AuthorizeAssignment(time.Now())
-	token := l.refusedToken
+	l.refusedToken = max(l.refusedToken, token)
+	if l.elector.Era() > 0 {
+		l.elector.ObserveFencingToken(token + 1)
+	}
 	l.mu.Unlock()
 	l.gateway.logger.Warn().Str("Target", target).Uint64("Fence", token).Msg("assignments stopped, a target has seen a higher fencing token")
 }
 
 // resolveUncertain handles a failed assignment. Unless the target has seen a higher fencing token, the assignment may
 // have been accepted: the layers that the target then reports, or is loading, are recorded as pending.
-func (l *leader) resolveUncertain(a layout.Assignment, err error) {
+func (l *leader) resolveUncertain(a layout.Assignment, token uint64, err error) {
 	if errors.Is(err, ErrFenced) {
-		l.stopAssigning(a.Target.Name)
+		l.stopAssigning(a.Target.Name, token)
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), assignmentTimeout)
--- a/pkg/gateway/bench_test.go
+++ b/pkg/gateway/bench_test.go
@@ -16,10 +16,10 @@
 	for _, n := range []int{100, 1000, 7000} {
 		b.Run(fmt.Sprint("targets=", n), func(b *testing.B) {
 			cache := newTestCache()
-			row := func(i int, revision uint64) Row {
-				first := int(revision) % 3 // No n is a multiple of 3, so that each row differs from the one that it replaces.
+			row := func(i int, number uint64) Row {
+				first := int(number) % 3 // No n is a multiple of 3, so that each row differs from the one that it replaces.
 				t := target.Target{Service: "model", State: target.Live, Address: netip.MustParseAddrPort("10.0.0.1:80"), Layers: layer.Range{First: first, End: first + 1}}
-				return Row{Name: fmt.Sprint("w", i), Value: []byte(encode(t)), Revision: revision}
+				return Row{Name: fmt.Sprint("w", i), Value: []byte(encode(t)), Revision: at(number)}
 			}
 			initial := Change{Full: true}
 			for i := range n {
--- a/pkg/gateway/cache.go
+++ b/pkg/gateway/cache.go
@@ -10,6 +10,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
+	"github.com/cuminroute/cuminroute/pkg/revision"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -35,16 +36,21 @@
 	mu            sync.Mutex
 	targetsLoaded bool // targetsLoaded reports whether the target list was read at least once.
 	catalogue     *catalogue.Catalogue
-	revision      uint64                    // revision is the store revision of the newest configuration row that could be decoded.
-	content       []byte                    // content is the active configuration as it was read.
-	targets       map[string]*entry         // targets holds the stored entries, by target name.
-	published     map[string]*target.Target // published holds the targets in the snapshot, by name.
-	changed       map[string]bool           // changed holds the names of targets that may differ from the snapshot.
-	tombstones    map[string]uint64         // tombstones holds the revisions at which entries were removed.
-	reports       map[string]layerReport    // reports holds layers that targets reported ahead of their entries.
-	digest        atomic.Uint64             // digest is the XOR of the entries' digests.
-	onDrain       func(target.Target)       // onDrain is called with targets to drain; see updatePublished.
-	onUpdate      func(rows []Row)          // onUpdate is called with the rows that changed or removed an entry.
+	revision      revision.Revision // revision is the store revision of the newest configuration row that could be decoded.
+	// storedVersion is the version in that row, 0 if the row was not read. It is lower than the active version if the store
+	// came back from an older copy.
+	storedVersion uint64
+	content       []byte                       // content is the active configuration as it was read.
+	targets       map[string]*entry            // targets holds the stored entries, by target name.
+	published     map[string]*target.Target    // published holds the targets in the snapshot, by name.
+	changed       map[string]bool              // changed holds the names of targets that may differ from the snapshot.
+	tombstones    map[string]revision.Revision // tombstones holds the revisions at which entries were removed.
+	targetsEra    uint64                       // targetsEra is the era of the target list.
+	eraStartedAt  time.Time                    // eraStartedAt is when the target list was first received in targetsEra, zero in the first era.
+	reports       map[string]layerReport       // reports holds layers that targets reported ahead of their entries.
+	digest        atomic.Uint64                // digest is the XOR of the entries' digests.
+	onDrain       func(target.Target)          // onDrain is called with targets to drain; see updatePublished.
+	onUpdate      func(rows []Row)             // onUpdate is called with the rows that changed or removed an entry.
 }
 
 // reportTTL is how long a report takes precedence over the target's entry.
@@ -54,7 +60,7 @@
 type entry struct {
 	target   target.Target
 	content  []byte
-	revision uint64
+	revision revision.Revision
 	dropAt   time.Time // dropAt is when an entry that is missing from the store will be dropped; zero for other entries.
 	invalid  bool      // invalid marks an entry that cannot be decoded.
 	digest   uint64    // digest is a hash of the target, 0 if the entry is invalid.
@@ -64,7 +70,7 @@
 	return &stateCache{
 		platform: p, logger: logger, maxConfigurationAge: maxAge,
 		targets: make(map[string]*entry), published: make(map[string]*target.Target), changed: make(map[string]bool),
-		tombstones: make(map[string]uint64), reports: make(map[string]layerReport),
+		tombstones: make(map[string]revision.Revision), reports: make(map[string]layerReport),
 		onUpdate: func([]Row) {}, onDrain: func(target.Target) {},
 	}
 }
@@ -105,43 +111,76 @@
 }
 
 // configurationVersion returns the version of the active configuration and the store revision of the newest row that
-// could be decoded; both are 0 if there is none. The version is part of the configuration, the revision is assigned by
+// could be decoded; both are zero if there is none. The version is part of the configuration, the revision is assigned by
 // the store.
-func (s *stateCache) configurationVersion() (version, revision uint64) {
+func (s *stateCache) configurationVersion() (version uint64, at revision.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.catalogue == nil {
-		return 0, 0
+		return 0, revision.Revision{}
 	}
 	return s.catalogue.Version, s.revision
 }
 
+// storedConfigurationIsActive reports whether the newest row of the store is the active configuration. It is not if the
+// store came back from a copy with an older version, until operators have written the newest one again.
+func (s *stateCache) storedConfigurationIsActive() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.catalogue != nil && s.storedVersion >= s.catalogue.Version
+}
+
 // configuration returns the active configuration as it was read, and the store revision of the newest row that could
 // be decoded.
-func (s *stateCache) configuration() (content []byte, revision uint64) {
+func (s *stateCache) configuration() (content []byte, at revision.Revision) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.content, s.revision
 }
 
-// applyConfiguration activates a configuration, unless a newer one is active.
+// applyConfiguration records a row of the store and activates its configuration, unless a newer one is active. A version
+// never goes back, also if the store does.
 func (s *stateCache) applyConfiguration(row Row) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if row.Revision <= s.revision || row.Removed {
+	if row.Revision.Before(s.revision) || row.Removed {
 		return
 	}
 	c, err := s.platform.DecodeConfiguration(row.Value)
 	if err != nil {
-		s.logger.Error().Uint64("Revision", row.Revision).Err(err).Msg("configuration refused, it cannot be decoded")
+		s.logger.Error().Str("Revision", row.Revision.String()).Err(err).Msg("configuration refused, it cannot be decoded")
+		return
+	}
+	known := row.Revision == s.revision
+	s.revision, s.storedVersion = row.Revision, c.Version
+	if !known {
+		s.activate(c, row.Value)
+	}
+}
+
+// applyPeerConfiguration activates the active configuration of another instance, unless a newer one is active. at is the
+// revision of the newest row that the other instance knows, which may hold an older version.
+func (s *stateCache) applyPeerConfiguration(content []byte, at revision.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, err := s.platform.DecodeConfiguration(content)
+	if err != nil {
+		s.logger.Error().Str("Revision", at.String()).Err(err).Msg("configuration of another instance refused, it cannot be decoded")
 		return
 	}
-	s.revision = row.Revision
+	if at.After(s.revision) {
+		s.revision, s.storedVersion = at, 0
+	}
+	s.activate(c, content)
+}
+
+// activate makes a configuration the active one, unless it is older. The lock must be held.
+func (s *stateCache) activate(c *catalogue.Catalogue, content []byte) {
 	if s.catalogue != nil && c.Version <= s.catalogue.Version {
 		return
 	}
-	s.catalogue, s.content = c, row.Value
-	s.logger.Info().Uint64("Version", c.Version).Uint64("Revision", row.Revision).Msg("configuration activated")
+	s.catalogue, s.content = c, content
+	s.logger.Info().Uint64("Version", c.Version).Str("Revision", s.revision.String()).Msg("configuration activated")
 	s.publish()
 }
 
@@ -151,10 +190,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var updates []Row
+	if s.observeEra(c, now) {
+		outage = max(outage, outageThreshold+1) // Entries that the copy lacks may only have to be written again.
+	}
 	seen := make(map[string]bool, len(c.Rows))
 	for _, row := range c.Rows {
 		seen[row.Name] = true
-		if row.Removed && s.remove(row, outage, now) || !row.Removed && s.upsert(row) {
+		if row.Removed && s.remove(row, outage, now) || !row.Removed && s.upsert(row, now) {
 			updates = append(updates, row)
 		}
 	}
@@ -177,9 +219,9 @@
 }
 
 // upsert decodes and stores an entry, and reports whether a target was added, changed or became invalid.
-func (s *stateCache) upsert(row Row) bool {
+func (s *stateCache) upsert(row Row, now time.Time) bool {
 	old := s.targets[row.Name]
-	if old != nil && row.Revision < old.revision || row.Revision < s.tombstones[row.Name] {
+	if old != nil && row.Revision.Before(old.revision) || s.isGone(row, now) {
 		return false
 	}
 	delete(s.tombstones, row.Name)
@@ -188,9 +230,13 @@
 		return false
 	}
 	t, err := s.platform.DecodeTarget(row.Name, row.Value)
+	if err == nil && old != nil && s.isStaleCopy(old, t, row, now) {
+		old.revision, old.dropAt = row.Revision, time.Time{}
+		return false
+	}
 	if err != nil {
 		if old == nil || !old.invalid {
-			s.logger.Warn().Str("Target", row.Name).Uint64("Revision", row.Revision).Err(err).Msg("target entry skipped, it cannot be decoded")
+			s.logger.Warn().Str("Target", row.Name).Str("Revision", row.Revision.String()).Err(err).Msg("target entry skipped, it cannot be decoded")
 		}
 		s.put(row.Name, &entry{revision: row.Revision, content: row.Value, invalid: true})
 		return old != nil && !old.invalid
@@ -215,7 +261,7 @@
 	case old == nil:
 		s.addTombstone(row.Name, row.Revision) // An older update of the entry may still arrive.
 		return false
-	case row.Revision < old.revision:
+	case row.Revision.Before(old.revision):
 		return false
 	case old.dropAt.IsZero() && outage > outageThreshold && !old.invalid:
 		old.dropAt, old.revision = now.Add(entryGracePeriod), row.Revision
@@ -232,17 +278,17 @@
 // late could restore a removed entry until the next digest shows the difference.
 const maxTombstones = 4096
 
-func (s *stateCache) addTombstone(name string, revision uint64) {
+func (s *stateCache) addTombstone(name string, at revision.Revision) {
 	if len(s.tombstones) >= maxTombstones {
 		clear(s.tombstones)
 	}
-	s.tombstones[name] = max(s.tombstones[name], revision)
+	s.tombstones[name] = revision.Max(s.tombstones[name], at)
 }
 
-func (s *stateCache) drop(name string, revision uint64) {
+func (s *stateCache) drop(name string, at revision.Revision) {
 	s.put(name, nil)
 	delete(s.reports, name)
-	s.addTombstone(name, revision)
+	s.addTombstone(name, at)
 }
 
 // expire drops missing entries whose grace period is over and reports whose TTL has expired, and publishes the changes.
--- a/pkg/gateway/cache_test.go
+++ b/pkg/gateway/cache_test.go
@@ -11,20 +11,24 @@
 	"pgregory.net/rapid"
 
 	"github.com/cuminroute/cuminroute/pkg/layer"
+	"github.com/cuminroute/cuminroute/pkg/revision"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
 var epoch = time.Unix(1700000000, 0)
 
+// at returns a revision of a store without eras.
+func at(number uint64) revision.Revision { return revision.New(0, number) }
+
 func newTestCache() *stateCache {
 	cache := newStateCache(fakePlatform(newFakeStore(), nil), discardLogger(), 5*time.Second)
-	cache.applyConfiguration(Row{Name: "config", Value: []byte("1"), Revision: 1})
+	cache.applyConfiguration(Row{Name: "config", Value: []byte("1"), Revision: at(1)})
 	return cache
 }
 
-func targetRow(name string, revision uint64, state target.State) Row {
+func targetRow(name string, number uint64, state target.State) Row {
 	t := target.Target{Service: "model", State: state, Address: netip.MustParseAddrPort("10.0.0.1:80")}
-	return Row{Name: name, Value: []byte(encode(t)), Revision: revision}
+	return Row{Name: name, Value: []byte(encode(t)), Revision: at(number)}
 }
 
 func has(cache *stateCache, name string) bool {
@@ -42,7 +46,7 @@
 	}{
 		{"5", 10, 5}, {"4", 9, 5}, {"4", 11, 5}, {"broken", 12, 5}, {"7", 13, 7},
 	} {
-		cache.applyConfiguration(Row{Name: "config", Value: []byte(step.value), Revision: step.revision})
+		cache.applyConfiguration(Row{Name: "config", Value: []byte(step.value), Revision: at(step.revision)})
 		version, _ := cache.configurationVersion()
 		qt.Assert(t, version, qt.Equals, step.want, qt.Commentf("%+v", step))
 	}
@@ -55,19 +59,24 @@
 	rapid.Check(t, func(t *rapid.T) {
 		cache := newStateCache(fakePlatform(newFakeStore(), nil), discardLogger(), 5*time.Second)
 		now := timeSinceBoot()
-		version, revision, newest := uint64(0), uint64(0), time.Duration(0)
+		version, newestAt, newest := uint64(0), revision.Revision{}, time.Duration(0)
+		stored := make(map[revision.Revision]uint64) // stored holds the version in each row of the store.
 		t.Repeat(map[string]func(*rapid.T){
 			"receive a configuration": func(t *rapid.T) {
-				row := Row{Name: "config", Revision: rapid.Uint64Range(1, 20).Draw(t, "revision")}
+				row := Row{Name: "config", Revision: revision.New(rapid.Uint64Range(1, 3).Draw(t, "era"), rapid.Uint64Range(1, 20).Draw(t, "revision"))}
 				received := rapid.Uint64Range(1, 20).Draw(t, "version")
+				if known, ok := stored[row.Revision]; ok {
+					received = known // A row of one revision never changes.
+				}
+				stored[row.Revision] = received
 				row.Value = []byte(fmt.Sprint(received))
 				valid := rapid.IntRange(0, 4).Draw(t, "fault") > 0
 				if !valid {
 					row.Value = []byte("broken")
 				}
 				cache.applyConfiguration(row)
-				if valid && row.Revision > revision {
-					revision, version = row.Revision, max(version, received)
+				if valid && row.Revision.After(newestAt) {
+					newestAt, version = row.Revision, max(version, received)
 				}
 			},
 			"receive a confirmation": func(t *rapid.T) {
@@ -76,8 +85,8 @@
 				newest = max(newest, at)
 			},
 			"": func(t *rapid.T) {
-				if got, at := cache.configurationVersion(); got != version || version > 0 && at != revision {
-					t.Fatalf("version %d of revision %d is active, want %d of %d", got, at, version, revision)
+				if got, at := cache.configurationVersion(); got != version || version > 0 && at != newestAt {
+					t.Fatalf("version %d of revision %d is active, want %d of %d", got, at, version, newestAt)
 				}
 				// The test's own run time is far below the margin.
 				const margin = 500 * time.Millisecond
@@ -119,8 +128,8 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			cache := newTestCache()
-			cache.applyTargets(Change{Rows: []Row{targetRow("w", 2, target.Live)}, Revision: 2}, 0, epoch)
-			cache.applyTargets(Change{Rows: []Row{{Name: "w", Revision: 3, Removed: true}}, Revision: 3}, test.outage, epoch)
+			cache.applyTargets(Change{Rows: []Row{targetRow("w", 2, target.Live)}, Revision: at(2)}, 0, epoch)
+			cache.applyTargets(Change{Rows: []Row{{Name: "w", Revision: at(3), Removed: true}}, Revision: at(3)}, test.outage, epoch)
 			qt.Assert(t, has(cache, "w"), qt.Equals, test.kept)
 			cache.expire(epoch.Add(entryGracePeriod))
 			qt.Assert(t, has(cache, "w"), qt.IsFalse)
@@ -131,9 +140,9 @@
 // TestReturned guards against dropping a target whose entry returned within the grace period.
 func TestReturned(t *testing.T) {
 	cache := newTestCache()
-	cache.applyTargets(Change{Rows: []Row{targetRow("w", 2, target.Live)}, Revision: 2}, 0, epoch)
-	cache.applyTargets(Change{Full: true, Revision: 9}, 4*time.Second, epoch)
-	cache.applyTargets(Change{Rows: []Row{targetRow("w", 10, target.Live)}, Revision: 10}, 0, epoch.Add(time.Second))
+	cache.applyTargets(Change{Rows: []Row{targetRow("w", 2, target.Live)}, Revision: at(2)}, 0, epoch)
+	cache.applyTargets(Change{Full: true, Revision: at(9)}, 4*time.Second, epoch)
+	cache.applyTargets(Change{Rows: []Row{targetRow("w", 10, target.Live)}, Revision: at(10)}, 0, epoch.Add(time.Second))
 	cache.expire(epoch.Add(entryGracePeriod))
 	qt.Assert(t, has(cache, "w"), qt.IsTrue)
 }
@@ -145,7 +154,7 @@
 	cache.applyTargets(Change{Rows: []Row{targetRow("w", 4, target.Live)}}, 0, epoch)
 	w, _ := cache.target("w")
 	qt.Assert(t, w.State, qt.Equals, target.Leaving)
-	cache.applyTargets(Change{Rows: []Row{{Name: "w", Revision: 6, Removed: true}}}, 0, epoch)
+	cache.applyTargets(Change{Rows: []Row{{Name: "w", Revision: at(6), Removed: true}}}, 0, epoch)
 	cache.applyTargets(Change{Rows: []Row{targetRow("w", 5, target.Leaving)}}, 0, epoch)
 	qt.Assert(t, has(cache, "w"), qt.IsFalse)
 }
@@ -153,7 +162,7 @@
 // TestForeignEntries guards against an undecodable entry of another writer that hides the other entries.
 func TestForeignEntries(t *testing.T) {
 	cache := newTestCache()
-	cache.applyTargets(Change{Full: true, Rows: []Row{{Name: "x", Value: []byte("?"), Revision: 2}, targetRow("w", 3, target.Live)}}, 0, epoch)
+	cache.applyTargets(Change{Full: true, Rows: []Row{{Name: "x", Value: []byte("?"), Revision: at(2)}, targetRow("w", 3, target.Live)}}, 0, epoch)
 	qt.Assert(t, has(cache, "w"), qt.IsTrue)
 	qt.Assert(t, has(cache, "x"), qt.IsFalse)
 }
@@ -195,7 +204,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			cache := newTestCache()
 			for i, row := range append([]Row{live}, test.updates...) {
-				row.Revision = uint64(i + 2)
+				row.Revision = at(uint64(i + 2))
 				cache.applyTargets(Change{Rows: []Row{row}, Revision: row.Revision}, 0, epoch)
 			}
 			w, listed := cache.target("w")
@@ -219,7 +228,7 @@
 	cache.applyReport("w", layer.Range{}, time.Now())
 	qt.Assert(t, left, qt.DeepEquals, []string{"w"})
 	entry := target.Target{Service: "model", State: target.Live, Address: netip.MustParseAddrPort("10.0.0.1:80"), Layers: layer.Range{First: 2, End: 4}}
-	cache.applyTargets(Change{Rows: []Row{{Name: "w", Value: []byte(encode(entry)), Revision: 3}}}, 0, epoch)
+	cache.applyTargets(Change{Rows: []Row{{Name: "w", Value: []byte(encode(entry)), Revision: at(3)}}}, 0, epoch)
 	w, _ = cache.target("w")
 	qt.Assert(t, w.Layers, qt.Equals, layer.Range{First: 2, End: 4})
 }
@@ -236,9 +245,9 @@
 // another service.
 func TestSharedServices(t *testing.T) {
 	cache := newTestCache()
-	row := func(name, service string, revision uint64, layers layer.Range) Row {
+	row := func(name, service string, number uint64, layers layer.Range) Row {
 		entry := target.Target{Service: service, State: target.Live, Address: netip.MustParseAddrPort("10.0.0.1:80"), Layers: layers}
-		return Row{Name: name, Value: []byte(encode(entry)), Revision: revision}
+		return Row{Name: name, Value: []byte(encode(entry)), Revision: at(number)}
 	}
 	allLayers := layer.Range{First: 0, End: 4}
 	cache.applyTargets(Change{Rows: []Row{row("a", "one", 2, allLayers), row("b", "one", 3, allLayers), row("c", "two", 4, allLayers)}}, 0, epoch)
@@ -263,7 +272,7 @@
 		want := make(map[string]target.Target)
 		var updates []Row
 		for i := range rapid.IntRange(1, 30).Draw(t, "changes") {
-			row := Row{Name: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name"), Revision: uint64(i + 2)}
+			row := Row{Name: rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "name"), Revision: at(uint64(i + 2))}
 			if row.Removed = rapid.Bool().Draw(t, "removed"); row.Removed {
 				delete(want, row.Name)
 			} else {
--- a/pkg/gateway/confirm.go
+++ b/pkg/gateway/confirm.go
@@ -9,15 +9,15 @@
 	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
 )
 
-// fetchConfiguration fetches and applies the configuration from the instance that sent the highest revision, if this
-// instance has an older one.
+// fetchConfiguration fetches and applies the configuration from the instance that sent the highest version or revision, if
+// this instance has an older one.
 func (p *peers) fetchConfiguration(ctx context.Context) {
-	p.mu.Lock()
-	newest, source := p.newestRevision, p.newestFrom
-	p.mu.Unlock()
-	if _, revision := p.gateway.cache.configurationVersion(); newest <= revision {
+	if !p.behind() {
 		return
 	}
+	p.mu.Lock()
+	source := p.newestFrom
+	p.mu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
 	s, err := p.node.FetchSnapshot(ctx, source)
@@ -25,17 +25,18 @@
 		p.gateway.logger.Warn().Str("Peer", source.String()).Err(err).Msg("failed to fetch the configuration")
 		return
 	}
-	p.gateway.cache.applyConfiguration(Row{Name: p.gateway.platform.ConfigurationKey, Value: s.Content, Revision: s.Version})
+	_, at := p.gateway.cache.configurationVersion()
+	p.gateway.cache.applyPeerConfiguration(s.Content, decodeRevision(s.Era, s.Version, at.Era))
 }
 
-// snapshot returns the active configuration for other instances. Instances compare store revisions, so Version holds
-// the revision.
+// snapshot returns the active configuration for other instances. Instances compare store revisions, so Version and Era
+// hold the revision.
 func (p *peers) snapshot(context.Context) (instance.ConfigSnapshot, error) {
-	content, revision := p.gateway.cache.configuration()
-	if revision == 0 {
+	content, at := p.gateway.cache.configuration()
+	if !at.Exists() {
 		return instance.ConfigSnapshot{}, instance.Unavailable.New("no configuration is in force here")
 	}
-	return instance.ConfigSnapshot{Version: revision, Content: content}, nil
+	return instance.ConfigSnapshot{Version: at.Number, Era: at.Era, Content: content}, nil
 }
 
 // requestConfirmation asks a random instance and the watcher of this data centre, the instance that watches the store
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -14,12 +16,15 @@
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
+	"github.com/cuminroute/cuminroute/pkg/revision"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
-// fakeStore keeps rows and removed rows in memory. Tests can make it unavailable or lose an answer.
+// fakeStore keeps rows and removed rows in memory. Tests can make it unavailable, lose an answer, or bring it back from an
+// older copy.
 type fakeStore struct {
 	mu         sync.Mutex
+	era        uint64
 	revision   uint64
 	rows       map[string]map[string]Row
 	removed    map[string][]Row
@@ -36,7 +41,41 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.rows[table][name] = Row{Name: name, Value: []byte(value), Revision: s.revision}
+	s.rows[table][name] = Row{Name: name, Value: []byte(value), Revision: revision.New(s.era, s.revision)}
+}
+
+// copy returns a copy of the store's rows, for restore.
+func (s *fakeStore) copy() *fakeStore {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := newFakeStore()
+	c.revision = s.revision
+	for table, rows := range s.rows {
+		maps.Copy(c.rows[table], rows)
+	}
+	for table, rows := range s.removed {
+		c.removed[table] = slices.Clone(rows)
+	}
+	return c
+}
+
+// restore brings the store back from an older copy, in a new era.
+func (s *fakeStore) restore(c *fakeStore) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.rows, s.removed = c.revision, c.rows, c.removed
+	for _, rows := range s.rows {
+		for name, row := range rows {
+			row.Revision.Era = s.era
+			rows[name] = row
+		}
+	}
+	for _, rows := range s.removed {
+		for i := range rows {
+			rows[i].Revision.Era = s.era
+		}
+	}
 }
 
 func (s *fakeStore) remove(table, name string) {
@@ -44,7 +83,7 @@
 	defer s.mu.Unlock()
 	s.revision++
 	delete(s.rows[table], name)
-	s.removed[table] = append(s.removed[table], Row{Name: name, Revision: s.revision, Removed: true})
+	s.removed[table] = append(s.removed[table], Row{Name: name, Revision: revision.New(s.era, s.revision), Removed: true})
 }
 
 func (s *fakeStore) setDown(down bool) {
@@ -53,28 +92,31 @@
 	s.down = down
 }
 
-func (s *fakeStore) since(table string, after uint64, full bool) (Change, error) {
+func (s *fakeStore) since(table string, after revision.Revision, full bool) (Change, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
 		return Change{}, Unavailable.New("the store is down")
 	}
-	c := Change{Revision: s.revision, Full: full}
+	if !full && (after.Era != s.era || after.Number > s.revision) {
+		return Change{}, ErrCompacted
+	}
+	c := Change{Revision: revision.New(s.era, s.revision), Full: full}
 	for _, r := range s.rows[table] {
-		if r.Revision > after {
+		if full || r.Revision.After(after) {
 			c.Rows = append(c.Rows, r)
 		}
 	}
 	for _, r := range s.removed[table] {
-		if !full && r.Revision > after {
+		if !full && r.Revision.After(after) {
 			c.Rows = append(c.Rows, r)
 		}
 	}
 	return c, nil
 }
 
-func (s *fakeStore) watch(ctx context.Context, table string, after uint64, wait time.Duration) (Change, error) {
+func (s *fakeStore) watch(ctx context.Context, table string, after revision.Revision, wait time.Duration) (Change, error) {
 	for end := time.Now().Add(wait); ; {
 		c, err := s.since(table, after, false)
 		if err != nil || len(c.Rows) > 0 || time.Now().After(end) || ctx.Err() != nil {
@@ -85,15 +127,18 @@
 }
 
 func (s *fakeStore) Configuration(context.Context) (Change, error) {
-	return s.since("configuration", 0, true)
+	return s.since("configuration", revision.Revision{}, true)
 }
-func (s *fakeStore) Targets(context.Context) (Change, error) { return s.since("targets", 0, true) }
 
-func (s *fakeStore) WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (Change, error) {
+func (s *fakeStore) Targets(context.Context) (Change, error) {
+	return s.since("targets", revision.Revision{}, true)
+}
+
+func (s *fakeStore) WatchConfiguration(ctx context.Context, after revision.Revision, wait time.Duration) (Change, error) {
 	return s.watch(ctx, "configuration", after, wait)
 }
 
-func (s *fakeStore) WatchTargets(ctx context.Context, after uint64, wait time.Duration) (Change, error) {
+func (s *fakeStore) WatchTargets(ctx context.Context, after revision.Revision, wait time.Duration) (Change, error) {
 	return s.watch(ctx, "targets", after, wait)
 }
 
@@ -103,8 +148,10 @@
 	if s.down {
 		return Row{}, Unavailable.New("the store is down")
 	}
-	row := s.rows["own"][name]
-	row.Name = name
+	row, ok := s.rows["own"][name]
+	if !ok {
+		row = Row{Name: name, Revision: revision.New(s.era, 0)}
+	}
 	return row, nil
 }
 
@@ -114,12 +161,15 @@
 	if s.down {
 		return Row{}, false, Unavailable.New("the store is down")
 	}
-	found := s.rows["own"][row.Name]
-	if found.Revision != row.Revision {
+	found, ok := s.rows["own"][row.Name]
+	if !ok {
+		found = Row{Name: row.Name, Revision: revision.New(s.era, 0)}
+	}
+	if found.Revision.Number != row.Revision.Number { // The store compares numbers, whatever the era.
 		return found, false, nil
 	}
 	s.revision++
-	row.Revision = s.revision
+	row.Revision = revision.New(s.era, s.revision)
 	s.rows["own"][row.Name] = row
 	if s.loseAnswer {
 		s.loseAnswer = false
@@ -135,12 +185,16 @@
 	mu          sync.Mutex
 	assignments []Assignment
 	err         error
+	minToken    uint64 // minToken is the lowest fencing token that targets accept.
 }
 
 func (c *fakeTargetControl) Assign(_ context.Context, a Assignment) error {
 	c.mu.Lock()
 	c.assignments = append(c.assignments, a)
 	err := c.err
+	if a.FencingToken < c.minToken {
+		err = ErrFenced
+	}
 	c.mu.Unlock()
 	if err != nil {
 		return err
--- a/pkg/gateway/lease.go
+++ b/pkg/gateway/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/lease"
@@ -64,12 +65,33 @@
 	l.elector.Observe(time.Now(), row)
 }
 
+// era returns the era of the lease's row as last seen.
+func (l *leader) era() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.elector.Era()
+}
+
+// observeFencingToken records a fencing token that another instance or a target has seen.
+func (l *leader) observeFencingToken(token uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.elector.ObserveFencingToken(token)
+}
+
+// highestFencingToken returns the highest fencing token that this instance has seen.
+func (l *leader) highestFencingToken() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.elector.HighestFencingToken()
+}
+
 // heldLease returns the row of the lease as last written by this instance. It reports false if this instance does not
 // hold the lease.
 func (l *leader) heldLease() (Row, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.leaseRow, l.elector.IsHolder() && l.leaseRow.Revision > 0
+	return l.leaseRow, l.elector.IsHolder() && l.leaseRow.Revision.Exists()
 }
 
 func (l *leader) writeLease(ctx context.Context, t lease.Transaction) {
@@ -77,6 +99,8 @@
 	row, done, err := l.gateway.platform.Store.CompareAndSwap(ctx, Row{Name: t.Key, Value: t.Value, Revision: t.Revision})
 	l.gateway.logStoreState("Lease", err)
 	switch {
+	case errors.Is(err, ErrOlderEra):
+		l.readBack(ctx) // The lease has to be read in the new era before it is written.
 	case err != nil:
 		l.mu.Lock()
 		l.retryAt = time.Now().Add(leaseRetryDelay)
@@ -92,7 +116,7 @@
 	}
 	if holds := l.holds(); holds != held {
 		l.leaseChangedAt = time.Now()
-		l.gateway.logger.Info().Bool("Held", holds).Uint64("Revision", row.Revision).Msg("lease acquired or lost")
+		l.gateway.logger.Info().Bool("Held", holds).Str("Revision", row.Revision.String()).Msg("lease acquired or lost")
 	}
 }
 
--- a/pkg/gateway/listeners.go
+++ b/pkg/gateway/listeners.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 
@@ -59,7 +60,8 @@
 
 // Ready reports whether the load balancer may send client requests to this instance.
 func (g *Gateway) Ready() bool {
-	return !g.stopping.Load() && g.cache.Snapshot() != nil && g.targetsLoaded.Load() && g.cache.Fresh()
+	return !g.stopping.Load() && g.cache.Snapshot() != nil && g.targetsLoaded.Load() && g.cache.Fresh() &&
+		!g.peers.awaitsPeers(time.Now())
 }
 
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -15,6 +15,7 @@
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
+	"github.com/cuminroute/cuminroute/pkg/revision"
 )
 
 const (
@@ -35,6 +36,8 @@
 	// watcherTTL is how long after the last digest of the target list from a watcher an instance relies on watchers for
 	// the list.
 	watcherTTL = 650 * time.Millisecond
+	// peerWait is how long after its start an instance waits for the first status update before it is ready.
+	peerWait = time.Second
 	// fetchTimeout bounds the fetching of the configuration from another instance.
 	fetchTimeout = time.Second
 	// pruneInterval is how often the statistics of targets that are no longer listed are dropped.
@@ -46,21 +49,24 @@
 
 // peers exchanges status updates and the configuration with the other instances.
 type peers struct {
-	gateway *Gateway
-	node    *instance.Node
+	gateway   *Gateway
+	node      *instance.Node
+	startedAt time.Time
 
 	mu             sync.Mutex
-	watcherSeenAt  time.Time       // watcherSeenAt is when a digest of the target list was last received.
-	divergedSince  time.Time       // divergedSince is when the target list began to differ from the received digest, or zero.
-	newestRevision uint64          // newestRevision is the highest revision of the configuration received.
-	newestFrom     netip.AddrPort  // newestFrom is the instance that sent newestRevision.
-	leaseSeenAt    time.Time       // leaseSeenAt is when the row of the lease was last received.
-	leaseRow       *instancepb.Row // leaseRow is the row of the lease as last received.
-	wake           chan struct{}   // wake wakes watchConfiguration.
+	watcherSeenAt  time.Time         // watcherSeenAt is when a digest of the target list was last received.
+	divergedSince  time.Time         // divergedSince is when the target list began to differ from the received digest, or zero.
+	newestRevision revision.Revision // newestRevision is the highest revision of the configuration received.
+	newestVersion  uint64            // newestVersion is the highest version of the configuration received.
+	newestFrom     netip.AddrPort    // newestFrom is the instance that sent newestVersion or, with the same version, newestRevision.
+	receivedAny    bool              // receivedAny reports whether a status update was received since the start.
+	leaseSeenAt    time.Time         // leaseSeenAt is when the row of the lease was last received.
+	leaseRow       *instancepb.Row   // leaseRow is the row of the lease as last received.
+	wake           chan struct{}     // wake wakes watchConfiguration.
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{gateway: g, wake: make(chan struct{}, 1)}
+	return &peers{gateway: g, startedAt: time.Now(), wake: make(chan struct{}, 1)}
 }
 
 // start joins the other instances.
@@ -199,17 +205,37 @@
 // status returns a status update with the revision of the configuration and, if this instance reads the target list
 // from the store or holds the lease, the digest of the list or the row of the lease.
 func (p *peers) status() *instancepb.StatusUpdate {
-	_, revision := p.gateway.cache.configurationVersion()
-	u := &instancepb.StatusUpdate{Revision: revision}
+	version, at := p.gateway.cache.configurationVersion()
+	u := &instancepb.StatusUpdate{Revision: at.Number, Era: at.Era, ConfigVersion: version, FencingToken: p.gateway.leader.highestFencingToken()}
 	if p.gateway.readsTargetsFromStore(time.Now()) {
 		u.Digest = p.gateway.cache.digest.Load()
 	}
 	if row, ok := p.gateway.leader.heldLease(); ok {
-		u.Lease = &instancepb.Row{Name: row.Name, Value: row.Value, Revision: row.Revision}
+		u.Lease = encodeRow(row)
 	}
 	return u
 }
 
+// encodeRow returns a row as it is sent to other instances.
+func encodeRow(r Row) *instancepb.Row {
+	return &instancepb.Row{Name: r.Name, Value: r.Value, Revision: r.Revision.Number, Era: r.Revision.Era, Removed: r.Removed}
+}
+
+// decodeRow returns a row that another instance sent. An instance of an older build sends no era: its revision then
+// belongs to the era of this instance.
+func decodeRow(r *instancepb.Row, ownEra uint64) Row {
+	return Row{
+		Name: r.GetName(), Value: r.GetValue(), Revision: decodeRevision(r.GetEra(), r.GetRevision(), ownEra), Removed: r.GetRemoved(),
+	}
+}
+
+func decodeRevision(era, number, ownEra uint64) revision.Revision {
+	if era == 0 {
+		era = ownEra
+	}
+	return revision.New(era, number)
+}
+
 func (p *peers) send(to []netip.AddrPort, u *instancepb.StatusUpdate) {
 	if len(to) == 0 {
 		return
@@ -236,7 +262,7 @@
 		u := &instancepb.StatusUpdate{}
 		for _, r := range chunk {
 			if len(r.Value) <= maxUpdateRowBytes {
-				u.Targets = append(u.Targets, &instancepb.Row{Name: r.Name, Value: r.Value, Revision: r.Revision, Removed: r.Removed})
+				u.Targets = append(u.Targets, encodeRow(r))
 			}
 		}
 		p.send(others, u)
--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -10,6 +10,7 @@
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
+	"github.com/cuminroute/cuminroute/pkg/revision"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -19,6 +20,8 @@
 	Unavailable = namespace.NewType("unavailable")
 	// ErrCompacted reports that the store no longer keeps the changes after a revision.
 	ErrCompacted = namespace.NewType("history").New("the store no longer keeps the requested changes")
+	// ErrOlderEra reports that a write names a revision of an older era of the store.
+	ErrOlderEra = namespace.NewType("era").New("the row to be replaced is of an older era of the store")
 	// AssignmentRefused is the type of errors of assignments that a target refused.
 	AssignmentRefused = namespace.NewType("order")
 	// ErrFenced reports that a target has seen a higher fencing token.
@@ -30,28 +33,30 @@
 type Row struct {
 	Name     string
 	Value    []byte
-	Revision uint64
+	Revision revision.Revision
 	Removed  bool
 }
 
 // Change holds the changes of a table up to a revision. If Full is set, Rows are all rows of the table.
 type Change struct {
 	Rows     []Row
-	Revision uint64
+	Revision revision.Revision
 	Full     bool
 }
 
-// Store is the platform's store. The watch methods return after the wait if nothing has changed, and return
-// ErrCompacted if the changes after the revision are no longer kept.
+// Store is the platform's store, which may come back from an older copy with a new era; see package revision. The watch
+// methods return after the wait if nothing has changed, and return ErrCompacted if the changes after the revision are no
+// longer kept, or if the revision is of an older era. No method returns rows of an older era than an earlier call did.
 type Store interface {
 	Configuration(ctx context.Context) (Change, error)
-	WatchConfiguration(ctx context.Context, after uint64, wait time.Duration) (Change, error)
+	WatchConfiguration(ctx context.Context, after revision.Revision, wait time.Duration) (Change, error)
 	Targets(ctx context.Context) (Change, error)
-	WatchTargets(ctx context.Context, after uint64, wait time.Duration) (Change, error)
+	WatchTargets(ctx context.Context, after revision.Revision, wait time.Duration) (Change, error)
 	// Get returns one of the rows that the instances themselves write, such as the lease.
 	Get(ctx context.Context, name string) (Row, error)
 	// CompareAndSwap writes such a row if its stored revision is still row.Revision. It returns the stored row after
-	// the call and whether the row was written.
+	// the call and whether the row was written. It fails with ErrOlderEra, without a write, if row.Revision is known to
+	// be of an older era.
 	CompareAndSwap(ctx context.Context, row Row) (Row, bool, error)
 }
 
--- a/pkg/gateway/receive.go
+++ b/pkg/gateway/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/lease"
@@ -26,7 +27,7 @@
 	if rows := u.GetTargets(); len(rows) > 0 && g.targetsLoaded.Load() {
 		var c Change
 		for _, r := range rows {
-			c.Rows = append(c.Rows, Row{Name: r.GetName(), Value: r.GetValue(), Revision: r.GetRevision(), Removed: r.GetRemoved()})
+			c.Rows = append(c.Rows, decodeRow(r, g.cache.listEra()))
 		}
 		g.cache.applyTargets(c, 0, now)
 	}
@@ -37,8 +38,10 @@
 		p.mu.Lock()
 		p.leaseSeenAt, p.leaseRow = now, l
 		p.mu.Unlock()
-		g.leader.observe(lease.Row{Revision: l.GetRevision(), Value: l.GetValue()})
+		row := decodeRow(l, g.leader.era())
+		g.leader.observe(lease.Row{Revision: row.Revision, Value: row.Value})
 	}
+	g.leader.observeFencingToken(u.GetFencingToken())
 	if u.GetAlone() { // Alone means that the sender is a watcher that is disconnected from the store.
 		p.forgetWatcher()
 	}
@@ -110,31 +113,54 @@
 // of this instance, and records a newer revision.
 func (p *peers) receiveConfirmation(from netip.AddrPort, u *instancepb.StatusUpdate) {
 	c := p.gateway.cache
-	_, revision := c.configurationVersion()
+	version, at := c.configurationVersion()
 	if u.GetQuestion() != 0 {
 		if age, ok := c.confirmationAge(); ok {
-			p.send([]netip.AddrPort{from}, &instancepb.StatusUpdate{Answer: u.GetQuestion(), AgeNs: int64(age), Revision: revision})
+			p.send([]netip.AddrPort{from}, &instancepb.StatusUpdate{
+				Answer: u.GetQuestion(), AgeNs: int64(age), Revision: at.Number, Era: at.Era, ConfigVersion: version,
+			})
 		}
 	}
-	if u.GetAnswer() != 0 && u.GetRevision() == revision && u.GetAgeNs() >= 0 {
+	received := decodeRevision(u.GetEra(), u.GetRevision(), at.Era)
+	sameVersion := u.GetConfigVersion() == version || u.GetConfigVersion() == 0
+	if u.GetAnswer() != 0 && received == at && sameVersion && u.GetAgeNs() >= 0 {
 		// Answer echoes the timeSinceBoot at which this instance sent its request. The age was measured after that, so
 		// the configuration was the newest at Answer minus AgeNs or later.
 		c.confirm(time.Duration(u.GetAnswer()) - time.Duration(u.GetAgeNs()))
 	}
-	if u.GetRevision() > revision {
-		p.mu.Lock()
-		if u.GetRevision() >= p.newestRevision {
-			p.newestRevision, p.newestFrom = u.GetRevision(), from
-		}
-		p.mu.Unlock()
+	p.mu.Lock()
+	p.receivedAny = true
+	newer := received.After(at) || u.GetConfigVersion() > version
+	if newer && (u.GetConfigVersion() > p.newestVersion || u.GetConfigVersion() == p.newestVersion && !received.Before(p.newestRevision)) {
+		p.newestVersion, p.newestRevision, p.newestFrom = u.GetConfigVersion(), received, from
+	}
+	p.mu.Unlock()
+	if newer {
 		notify(p.wake)
 	}
 }
 
-// behind reports whether another instance has sent a higher configuration revision than this instance has.
+// behind reports whether another instance has sent a higher revision or version of the configuration than this instance
+// has.
 func (p *peers) behind() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	_, revision := p.gateway.cache.configurationVersion()
-	return p.newestRevision > revision
+	version, at := p.gateway.cache.configurationVersion()
+	return p.newestRevision.After(at) || p.newestVersion > version
+}
+
+// awaitsPeers reports whether this instance has just started and has not received a status update yet. If the store has
+// come back from a copy, other instances may have a newer configuration than the store.
+func (p *peers) awaitsPeers(now time.Time) bool {
+	if _, at := p.gateway.cache.configurationVersion(); at.Era == 0 || now.Sub(p.startedAt) > peerWait {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.receivedAny && p.hasSeeds()
+}
+
+// hasSeeds reports whether the settings name another instance.
+func (p *peers) hasSeeds() bool {
+	return slices.ContainsFunc(p.gateway.settings.Seeds, func(seed netip.AddrPort) bool { return seed != p.gateway.settings.PeerAddress })
 }
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -21,6 +21,7 @@
 	Running          int64               `json:"Running"` // Running counts the requests in flight.
 	Version          uint64              `json:"Version"` // Version is the version of the active configuration.
 	Revision         uint64              `json:"Revision"`
+	Era              uint64              `json:"Era"`      // Era is the store's era that Revision belongs to.
 	ConfigurationAge string              `json:"ProofAge"` // ConfigurationAge is the time since the configuration was last confirmed as the newest.
 	WatchesStore     bool                `json:"Reads"`    // WatchesStore reports whether the instance is the watcher of its data centre.
 	HoldsLease       bool                `json:"Leads"`    // HoldsLease reports whether the instance holds the lease for assignments.
@@ -43,7 +44,8 @@
 		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Ready: g.Ready(), Stopping: g.stopping.Load(),
 		Running: g.running.Load(), WatchesStore: g.peers.isWatcher(), HoldsLease: g.leader.holds(), Members: g.peers.node.Members(),
 	}
-	state.Version, state.Revision = g.cache.configurationVersion()
+	version, at := g.cache.configurationVersion()
+	state.Version, state.Revision, state.Era = version, at.Number, at.Era
 	if age, confirmed := g.cache.confirmationAge(); confirmed {
 		state.ConfigurationAge = age.Round(time.Millisecond).String()
 	}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/sleep"
+
+	"github.com/cuminroute/cuminroute/pkg/revision"
 )
 
 const (
@@ -63,17 +65,17 @@
 // instance that is not a watcher receives changes from watchers, and asks other instances whether its configuration is
 // current.
 func (g *Gateway) watchConfiguration(ctx context.Context) {
-	var revision uint64
+	var after revision.Revision // after is the revision up to which changes were read; zero means that the whole is to be read.
 	var retry backoff
 	for ctx.Err() == nil {
 		if !g.awaitConfigurationDue(ctx) {
 			continue
 		}
 		startedAt := timeSinceBoot()
-		change, err := g.readConfiguration(ctx, revision)
+		change, err := g.readConfiguration(ctx, after)
 		g.logStoreState("Configuration", err)
 		if errors.Is(err, ErrCompacted) {
-			revision = 0
+			after = revision.Revision{}
 			continue
 		}
 		if err != nil {
@@ -86,22 +88,24 @@
 		}
 		g.storeFailedAt.Store(0)
 		retry.reset()
-		before, _ := g.cache.configurationVersion()
+		before, revisionBefore := g.cache.configurationVersion()
 		for _, row := range change.Rows {
 			if row.Name == g.platform.ConfigurationKey {
 				g.cache.applyConfiguration(row)
 			}
 		}
-		revision = change.Revision
+		after = change.Revision
 		version, activeRevision := g.cache.configurationVersion()
 		if version == 0 {
 			retry.wait(ctx) // No configuration has been written yet.
 			continue
 		}
-		if change.Revision >= activeRevision { // An answer older than the active configuration does not confirm it.
+		// An answer older than the active configuration does not confirm it. Neither does an older version in the store: a
+		// newer one than the active one may have been lost with it.
+		if !change.Revision.Before(activeRevision) && g.cache.storedConfigurationIsActive() {
 			g.cache.confirm(startedAt)
 		}
-		if version != before {
+		if version != before || !activeRevision.SameEra(revisionBefore) {
 			g.peers.sendRevision()
 		}
 	}
@@ -132,27 +136,27 @@
 }
 
 // readConfiguration reads the configuration from the store. Only a watcher waits for a change.
-func (g *Gateway) readConfiguration(ctx context.Context, revision uint64) (Change, error) {
+func (g *Gateway) readConfiguration(ctx context.Context, after revision.Revision) (Change, error) {
 	switch {
-	case revision == 0:
+	case !after.Exists():
 		return g.platform.Store.Configuration(ctx)
 	case g.peers.isWatcher():
-		return g.platform.Store.WatchConfiguration(ctx, revision, configurationWait)
+		return g.platform.Store.WatchConfiguration(ctx, after, configurationWait)
 	default:
-		return g.platform.Store.WatchConfiguration(ctx, revision, 0)
+		return g.platform.Store.WatchConfiguration(ctx, after, 0)
 	}
 }
 
 // watchTargets keeps the target list up to date. A watcher reads it from the store and sends it to the others.
 func (g *Gateway) watchTargets(ctx context.Context) {
-	var revision uint64
+	var after revision.Revision // after is the revision up to which changes were read; zero means that the whole is to be read.
 	var retry backoff
 	var failingSince time.Time // failingSince is when the first of the failing calls began; zero after an answer.
 	for ctx.Err() == nil {
 		now := time.Now()
 		if g.targetsLoaded.Load() && g.peers.receivesTargetsFromWatcher(now) {
 			g.cache.expire(now)
-			revision, failingSince = 0, time.Time{}
+			after, failingSince = revision.Revision{}, time.Time{}
 			g.targetsReadAt.Store(0)
 			waitFor(ctx, watcherCheckInterval)
 			continue
@@ -166,12 +170,12 @@
 			continue
 		}
 		started := now
-		change, err := g.readTargets(ctx, revision)
+		change, err := g.readTargets(ctx, after)
 		g.logStoreState("Targets", err)
 		now = time.Now()
 		g.cache.expire(now)
 		if errors.Is(err, ErrCompacted) {
-			revision = 0
+			after = revision.Revision{}
 			continue
 		}
 		if err != nil {
@@ -191,7 +195,7 @@
 		g.cache.applyTargets(change, outage, now)
 		g.targetsLoaded.Store(true)
 		g.targetsReadAt.Store(now.UnixNano())
-		failingSince, revision = time.Time{}, change.Revision
+		failingSince, after = time.Time{}, change.Revision
 		waitFor(ctx, targetsInterval)
 	}
 }
@@ -210,11 +214,11 @@
 	return at > 0 && now.Sub(time.Unix(0, at)) < targetsInterval+targetsWait+storeTimeout
 }
 
-func (g *Gateway) readTargets(ctx context.Context, revision uint64) (Change, error) {
-	if revision == 0 {
+func (g *Gateway) readTargets(ctx context.Context, after revision.Revision) (Change, error) {
+	if !after.Exists() {
 		return g.platform.Store.Targets(ctx)
 	}
-	return g.platform.Store.WatchTargets(ctx, revision, targetsWait)
+	return g.platform.Store.WatchTargets(ctx, after, targetsWait)
 }
 
 // logStoreState logs when calls to the store for a resource begin to fail, and when they succeed again.
--- a/pkg/peer/instance/client.go
+++ b/pkg/peer/instance/client.go
@@ -91,10 +91,10 @@
 		if err != nil {
 			return err
 		}
-		if len(snapshot.Content) > 0 && part.GetVersion() != snapshot.Version {
+		if len(snapshot.Content) > 0 && (part.GetVersion() != snapshot.Version || part.GetEra() != snapshot.Era) {
 			return Malformed.New("snapshot has parts of the versions %d and %d", snapshot.Version, part.GetVersion())
 		}
-		snapshot.Version = part.GetVersion()
+		snapshot.Version, snapshot.Era = part.GetVersion(), part.GetEra()
 		snapshot.Content = append(snapshot.Content, part.GetContent()...)
 		if len(snapshot.Content) > maxSnapshotBytes {
 			return Malformed.New("snapshot exceeds %d bytes", maxSnapshotBytes)
--- a/pkg/peer/instance/server.go
+++ b/pkg/peer/instance/server.go
@@ -128,7 +128,7 @@
 		part := rest[:min(len(rest), snapshotPartBytes)]
 		rest = rest[len(part):]
 		last := len(rest) == 0
-		if err := stream.Send(&instancepb.SnapshotPart{Version: snapshot.Version, Content: part, Last: last}); err != nil || last {
+		if err := stream.Send(&instancepb.SnapshotPart{Version: snapshot.Version, Era: snapshot.Era, Content: part, Last: last}); err != nil || last {
 			return err
 		}
 	}
