Let the memory for new requests follow the refusals that an instance gets

Cause: with the links bounded, the fixed limit of 0.8 of a target's KV cache refused requests that there was room for. Change: pkg/decision/memorylimit: all memory may be used until a target that is nearly full refuses a request; the limit then falls by 0.1, not below 0.75, and rises by 0.005 a second. Streams that have begun are not bound by it.

--- a/pkg/decision/path/cost.go
+++ b/pkg/decision/path/cost.go
@@ -16,10 +16,6 @@
 	// maxUtilization is the largest fraction of a target's KV cache that requests may use. A request counts with its whole
 	// output, although it needs half of its output's memory on average.
 	maxUtilization = 1.0
-	// maxNewUtilization is the largest fraction that requests may use which have not started. The rest is for streams that
-	// must continue elsewhere, and for requests of other instances that are not known here yet: a target that runs out of
-	// memory preempts streams and prefills them again, which slows all others.
-	maxNewUtilization = 0.8
 	// pressureThreshold is the fraction of the KV cache in use above which the cost of a target rises steeply.
 	pressureThreshold = 0.6
 	// pressureWeight is the weight of the fraction above pressureThreshold.
@@ -75,9 +71,9 @@
 			continue
 		}
 		e, s := &list[i], &f.profiles[i]
-		e.limit = maxNewUtilization
-		if q.Started {
-			e.limit = maxUtilization
+		e.limit = maxUtilization
+		if q.MaxUtilization > 0 {
+			e.limit = q.MaxUtilization
 		}
 		e.factor = 1 - jitter + 2*jitter*r.Float64()
 		var load Load
--- a/pkg/decision/path/path.go
+++ b/pkg/decision/path/path.go
@@ -149,9 +149,8 @@
 	// DataCentre is the data centre from which the request enters the path. If the finder has no target there, the path
 	// may begin in any data centre.
 	DataCentre string
-	// Started means that the request is a stream that its client has begun to receive. It may use memory that is kept back
-	// from new requests.
-	Started bool
+	// MaxUtilization is the largest fraction of a target's KV cache that may be in use with the request; 0 means all.
+	MaxUtilization float64
 	// LinkAllowed reports whether the path may cross the link between two data centres. A nil function allows all.
 	LinkAllowed func(from, to string) bool
 	// Loads holds the loads of Finder.Targets, in the same order. Targets without an entry count as idle.
--- a/pkg/proxy/failure.go
+++ b/pkg/proxy/failure.go
@@ -8,10 +8,16 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
-// maxRefusals bounds how many targets may refuse one request without running it.
-const maxRefusals = 4
+const (
+	// maxRefusals bounds how many targets may refuse one request without running it.
+	maxRefusals = 4
+	// nearlyFullUtilization is the fraction of a target's KV cache in use above which a refusal is taken for lack of
+	// memory.
+	nearlyFullUtilization = 0.7
+)
 
 // mayRetry reports whether the request may be retried after an attempt that may have run. If so, it takes the retry
 // from the retry budget.
@@ -73,6 +79,9 @@
 	r.exclude(failed.Name)
 	if attemptErr.Refused && !attemptErr.Misdirected {
 		r.server.stats.RecordRefusal(failed.Name, now)
+		if r.isNearlyFull(failed) {
+			r.server.memoryLimit.Refused(now)
+		}
 	} else {
 		r.server.stats.RecordFailure(failed.Name, now)
 	}
@@ -80,6 +89,16 @@
 		Bool("NotRun", attemptErr.NotRun).Bool("Misdirected", attemptErr.Misdirected).Err(attemptErr.Cause).Msg("attempt failed")
 }
 
+// isNearlyFull reports whether a target that refused the request lacks memory, as far as this instance knows. Otherwise it
+// refused for another reason, such as a target behind it on the path that is dead.
+func (r *activeRequest) isNearlyFull(t target.Target) bool {
+	if r.service.Engine == nil || !t.Layers.Valid() {
+		return false
+	}
+	capacity := r.service.Engine.KVCells(t.Accelerator, t.Layers.Len())
+	return float64(r.server.stats.Load(t.Name).KVCells) > nearlyFullUtilization*float64(capacity)
+}
+
 // exclude prevents the request from using the target again.
 func (r *activeRequest) exclude(name string) {
 	if r.excluded == nil {
--- a/pkg/proxy/find_path.go
+++ b/pkg/proxy/find_path.go
@@ -12,7 +12,10 @@
 // error, so that the request waits for them. A stream that has reached the target limit of its route gets a path that
 // starts at one of the targets that may have run it.
 func (s *activeStream) findPath(q path.Request) (path.Path, error) {
-	q.Excluded, q.Started = s.isExcluded, s.headerSent
+	q.Excluded = s.isExcluded
+	if !s.headerSent {
+		q.MaxUtilization = s.server.memoryLimit.Utilization(time.Now())
+	}
 	if s.targetLimitReached() {
 		q.FirstAllowed = func(name string) bool { return !s.mayHaveRun[name].IsZero() }
 		q.Excluded = s.server.isDead
@@ -55,7 +58,8 @@
 	finder := snapshot.Targets[r.service.Name].PathFinder(r.service.Engine)
 	now := time.Now()
 	q.Loads = s.stats.Loads(finder.Targets(), now)
-	q.LinkAllowed = func(from, to string) bool { return s.linkBudget.Allows(from, to, q.Started, now) }
+	started := r.eventCount > 0
+	q.LinkAllowed = func(from, to string) bool { return s.linkBudget.Allows(from, to, started, now) }
 	var found path.Path
 	var err error
 	s.withRandom(func(random *rand.Rand) { found, err = finder.Find(random, q) })
--- a/pkg/proxy/migration.go
+++ b/pkg/proxy/migration.go
@@ -158,5 +158,5 @@
 	excluded := func(name string) bool {
 		return p.Contains(name) || d.unusable(name) || d.server.stats.Saturated(name, time.Now())
 	}
-	return d.server.findPath(d.server.snapshots.Snapshot(), s.activeRequest, path.Request{From: gap.First, To: gap.End, Excluded: excluded, Started: true})
+	return d.server.findPath(d.server.snapshots.Snapshot(), s.activeRequest, path.Request{From: gap.First, To: gap.End, Excluded: excluded})
 }
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -13,6 +13,7 @@
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/decision/linkbudget"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/memorylimit"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 	"github.com/cuminroute/cuminroute/pkg/quarantinesync"
@@ -33,6 +34,7 @@
 	stats        *targetstats.Tracker
 	retryBudget  *retry.Budget
 	linkBudget   *linkbudget.Budget
+	memoryLimit  *memorylimit.Limit
 	crashTracker CrashTracker
 	dataCentre   string
 	logger       *log.Logger
@@ -111,7 +113,7 @@
 // New returns a server.
 func New(snapshots SnapshotSource, upstream Upstream, stats *targetstats.Tracker, options ...Option) *Server {
 	s := &Server{
-		snapshots: snapshots, upstream: upstream, stats: stats, retryBudget: retry.New(), linkBudget: linkbudget.New(),
+		snapshots: snapshots, upstream: upstream, stats: stats, retryBudget: retry.New(), linkBudget: linkbudget.New(), memoryLimit: memorylimit.New(),
 		crashTracker: quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
 		stopping: func() bool { return false },
 		counters: newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
