Bound responses that go on without end

A stream that sends only comments was never taken for stalled. Not done: fuzz targets for each decoder; the product's own front end was read (its clients bound bodies) and not tested.

--- a/pkg/connection/conn.go
+++ b/pkg/connection/conn.go
@@ -27,18 +27,63 @@
 	InvalidResponse = namespace.NewType("garbled")
 )
 
-// maxStaleResponses bounds the number of responses to earlier requests that are skipped before the response to a
-// request, and maxStaleBytes bounds the body of each in bytes.
 const (
+	// maxStaleResponses bounds the number of responses to earlier requests that are skipped before the response to a
+	// request, and maxStaleBytes bounds the body of each in bytes.
 	maxStaleResponses = 3
 	maxStaleBytes     = 1 << 20
+	// maxHeadBytes bounds the headers of a response in bytes, together with those of the interim responses before it.
+	maxHeadBytes = 64 << 10
+	// headTimeout bounds the time from the first byte of a header to its end. A sound target sends a header at once.
+	headTimeout = 2 * time.Second
 )
 
+// errHeadTooLong reports a target that sends a header without end.
+var errHeadTooLong = errors.New("the response header is too long")
+
+// headReader reads from a connection, and bounds the bytes and the time of a response header.
+type headReader struct {
+	netConn   net.Conn
+	limited   bool // limited is set while a header is read.
+	remaining int  // remaining is the number of bytes that the header may still have.
+	timer     *time.Timer
+}
+
+// begin bounds what is read until end is called.
+func (r *headReader) begin() {
+	r.limited, r.remaining = true, maxHeadBytes
+}
+
+// end ends the bounds. It reports whether the time was within them.
+func (r *headReader) end() bool {
+	r.limited = false
+	inTime := r.timer == nil || r.timer.Stop()
+	r.timer = nil
+	return inTime
+}
+
+// Read implements io.Reader. The first read of a header starts its timer, which closes the connection.
+func (r *headReader) Read(b []byte) (int, error) {
+	if !r.limited {
+		return r.netConn.Read(b)
+	}
+	if r.remaining == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := r.netConn.Read(b[:min(len(b), r.remaining)])
+	r.remaining -= n
+	if r.timer == nil {
+		r.timer = time.AfterFunc(headTimeout, func() { _ = r.netConn.Close() })
+	}
+	return n, err
+}
+
 // Conn is a connection to a target. It carries one exchange at a time; only Close may be called from another goroutine.
 type Conn struct {
 	address     netip.AddrPort
 	netConn     net.Conn
-	reader      *bufio.Reader
+	head        *headReader
+	reader      *bufio.Reader // reader reads from head.
 	lastUsed    time.Time     // lastUsed is when the last exchange ended.
 	idleTimeout time.Duration // idleTimeout is how long the connection may stay idle.
 	reused      bool          // reused means that the connection has carried an earlier exchange.
@@ -90,7 +135,7 @@
 		return nil, err
 	}
 	for range maxStaleResponses {
-		response, err := c.receive(request)
+		response, err := c.receiveHead(request)
 		if err != nil {
 			c.Close()
 			return nil, err
@@ -141,6 +186,16 @@
 	}
 }
 
+// receiveHead reads the header of the next response, within maxHeadBytes and headTimeout.
+func (c *Conn) receiveHead(request *http.Request) (*http.Response, error) {
+	c.head.begin()
+	response, err := c.receive(request)
+	if inTime := c.head.end(); !inTime && err == nil {
+		return nil, InvalidResponse.New("%s took longer than %v to send a response header", c.address, headTimeout)
+	}
+	return response, err
+}
+
 // receive reads the header of the next response that is not an interim (1xx) response.
 func (c *Conn) receive(request *http.Request) (*http.Response, error) {
 	for {
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -75,8 +75,9 @@
 	if err != nil {
 		return nil, NotSent.Wrap(err, "no connection to %s", address)
 	}
+	head := &headReader{netConn: netConn}
 	return &Conn{
-		address: address, netConn: netConn, reader: bufio.NewReaderSize(netConn, readBufferSize), idleTimeout: defaultIdleTimeout,
+		address: address, netConn: netConn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), idleTimeout: defaultIdleTimeout,
 	}, nil
 }
 
--- a/pkg/proxy/event.go
+++ b/pkg/proxy/event.go
@@ -9,15 +9,18 @@
 var (
 	eventTerminator = []byte("\n\n")
 	idField         = []byte("id:")
+	dataField       = []byte("data:")
 )
 
-// completeEventsLen returns the length in bytes of the complete events at the start of b.
-func completeEventsLen(b []byte) int {
-	i := bytes.LastIndex(b, eventTerminator)
+// completeEventsLen returns the length in bytes of the complete events at the start of b. The first scanned bytes are known
+// to contain no end of an event, so that an event that arrives byte by byte is not searched again with each byte.
+func completeEventsLen(b []byte, scanned int) int {
+	from := max(scanned-len(eventTerminator)+1, 0)
+	i := bytes.LastIndex(b[from:], eventTerminator)
 	if i < 0 {
 		return 0
 	}
-	return i + len(eventTerminator)
+	return from + i + len(eventTerminator)
 }
 
 // lastEventID returns the ID of the last of the events that has an ID.
--- a/pkg/proxy/fakes_test.go
+++ b/pkg/proxy/fakes_test.go
@@ -84,6 +84,12 @@
 	u.dead[name] = true
 }
 
+func (u *upstream) reviveAll() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	clear(u.dead)
+}
+
 func (u *upstream) sent() []proxy.Attempt {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -19,8 +19,9 @@
 			buffer = grown
 		}
 		n, err := response.Body.Read(buffer[len(buffer):cap(buffer)])
-		buffer = buffer[:len(buffer)+n]
-		if complete := completeEventsLen(buffer); complete > 0 {
+		scanned := len(buffer)
+		buffer = buffer[:scanned+n]
+		if complete := completeEventsLen(buffer, scanned); complete > 0 {
 			if err := s.forwardEvents(response, buffer[:complete]); err != nil {
 				return err
 			}
@@ -59,10 +60,15 @@
 		s.server.crashTracker.RequestProgressed(s.ID)
 	}
 	s.eventCount += bytes.Count(events, eventTerminator)
+	if s.Tokens.Output > 0 && s.eventCount > s.Tokens.Output+maxSurplusEvents {
+		return errTooManyEvents
+	}
 	if id, ok := lastEventID(events); ok {
 		s.LastEventID = id
 	}
-	s.eventReceived(now)
+	if bytes.Contains(events, dataField) { // Comments alone do not show that the target produces tokens.
+		s.eventReceived(now)
+	}
 	if _, err := s.writer.Write(events); err != nil {
 		return err
 	}
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -26,13 +26,18 @@
 	resumePriority = 0
 	// eventBufferBytes is the initial size of the buffer for incomplete events.
 	eventBufferBytes = 2048
-	// maxEventBytes bounds the size of one event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds the size of one event in bytes.
+	maxEventBytes = 64 << 10
+	// maxSurplusEvents bounds the events of a stream beyond one for each token that the client asked for.
+	maxSurplusEvents = 64
 )
 
 // errTruncatedEvent reports a stream whose connection ended in the middle of an event.
 var errTruncatedEvent = errors.New("the stream ended in the middle of an event")
 
+// errTooManyEvents reports a stream with more events than the tokens that the client asked for.
+var errTooManyEvents = errors.New("the stream has more events than tokens were requested")
+
 // serveStream serves a request to a model.
 func (r *activeRequest) serveStream(ctx context.Context, w http.ResponseWriter) error {
 	s := newActiveStream(r, w)
@@ -52,6 +57,9 @@
 			return nil
 		}
 		response.Abort()
+		if errors.Is(err, errTooManyEvents) {
+			return s.fail(err) // What the client has received cannot be continued.
+		}
 		if err := s.handleInterruption(ctx, err); err != nil {
 			return s.fail(err)
 		}
--- a/pkg/proxy/unary.go
+++ b/pkg/proxy/unary.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// maxBufferedResponse bounds the responses that are buffered before they are forwarded, so that the request can be
-	// retried after a truncated response. Longer responses are forwarded as they arrive.
-	maxBufferedResponse = 1 << 20
+	// maxBufferedResponse bounds the responses, in bytes, that are buffered before they are forwarded, so that the request
+	// can be retried after a truncated response. Longer responses are forwarded as they arrive.
+	maxBufferedResponse = 64 << 10
+	// maxUnboundedResponse bounds a response without a length, in bytes: a target may send bytes without end.
+	maxUnboundedResponse = 64 << 20
 	// nonIdempotentMaxIdle bounds the idle time of a pooled connection used for a request that is not idempotent: a
 	// connection that was lost unnoticed would leave the outcome unknown.
 	nonIdempotentMaxIdle = 1500 * time.Millisecond
@@ -151,7 +153,11 @@
 		response.Abort()
 		return http.ErrAbortHandler
 	}
-	if _, err := io.Copy(w, response.Body); err != nil {
+	rest := response.Body
+	if response.ContentLength < 0 {
+		rest = io.LimitReader(response.Body, maxUnboundedResponse)
+	}
+	if n, err := io.Copy(w, rest); err != nil || response.ContentLength < 0 && n == maxUnboundedResponse {
 		response.Abort()
 		return http.ErrAbortHandler
 	}
