Do not say that a request has not run after its answer was lost

Cause: after an attempt that may have run, a request that may be repeated was refused with 503 when no other target was left. The status promises that the request has not run; clients may act on that. Change: such a request ends with 502 and an unknown outcome. Clients repeat it by themselves where that is allowed. Tests: TestRefusedAfterLostAnswer (three of six cases failed before). TestSlowStream plays a slow but sound stream, which was not cut off before either, and one that sends a byte now and then, which ends at the route's timeout.

--- a/pkg/proxy/endless_test.go
+++ b/pkg/proxy/endless_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -116,3 +117,49 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, strings.HasSuffix(recorder.Body.String(), events(4, 6)), qt.IsTrue)
 }
+
+// TestSlowStream guards against cutting off or moving a slow but sound stream, and against a stalled one that never ends
+// although a byte arrives now and then.
+func TestSlowStream(t *testing.T) {
+	for _, test := range []struct {
+		name, piece string
+		pause       time.Duration
+		sound       bool
+	}{
+		{"an event each 400 ms", "id: 7\ndata: word\n\n", 400 * time.Millisecond, true},
+		{"a byte each 50 ms", "x", 50 * time.Millisecond, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHarness(t)
+				h.upstream.open = func(ctx context.Context, _ int, _ proxy.Attempt) (*proxy.Response, error) {
+					reader, writer := io.Pipe()
+					context.AfterFunc(ctx, func() { _ = writer.CloseWithError(ctx.Err()) })
+					go func() {
+						_, _ = io.WriteString(writer, events(1, 3))
+						for i := 0; !test.sound || i < 6; i++ {
+							time.Sleep(test.pause)
+							if _, err := io.WriteString(writer, test.piece); err != nil {
+								return
+							}
+						}
+						_ = writer.Close()
+					}()
+					return streamingResponse(reader), nil
+				}
+				started := time.Now()
+				recorder, err := h.call("/plan/1")
+				took := time.Since(started)
+				time.Sleep(time.Second) // The fake target ends after the stream.
+				qt.Assert(t, h.upstream.sent(), qt.HasLen, 1)
+				if test.sound {
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 3)+strings.Repeat(test.piece, 6))
+					return
+				}
+				qt.Assert(t, errors.Is(err, http.ErrAbortHandler), qt.IsTrue, qt.Commentf("%v", err))
+				qt.Assert(t, took <= 3100*time.Millisecond, qt.IsTrue, qt.Commentf("%v, the route's timeout is 3 s", took))
+			})
+		})
+	}
+}
--- a/pkg/proxy/failure.go
+++ b/pkg/proxy/failure.go
@@ -60,10 +60,10 @@
 	return refusal.New(http.StatusBadGateway, "target_failed", outcome.Unknown, "the target gave no answer").WithCause(attemptErr)
 }
 
-// refuse returns the refusal of a request that has not run. The outcome is Unknown if the route is not retryable and an
-// earlier attempt may have run.
+// refuse returns the refusal of a request that cannot be sent to a target now. Its outcome is Unknown if an earlier attempt
+// may have run, also if the client may repeat the request: the client must not be told that it has not run.
 func (r *activeRequest) refuse(code, message string, cause error) error {
-	if r.attempts > 0 && !r.route.Retryable() {
+	if r.attempts > 0 || len(r.mayHaveRun) > 0 {
 		return refusal.New(http.StatusBadGateway, code, outcome.Unknown, "%s", message).WithCause(cause)
 	}
 	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, "%s", message).WithCause(cause).WithRetryAfter(r.server.retryAfter(r.service))
--- a/pkg/proxy/unary_test.go
+++ b/pkg/proxy/unary_test.go
@@ -194,3 +194,35 @@
 	// Crashes shortly after one another may have different causes, so the request may be held instead of quarantined.
 	qt.Assert(t, status(last) == http.StatusBadGateway || status(last) == http.StatusServiceUnavailable, qt.IsTrue, qt.Commentf("%v", last))
 }
+
+// TestRefusedAfterLostAnswer guards against telling a client that a request has not run, after the answer of a target that
+// may have run it was lost.
+func TestRefusedAfterLostAnswer(t *testing.T) {
+	brokenStream := func() *proxy.Response { return streamingResponse(iotest.ErrReader(errReset)) }
+	for _, test := range []struct {
+		name, path string
+		first      func() (*proxy.Response, error)
+		want       int
+		outcome    outcome.Outcome
+	}{
+		{"idempotent, response lost", "/look/1", func() (*proxy.Response, error) { return nil, errLost }, http.StatusBadGateway, outcome.Unknown},
+		{"idempotent, refused", "/look/1", func() (*proxy.Response, error) { return nil, errRefused }, http.StatusServiceUnavailable, outcome.NotRun},
+		{"idempotent, no connection", "/look/1", func() (*proxy.Response, error) { return nil, errDial }, http.StatusServiceUnavailable, outcome.NotRun},
+		{"stream, response lost", "/plan/1", func() (*proxy.Response, error) { return nil, errLost }, http.StatusBadGateway, outcome.Unknown},
+		{"stream, lost before the first event", "/plan/1", func() (*proxy.Response, error) { return brokenStream(), nil }, http.StatusBadGateway, outcome.Unknown},
+		{"stream, refused", "/plan/1", func() (*proxy.Response, error) { return nil, errRefused }, http.StatusServiceUnavailable, outcome.NotRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.upstream.open = func(_ context.Context, n int, _ proxy.Attempt) (*proxy.Response, error) {
+				if n == 1 {
+					return test.first()
+				}
+				return nil, errRefused
+			}
+			_, err := h.call(test.path)
+			qt.Assert(t, status(err), qt.Equals, test.want, qt.Commentf("%v", err))
+			qt.Assert(t, refusal.OutcomeOf(err), qt.Equals, test.outcome)
+		})
+	}
+}
