Let another instance take over from a watcher that the store turns away

Retries without an answer were spaced for one instance, not for the fleet. Change: an instance that is disconnected from the store is not a watcher for 3 s; the next one by address takes over, and the others rely on the last digest until it had time to (1.5 s in a fleet of more than 24). Calls that do not confirm the configuration are spaced by the size of the fleet, while other instances are asked each 0.4 s. A read that succeeds but confirms nothing (a copy with an older configuration) is followed by the same pause: it was repeated without one. Also: the era of a revision is sent as one more than it is. A revision of era 0, sent before the store came back, was taken for one of the receiver's era, so that later changes with lower numbers were ignored. A watcher fetches a newer version of the configuration from other instances at once.

--- a/pkg/gateway/confirm.go
+++ b/pkg/gateway/confirm.go
@@ -30,13 +30,13 @@
 }
 
 // snapshot returns the active configuration for other instances. Instances compare store revisions, so Version and Era
-// hold the revision.
+// hold the revision, encoded as in status updates.
 func (p *peers) snapshot(context.Context) (instance.ConfigSnapshot, error) {
 	content, at := p.gateway.cache.configuration()
 	if !at.Exists() {
 		return instance.ConfigSnapshot{}, instance.Unavailable.New("no configuration is in force here")
 	}
-	return instance.ConfigSnapshot{Version: at.Number, Era: at.Era, Content: content}, nil
+	return instance.ConfigSnapshot{Version: at.Number, Era: encodeEra(at), Content: content}, nil
 }
 
 // requestConfirmation asks a random instance and the watcher of this data centre, the instance that watches the store
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -244,7 +245,7 @@
 	return catalogue.New(version, catalogue.Limits{}, nil, []catalogue.Service{{Name: "model", Engine: engine}}, nil)
 }
 
-func fakePlatform(s *fakeStore, c TargetControl) Platform {
+func fakePlatform(s Store, c TargetControl) Platform {
 	return Platform{
 		Store: s, TargetControl: c, ConfigurationKey: "config", DecodeConfiguration: decodeCatalogue, DecodeTarget: decodeTarget,
 		NewHandler: func(*proxy.Server, func() catalogue.Limits, func() (func(), bool)) http.Handler {
@@ -256,8 +257,52 @@
 
 func discardLogger() *log.Logger { return &log.Logger{Level: log.PanicLevel} }
 
+// turnedAwayStore turns an instance away while the store serves the others.
+type turnedAwayStore struct {
+	*fakeStore
+	calls      *atomic.Int64 // calls counts the reads of all instances.
+	turnedAway atomic.Bool
+}
+
+// call counts a call, and refuses it if the instance is turned away.
+func (s *turnedAwayStore) call() error {
+	s.calls.Add(1)
+	if s.turnedAway.Load() {
+		return Unavailable.New("the store turns this instance away")
+	}
+	return nil
+}
+
+func (s *turnedAwayStore) Configuration(ctx context.Context) (Change, error) {
+	if err := s.call(); err != nil {
+		return Change{}, err
+	}
+	return s.fakeStore.Configuration(ctx)
+}
+
+func (s *turnedAwayStore) Targets(ctx context.Context) (Change, error) {
+	if err := s.call(); err != nil {
+		return Change{}, err
+	}
+	return s.fakeStore.Targets(ctx)
+}
+
+func (s *turnedAwayStore) WatchConfiguration(ctx context.Context, after revision.Revision, wait time.Duration) (Change, error) {
+	if err := s.call(); err != nil {
+		return Change{}, err
+	}
+	return s.fakeStore.WatchConfiguration(ctx, after, wait)
+}
+
+func (s *turnedAwayStore) WatchTargets(ctx context.Context, after revision.Revision, wait time.Duration) (Change, error) {
+	if err := s.call(); err != nil {
+		return Change{}, err
+	}
+	return s.fakeStore.WatchTargets(ctx, after, wait)
+}
+
 // start starts a gateway on loopback addresses. Its seeds are the given gateways.
-func start(t *testing.T, name string, s *fakeStore, c TargetControl, seeds ...*Gateway) *Gateway {
+func start(t *testing.T, name string, s Store, c TargetControl, seeds ...*Gateway) *Gateway {
 	settings := Settings{
 		Instance: name, DataCentre: "dc", MemoryLimit: 1 << 30, GracePeriod: time.Second, MaxConfigurationAge: 5 * time.Second,
 		ClientAddress: loopback, ReadinessAddress: loopback, OperatorAddress: loopback, PeerAddress: freePort(t),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
@@ -34,8 +35,12 @@
 	// them from the store after the digests of the target list have differed for maxDivergence.
 	maxUpdateRowBytes = 450
 	// watcherTTL is how long after the last digest of the target list from a watcher an instance relies on watchers for
-	// the list.
-	watcherTTL = 650 * time.Millisecond
+	// the list and the configuration. In a fleet of more than statusFanout instances, largeWatcherTTL gives another
+	// instance the time to take over, since reads by all instances would load the store.
+	watcherTTL      = 650 * time.Millisecond
+	largeWatcherTTL = 1500 * time.Millisecond
+	// disconnectedTTL is how long an instance that is disconnected from the store is not a watcher.
+	disconnectedTTL = 3 * time.Second
 	// peerWait is how long after its start an instance waits for the first status update before it is ready.
 	peerWait = time.Second
 	// fetchTimeout bounds the fetching of the configuration from another instance.
@@ -52,21 +57,23 @@
 	gateway   *Gateway
 	node      *instance.Node
 	startedAt time.Time
+	fetching  atomic.Bool // fetching is set while fetchInBackground fetches the configuration.
 
 	mu             sync.Mutex
-	watcherSeenAt  time.Time         // watcherSeenAt is when a digest of the target list was last received.
-	divergedSince  time.Time         // divergedSince is when the target list began to differ from the received digest, or zero.
-	newestRevision revision.Revision // newestRevision is the highest revision of the configuration received.
-	newestVersion  uint64            // newestVersion is the highest version of the configuration received.
-	newestFrom     netip.AddrPort    // newestFrom is the instance that sent newestVersion or, with the same version, newestRevision.
-	receivedAny    bool              // receivedAny reports whether a status update was received since the start.
-	leaseSeenAt    time.Time         // leaseSeenAt is when the row of the lease was last received.
-	leaseRow       *instancepb.Row   // leaseRow is the row of the lease as last received.
-	wake           chan struct{}     // wake wakes watchConfiguration.
+	watcherSeenAt  time.Time                    // watcherSeenAt is when a digest of the target list was last received.
+	divergedSince  time.Time                    // divergedSince is when the target list began to differ from the received digest, or zero.
+	newestRevision revision.Revision            // newestRevision is the highest revision of the configuration received.
+	newestVersion  uint64                       // newestVersion is the highest version of the configuration received.
+	newestFrom     netip.AddrPort               // newestFrom is the instance that sent newestVersion or, with the same version, newestRevision.
+	disconnected   map[netip.AddrPort]time.Time // disconnected holds until when instances are not watchers.
+	receivedAny    bool                         // receivedAny reports whether a status update was received since the start.
+	leaseSeenAt    time.Time                    // leaseSeenAt is when the row of the lease was last received.
+	leaseRow       *instancepb.Row              // leaseRow is the row of the lease as last received.
+	wake           chan struct{}                // wake wakes watchConfiguration.
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{gateway: g, startedAt: time.Now(), wake: make(chan struct{}, 1)}
+	return &peers{gateway: g, startedAt: time.Now(), disconnected: make(map[netip.AddrPort]time.Time), wake: make(chan struct{}, 1)}
 }
 
 // start joins the other instances.
@@ -197,7 +204,7 @@
 		}
 	}
 	if _, holds := p.gateway.leader.heldLease(); holds {
-		to = slices.AppendSeq(to, maps.Values(watchers(members)))
+		to = slices.AppendSeq(to, maps.Values(watchers(p.connected(members))))
 	}
 	return to
 }
@@ -206,7 +213,7 @@
 // from the store or holds the lease, the digest of the list or the row of the lease.
 func (p *peers) status() *instancepb.StatusUpdate {
 	version, at := p.gateway.cache.configurationVersion()
-	u := &instancepb.StatusUpdate{Revision: at.Number, Era: at.Era, ConfigVersion: version, FencingToken: p.gateway.leader.highestFencingToken()}
+	u := &instancepb.StatusUpdate{Revision: at.Number, Era: encodeEra(at), ConfigVersion: version, FencingToken: p.gateway.leader.highestFencingToken()}
 	if p.gateway.readsTargetsFromStore(time.Now()) {
 		u.Digest = p.gateway.cache.digest.Load()
 	}
@@ -218,7 +225,7 @@
 
 // encodeRow returns a row as it is sent to other instances.
 func encodeRow(r Row) *instancepb.Row {
-	return &instancepb.Row{Name: r.Name, Value: r.Value, Revision: r.Revision.Number, Era: r.Revision.Era, Removed: r.Removed}
+	return &instancepb.Row{Name: r.Name, Value: r.Value, Revision: r.Revision.Number, Era: encodeEra(r.Revision), Removed: r.Removed}
 }
 
 // decodeRow returns a row that another instance sent. An instance of an older build sends no era: its revision then
@@ -229,11 +236,15 @@
 	}
 }
 
+// encodeEra returns the era of a revision as it is sent to other instances: one more, since older builds send none.
+func encodeEra(r revision.Revision) uint64 { return r.Era + 1 }
+
+// decodeRevision returns a revision that another instance sent with an encoded era, or in the era of this instance.
 func decodeRevision(era, number, ownEra uint64) revision.Revision {
 	if era == 0 {
-		era = ownEra
+		return revision.New(ownEra, number)
 	}
-	return revision.New(era, number)
+	return revision.New(era-1, number)
 }
 
 func (p *peers) send(to []netip.AddrPort, u *instancepb.StatusUpdate) {
@@ -291,7 +302,8 @@
 	p.send(addressesOf(p.others()), p.status())
 }
 
-// isWatcher reports whether this instance is the watcher of its data centre: the one with the lowest address there.
+// isWatcher reports whether this instance is the watcher of its data centre: the one with the lowest address there that is
+// not disconnected from the store.
 func (p *peers) isWatcher() bool {
 	watcher, ok := p.watcher(p.gateway.settings.DataCentre)
 	return !ok || watcher == p.node.Address()
@@ -299,7 +311,7 @@
 
 // watcher returns the address of a data centre's watcher. It reports false if the data centre has no live instance.
 func (p *peers) watcher(dataCentre string) (netip.AddrPort, bool) {
-	address, ok := watchers(p.node.Members())[dataCentre]
+	address, ok := watchers(p.connected(p.node.Members()))[dataCentre]
 	return address, ok
 }
 
@@ -314,14 +326,55 @@
 	return lowest
 }
 
-// sendDisconnected informs all instances that this instance is disconnected from the store, if it is a watcher. They
-// then read the store themselves.
+// connected returns the members without those that are disconnected from the store. A data centre with disconnected
+// members only keeps them.
+func (p *peers) connected(members []membership.Member) []membership.Member {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.disconnected) == 0 {
+		return members
+	}
+	isConnected := func(m membership.Member) bool { return !now.Before(p.disconnected[m.Address]) }
+	alive := make(map[string]bool) // alive holds the data centres with a connected member.
+	for _, m := range members {
+		if isConnected(m) {
+			alive[m.DataCentre] = true
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return alive[m.DataCentre] && !isConnected(m) })
+}
+
+// markDisconnected records that an instance is disconnected from the store, so that another one becomes the watcher of its
+// data centre. The instances there rely on the former watcher's updates until the next one has had time to take over.
+func (p *peers) markDisconnected(address netip.AddrPort, now time.Time) {
+	watcher, _ := p.watcher(p.gateway.settings.DataCentre)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	maps.DeleteFunc(p.disconnected, func(_ netip.AddrPort, until time.Time) bool { return now.After(until) })
+	p.disconnected[address] = now.Add(disconnectedTTL)
+	if address == watcher {
+		p.watcherSeenAt = now
+	}
+}
+
+// sendDisconnected informs all instances that this instance is disconnected from the store, if it is a watcher. Another
+// instance then becomes the watcher.
 func (p *peers) sendDisconnected() {
 	if p.isWatcher() {
+		p.markDisconnected(p.node.Address(), time.Now())
 		p.send(addressesOf(p.others()), &instancepb.StatusUpdate{Alone: true})
 	}
 }
 
+// watcherGrace returns how long after the last digest from a watcher an instance relies on watchers.
+func (p *peers) watcherGrace() time.Duration {
+	if len(p.node.Members()) > statusFanout {
+		return largeWatcherTTL
+	}
+	return watcherTTL
+}
+
 // notify wakes the reader of a channel, unless a wake-up is already pending.
 func notify(c chan struct{}) {
 	select {
--- a/pkg/gateway/peers_test.go
+++ b/pkg/gateway/peers_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
+	"github.com/cuminroute/cuminroute/pkg/revision"
 )
 
 // TestUpdateRecipients guards against updates of entries that cross data centres in a large fleet, and against
@@ -47,3 +48,14 @@
 	qt.Assert(t, streams, qt.Equals, 3*maxLoads)
 	qt.Assert(t, sampleLoads(nil), qt.HasLen, 0)
 }
+
+// TestRevisionOnTheWire guards against a revision of the first era that is taken for one of the receiver's era, and against
+// an instance of an older build, which sends no era, whose changes are ignored.
+func TestRevisionOnTheWire(t *testing.T) {
+	for _, r := range []revision.Revision{revision.New(0, 9), revision.New(1, 9), revision.New(7, 1)} {
+		qt.Check(t, decodeRevision(encodeEra(r), r.Number, 4), qt.Equals, r)
+		row := Row{Name: "w", Value: []byte("v"), Revision: r, Removed: true}
+		qt.Check(t, decodeRow(encodeRow(row), 4), qt.DeepEquals, row)
+	}
+	qt.Check(t, decodeRevision(0, 9, 4), qt.Equals, revision.New(4, 9))
+}
--- a/pkg/gateway/receive.go
+++ b/pkg/gateway/receive.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/netip"
 	"slices"
 	"time"
@@ -43,7 +44,8 @@
 	}
 	g.leader.observeFencingToken(u.GetFencingToken())
 	if u.GetAlone() { // Alone means that the sender is a watcher that is disconnected from the store.
-		p.forgetWatcher()
+		p.markDisconnected(from, now)
+		notify(p.wake)
 	}
 	if d := u.GetDigest(); d != 0 {
 		p.compareDigest(d, now)
@@ -70,29 +72,23 @@
 	if p.isWatcher() {
 		return false
 	}
+	grace := p.watcherGrace()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.divergedSince.IsZero() && now.Sub(p.divergedSince) > maxDivergence {
 		p.divergedSince = time.Time{}
 		return false
 	}
-	return now.Sub(p.watcherSeenAt) < watcherTTL
-}
-
-// forgetWatcher makes this instance read the store itself until it receives a digest from a watcher again.
-func (p *peers) forgetWatcher() {
-	p.mu.Lock()
-	p.watcherSeenAt = time.Time{}
-	p.mu.Unlock()
-	notify(p.wake)
+	return now.Sub(p.watcherSeenAt) < grace
 }
 
 // receivedWatcherDigest reports whether a digest from an instance that reads the target list from the store was
-// received within watcherTTL.
+// received within watcherGrace.
 func (p *peers) receivedWatcherDigest(now time.Time) bool {
+	grace := p.watcherGrace()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return now.Sub(p.watcherSeenAt) < watcherTTL
+	return now.Sub(p.watcherSeenAt) < grace
 }
 
 // leaseSeen reports whether the row of the lease was received within the last two status intervals.
@@ -117,7 +113,7 @@
 	if u.GetQuestion() != 0 {
 		if age, ok := c.confirmationAge(); ok {
 			p.send([]netip.AddrPort{from}, &instancepb.StatusUpdate{
-				Answer: u.GetQuestion(), AgeNs: int64(age), Revision: at.Number, Era: at.Era, ConfigVersion: version,
+				Answer: u.GetQuestion(), AgeNs: int64(age), Revision: at.Number, Era: encodeEra(at), ConfigVersion: version,
 			})
 		}
 	}
@@ -135,11 +131,26 @@
 		p.newestVersion, p.newestRevision, p.newestFrom = u.GetConfigVersion(), received, from
 	}
 	p.mu.Unlock()
-	if newer {
+	switch {
+	case u.GetConfigVersion() > version && p.isWatcher():
+		p.fetchInBackground()
+	case newer:
 		notify(p.wake)
 	}
 }
 
+// fetchInBackground fetches a newer configuration from another instance, unless that is in progress. A watcher is busy
+// reading the store, which may have come back from a copy with an older version.
+func (p *peers) fetchInBackground() {
+	if !p.fetching.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer p.fetching.Store(false)
+		p.fetchConfiguration(context.Background())
+	}()
+}
+
 // behind reports whether another instance has sent a higher revision or version of the configuration than this instance
 // has.
 func (p *peers) behind() bool {
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -29,9 +29,6 @@
 	confirmAfter = 900 * time.Millisecond
 	// maxConfirmationAge is the age after which an instance that is not a watcher always reads the store itself.
 	maxConfirmationAge = 4200 * time.Millisecond
-	// maxAgeWithoutWatcher is the age after which an instance that is not a watcher reads the store itself while it
-	// receives no update from a watcher.
-	maxAgeWithoutWatcher = 500 * time.Millisecond
 	// watcherCheckInterval is how often an instance that is not a watcher checks whether a watcher still sends it the
 	// target list.
 	watcherCheckInterval = 300 * time.Millisecond
@@ -41,6 +38,8 @@
 	// target list check every storeFailureTick whether they may continue.
 	storeFailureTTL  = 2 * time.Second
 	storeFailureTick = 50 * time.Millisecond
+	// callSpacing is the mean time between two calls of a fleet whose instances lack a confirmation of the configuration.
+	callSpacing = 50 * time.Millisecond
 	// minBackoff and maxBackoff bound the mean delay after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
@@ -52,8 +51,13 @@
 }
 
 func (b *backoff) wait(ctx context.Context) {
-	b.delay = min(max(2*b.delay, minBackoff), maxBackoff)
-	waitFor(ctx, b.delay/2+rand.N(b.delay))
+	waitFor(ctx, b.next(maxBackoff))
+}
+
+// next returns the delay before the next call, of which longest is the largest mean.
+func (b *backoff) next(longest time.Duration) time.Duration {
+	b.delay = min(max(2*b.delay, minBackoff), longest)
+	return b.delay/2 + rand.N(b.delay)
 }
 
 func (b *backoff) reset() { b.delay = 0 }
@@ -81,13 +85,10 @@
 		if err != nil {
 			g.storeFailedAt.Store(time.Now().UnixNano())
 			g.peers.sendDisconnected()
-			g.peers.requestConfirmation()
-			g.peers.fetchConfiguration(ctx)
-			retry.wait(ctx)
+			g.awaitConfirmation(ctx, retry.next(g.longestBackoff()))
 			continue
 		}
 		g.storeFailedAt.Store(0)
-		retry.reset()
 		before, revisionBefore := g.cache.configurationVersion()
 		for _, row := range change.Rows {
 			if row.Name == g.platform.ConfigurationKey {
@@ -102,12 +103,40 @@
 		}
 		// An answer older than the active configuration does not confirm it. Neither does an older version in the store: a
 		// newer one than the active one may have been lost with it.
-		if !change.Revision.Before(activeRevision) && g.cache.storedConfigurationIsActive() {
+		confirmed := !change.Revision.Before(activeRevision) && g.cache.storedConfigurationIsActive()
+		if confirmed {
 			g.cache.confirm(startedAt)
+			retry.reset()
 		}
 		if version != before || !activeRevision.SameEra(revisionBefore) {
 			g.peers.sendRevision()
 		}
+		if !confirmed {
+			g.awaitConfirmation(ctx, retry.next(g.longestBackoff()))
+		}
+	}
+}
+
+// longestBackoff returns the largest mean delay between two calls that do not confirm the configuration. In a large fleet
+// all instances but the watchers share the calls, since the calls would otherwise grow with the fleet; one call that
+// succeeds lets the others ask the instance that made it.
+func (g *Gateway) longestBackoff() time.Duration {
+	if g.peers.isWatcher() {
+		return maxBackoff
+	}
+	return max(maxBackoff, time.Duration(len(g.peers.node.Members()))*callSpacing)
+}
+
+// awaitConfirmation asks other instances to confirm the configuration, or to provide a newer one, until one does or the
+// time is over.
+func (g *Gateway) awaitConfirmation(ctx context.Context, d time.Duration) {
+	for end := time.Now().Add(d); ctx.Err() == nil; {
+		g.peers.requestConfirmation()
+		g.peers.fetchConfiguration(ctx)
+		waitFor(ctx, min(time.Until(end), confirmCheckInterval))
+		if age, confirmed := g.cache.confirmationAge(); confirmed && age < confirmAfter || time.Now().After(end) {
+			return
+		}
 	}
 }
 
@@ -118,7 +147,7 @@
 	if version, _ := g.cache.configurationVersion(); version == 0 || !confirmed || g.peers.isWatcher() || age > maxConfirmationAge {
 		return true
 	}
-	if age > maxAgeWithoutWatcher && !g.peers.receivedWatcherDigest(time.Now()) {
+	if age > g.peers.watcherGrace() && !g.peers.receivedWatcherDigest(time.Now()) {
 		return true
 	}
 	select {
--- a/pkg/peer/instance/config.go
+++ b/pkg/peer/instance/config.go
@@ -33,7 +33,7 @@
 // ConfigSnapshot is the whole configuration at a version. Its content is opaque to the node.
 type ConfigSnapshot struct {
 	Version uint64
-	Era     uint64 // Era is the era of the store that Version belongs to; 0 if the store has no eras.
+	Era     uint64 // Era is the encoded era of the store that Version belongs to, 0 if Version is no revision.
 	Content []byte
 }
 
