Draw returns from a copy for the target list, and fix what that found

Cause: a stateful test of the target list against a simple oracle, with returns of the store from a copy, relays between instances, and engines that start, leave and end, found: an entry of an earlier run of an engine replaced that of its present run; the copied row of a leaving target was accepted when it came a second time, with the same revision, from another instance; a removed target whose entry was written again after the return stayed unused for 10 s, and longer if the entry did not change later. Change: a copied entry of an earlier start is passed over; an entry that is kept over its copied row is marked; rows written after the first whole list of the era count at once, and the whole list is read again once its entries are no longer those of a copy.

--- a/pkg/gateway/cache.go
+++ b/pkg/gateway/cache.go
@@ -46,7 +46,8 @@
 	changed       map[string]bool              // changed holds the names of targets that may differ from the snapshot.
 	tombstones    map[string]revision.Revision // tombstones holds the revisions at which entries were removed.
 	targetsEra    uint64                       // targetsEra is the era of the target list.
-	eraStartedAt  time.Time                    // eraStartedAt is when the target list was first received in targetsEra, zero in the first era.
+	eraStartedAt  time.Time                    // eraStartedAt is when the target list was first received in targetsEra, zero if its entries are not those of a copy.
+	eraFirst      revision.Revision            // eraFirst is the revision of the first whole list of targetsEra: later rows are not those of a copy.
 	reports       map[string]layerReport       // reports holds layers that targets reported ahead of their entries.
 	digest        atomic.Uint64                // digest is the XOR of the entries' digests.
 	onDrain       func(target.Target)          // onDrain is called with targets to drain; see updatePublished.
@@ -58,12 +59,13 @@
 
 // entry is the row of one target in the target list, with the target decoded from it.
 type entry struct {
-	target   target.Target
-	content  []byte
-	revision revision.Revision
-	dropAt   time.Time // dropAt is when an entry that is missing from the store will be dropped; zero for other entries.
-	invalid  bool      // invalid marks an entry that cannot be decoded.
-	digest   uint64    // digest is a hash of the target, 0 if the entry is invalid.
+	target       target.Target
+	content      []byte
+	revision     revision.Revision
+	dropAt       time.Time // dropAt is when an entry that is missing from the store will be dropped; zero for other entries.
+	newerThanRow bool      // newerThanRow marks an entry that the row at its revision, of a copy of the store, does not replace.
+	invalid      bool      // invalid marks an entry that cannot be decoded.
+	digest       uint64    // digest is a hash of the target, 0 if the entry is invalid.
 }
 
 func newStateCache(p Platform, logger *log.Logger, maxAge time.Duration) *stateCache {
@@ -221,7 +223,7 @@
 // upsert decodes and stores an entry, and reports whether a target was added, changed or became invalid.
 func (s *stateCache) upsert(row Row, now time.Time) bool {
 	old := s.targets[row.Name]
-	if old != nil && row.Revision.Before(old.revision) || s.isGone(row, now) {
+	if old != nil && (row.Revision.Before(old.revision) || old.newerThanRow && row.Revision == old.revision) || s.isGone(row, now) {
 		return false
 	}
 	delete(s.tombstones, row.Name)
@@ -231,7 +233,7 @@
 	}
 	t, err := s.platform.DecodeTarget(row.Name, row.Value)
 	if err == nil && old != nil && s.isStaleCopy(old, t, row, now) {
-		old.revision, old.dropAt = row.Revision, time.Time{}
+		old.revision, old.dropAt, old.newerThanRow = row.Revision, time.Time{}, true
 		return false
 	}
 	if err != nil {
--- a/pkg/gateway/era_test.go
+++ b/pkg/gateway/era_test.go
@@ -1,11 +1,13 @@
 package gateway
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
 
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/revision"
@@ -119,8 +121,17 @@
 	cache.expire(epoch.Add(time.Second + entryGracePeriod))
 	qt.Check(t, has(cache, "joined"), qt.IsFalse)
 
-	// A removed target whose entry stays in the store is used again in the end: its removal came from a lapse.
-	cache.applyTargets(Change{Revision: revision.New(2, 20), Rows: []Row{engineRow("gone", revision.New(2, 20), target.Live, 1, 1)}}, 0, epoch.Add(time.Second+copiedEntryTTL))
+	// A removed target that writes its entry after the return is used at once.
+	cache.applyTargets(Change{Revision: revision.New(2, 20), Rows: []Row{engineRow("gone", revision.New(2, 20), target.Live, 1, 1)}}, 0, epoch.Add(2*time.Second))
+	qt.Check(t, has(cache, "gone"), qt.IsTrue)
+
+	// One whose entry stays in the store without a change is used in the end, when the whole list is read again.
+	cache = read()
+	end := epoch.Add(time.Second + copiedEntryTTL)
+	qt.Check(t, cache.copiedEraEnded(end.Add(-time.Millisecond)), qt.IsFalse)
+	qt.Check(t, cache.copiedEraEnded(end), qt.IsTrue)
+	qt.Check(t, cache.copiedEraEnded(end), qt.IsFalse)
+	cache.applyTargets(Change{Full: true, Rows: copied, Revision: revision.New(2, 6)}, 0, end)
 	qt.Check(t, has(cache, "gone"), qt.IsTrue)
 }
 
@@ -225,3 +236,153 @@
 	qt.Assert(t, later.peers.awaitsPeers(now.Add(peerWait+time.Millisecond)), qt.IsFalse)
 	eventually(t, "readiness", later.Ready)
 }
+
+// listFleet is a store with engines that write their entries, and instances that read the list or receive it from others.
+type listFleet struct {
+	store   *fakeStore
+	copies  []*fakeStore
+	engines map[string]target.Target // engines holds the running engines.
+	caches  []*stateCache
+	after   []revision.Revision // after holds the revision up to which each instance has read.
+	now     time.Time
+	starts  int64
+}
+
+func newListFleet() *listFleet {
+	f := &listFleet{store: newFakeStore(), engines: make(map[string]target.Target), now: epoch}
+	f.copies = []*fakeStore{f.store.copy()}
+	for range 2 {
+		f.caches = append(f.caches, newTestCache())
+		f.after = append(f.after, revision.Revision{})
+	}
+	return f
+}
+
+// write writes the entry of an engine.
+func (f *listFleet) write(t target.Target) {
+	f.engines[t.Name] = t
+	f.store.put("targets", t.Name, encode(t))
+}
+
+// read lets an instance read the changes of the list, or the whole list.
+func (f *listFleet) read(i int, outage time.Duration) {
+	change, err := f.store.since("targets", f.after[i], !f.after[i].Exists())
+	if err != nil {
+		change, _ = f.store.since("targets", revision.Revision{}, true)
+	}
+	f.caches[i].applyTargets(change, outage, f.now)
+	f.after[i] = change.Revision
+}
+
+// incarnation identifies one run of an engine.
+func incarnation(t target.Target) string { return fmt.Sprint(t.Name, "/", t.StartTime.Unix()) }
+
+// TestListProperty guards against an instance that uses a target again that has left, after the store came back from a copy,
+// and against instances whose lists differ from the store's for good.
+func TestListProperty(t *testing.T) {
+	names := []string{"a", "b", "c", "d"}
+	rapid.Check(t, func(t *rapid.T) {
+		f := newListFleet()
+		knownLeaving := make([]map[string]bool, len(f.caches)) // knownLeaving holds what each instance has seen leaving.
+		for i := range knownLeaving {
+			knownLeaving[i] = make(map[string]bool)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"start": func(t *rapid.T) {
+				f.starts++
+				name := rapid.SampledFrom(names).Draw(t, "name")
+				if _, running := f.engines[name]; running {
+					t.Skip("runs already")
+				}
+				f.write(target.Target{
+					Name: name, Service: "model", State: target.Live, Address: netip.MustParseAddrPort("10.0.0.1:80"), StartTime: time.Unix(f.starts, 0).UTC(),
+				})
+			},
+			"assign": func(t *rapid.T) {
+				engine, ok := f.engines[rapid.SampledFrom(names).Draw(t, "name")]
+				if !ok {
+					t.Skip("does not run")
+				}
+				engine.Assignments++
+				engine.Layers = layer.Range{First: 0, End: 1 + int(engine.Assignments%4)}
+				f.write(engine)
+			},
+			"leave": func(t *rapid.T) {
+				engine, ok := f.engines[rapid.SampledFrom(names).Draw(t, "name")]
+				if !ok {
+					t.Skip("does not run")
+				}
+				engine.State = target.Leaving
+				f.write(engine)
+			},
+			"end": func(t *rapid.T) {
+				name := rapid.SampledFrom(names).Draw(t, "name")
+				if _, ok := f.engines[name]; !ok {
+					t.Skip("does not run")
+				}
+				delete(f.engines, name)
+				f.store.remove("targets", name)
+			},
+			"copy": func(*rapid.T) { f.copies = append(f.copies, f.store.copy()) },
+			"return from a copy": func(t *rapid.T) {
+				f.store.restore(rapid.SampledFrom(f.copies).Draw(t, "copy"))
+				f.copies = []*fakeStore{f.store.copy()}
+			},
+			"read": func(t *rapid.T) {
+				f.read(rapid.IntRange(0, 1).Draw(t, "instance"), 0)
+			},
+			"relay": func(t *rapid.T) { // One instance sends an entry to the other, as watchers do.
+				from, name := rapid.IntRange(0, 1).Draw(t, "from"), rapid.SampledFrom(names).Draw(t, "name")
+				if e := f.caches[from].targets[name]; e != nil && e.dropAt.IsZero() && !e.newerThanRow {
+					f.caches[1-from].applyTargets(Change{Rows: []Row{{Name: name, Value: e.content, Revision: e.revision}}}, 0, f.now)
+				}
+			},
+			"pass": func(t *rapid.T) {
+				f.now = f.now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+				for _, cache := range f.caches {
+					cache.expire(f.now)
+				}
+			},
+			"": func(t *rapid.T) {
+				for i, cache := range f.caches {
+					for _, name := range names {
+						used, ok := cache.target(name)
+						switch {
+						case ok && !used.AcceptsRequests():
+							knownLeaving[i][incarnation(used)] = true
+						case ok && knownLeaving[i][incarnation(used)] && cache.inCopiedEra(f.now):
+							t.Fatalf("instance %d uses %s again, which was leaving", i, incarnation(used))
+						}
+					}
+				}
+			},
+		})
+		f.settle(t, names)
+	})
+}
+
+// settle lets the engines write their entries again and the platform remove those of ended ones. All instances must then
+// have the list of the store.
+func (f *listFleet) settle(t *rapid.T, names []string) {
+	for _, name := range names {
+		if engine, runs := f.engines[name]; runs {
+			f.write(engine)
+		} else {
+			f.store.remove("targets", name)
+		}
+	}
+	for i, cache := range f.caches {
+		f.read(i, 0)
+		f.now = f.now.Add(copiedEntryTTL)
+		cache.expire(f.now)
+		f.after[i] = revision.Revision{}
+		f.read(i, 0)
+		for _, name := range names {
+			engine, runs := f.engines[name]
+			listed, ok := cache.target(name)
+			if ok != runs || runs && listed != engine {
+				t.Fatalf("instance %d lists %v (%t), the engine is %v (%t)", i, listed, ok, engine, runs)
+			}
+		}
+	}
+}
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -198,6 +198,9 @@
 			waitFor(ctx, storeFailureTick)
 			continue
 		}
+		if g.cache.copiedEraEnded(now) {
+			after = revision.Revision{}
+		}
 		started := now
 		change, err := g.readTargets(ctx, after)
 		g.logStoreState("Targets", err)
