--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -12,7 +11,6 @@
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
-	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
@@ -34,13 +32,6 @@
 	// maxUpdateRowBytes bounds the size of an entry in a status update. Longer entries are left out; instances read
 	// them from the store after the digests of the target list have differed for maxDivergence.
 	maxUpdateRowBytes = 450
-	// watcherTTL is how long after the last digest of the target list from a watcher an instance relies on watchers for
-	// the list and the configuration. In a fleet of more than statusFanout instances, largeWatcherTTL gives another
-	// instance the time to take over, since reads by all instances would load the store.
-	watcherTTL      = 650 * time.Millisecond
-	largeWatcherTTL = 1500 * time.Millisecond
-	// disconnectedTTL is how long an instance that is disconnected from the store is not a watcher.
-	disconnectedTTL = 3 * time.Second
 	// peerWait is how long after its start an instance waits for the first status update before it is ready.
 	peerWait = time.Second
 	// fetchTimeout bounds the fetching of the configuration from another instance.
@@ -165,22 +156,6 @@
 	return counts
 }
 
-// sampleLoads returns the loads for a status update. If there are more than maxLoads, it returns a random sample, scaled up
-// so that the sum over many updates of many instances is right.
-func sampleLoads(loads map[string]targetstats.Load) []*instancepb.TargetLoad {
-	scale := max(1, float64(len(loads))/maxLoads)
-	names := slices.Collect(maps.Keys(loads))
-	rand.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	sample := make([]*instancepb.TargetLoad, 0, maxLoads)
-	for _, name := range names[:min(len(names), maxLoads)] {
-		load := loads[name]
-		sample = append(sample, &instancepb.TargetLoad{
-			Target: targetstats.TargetHash(name), Cells: int64(scale * float64(load.KVCells)), Streams: uint32(math.Round(scale * float64(load.Streams))),
-		})
-	}
-	return sample
-}
-
 // sendToDependants sends a status update without loads to the instances that depend on it: in a large fleet the regular
 // updates reach only a random sample. A watcher relays the row of the lease to its data centre only, so that watchers
 // do not send the row back to each other.
@@ -223,30 +198,6 @@
 	return u
 }
 
-// encodeRow returns a row as it is sent to other instances.
-func encodeRow(r Row) *instancepb.Row {
-	return &instancepb.Row{Name: r.Name, Value: r.Value, Revision: r.Revision.Number, Era: encodeEra(r.Revision), Removed: r.Removed}
-}
-
-// decodeRow returns a row that another instance sent. An instance of an older build sends no era: its revision then
-// belongs to the era of this instance.
-func decodeRow(r *instancepb.Row, ownEra uint64) Row {
-	return Row{
-		Name: r.GetName(), Value: r.GetValue(), Revision: decodeRevision(r.GetEra(), r.GetRevision(), ownEra), Removed: r.GetRemoved(),
-	}
-}
-
-// encodeEra returns the era of a revision as it is sent to other instances: one more, since older builds send none.
-func encodeEra(r revision.Revision) uint64 { return r.Era + 1 }
-
-// decodeRevision returns a revision that another instance sent with an encoded era, or in the era of this instance.
-func decodeRevision(era, number, ownEra uint64) revision.Revision {
-	if era == 0 {
-		return revision.New(ownEra, number)
-	}
-	return revision.New(era-1, number)
-}
-
 func (p *peers) send(to []netip.AddrPort, u *instancepb.StatusUpdate) {
 	if len(to) == 0 {
 		return
@@ -302,79 +253,6 @@
 	p.send(addressesOf(p.others()), p.status())
 }
 
-// isWatcher reports whether this instance is the watcher of its data centre: the one with the lowest address there that is
-// not disconnected from the store.
-func (p *peers) isWatcher() bool {
-	watcher, ok := p.watcher(p.gateway.settings.DataCentre)
-	return !ok || watcher == p.node.Address()
-}
-
-// watcher returns the address of a data centre's watcher. It reports false if the data centre has no live instance.
-func (p *peers) watcher(dataCentre string) (netip.AddrPort, bool) {
-	address, ok := watchers(p.connected(p.node.Members()))[dataCentre]
-	return address, ok
-}
-
-// watchers returns the address of each data centre's watcher, which is the lowest address there.
-func watchers(members []membership.Member) map[string]netip.AddrPort {
-	lowest := make(map[string]netip.AddrPort)
-	for _, m := range members {
-		if address, ok := lowest[m.DataCentre]; !ok || m.Address.Compare(address) < 0 {
-			lowest[m.DataCentre] = m.Address
-		}
-	}
-	return lowest
-}
-
-// connected returns the members without those that are disconnected from the store. A data centre with disconnected
-// members only keeps them.
-func (p *peers) connected(members []membership.Member) []membership.Member {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if len(p.disconnected) == 0 {
-		return members
-	}
-	isConnected := func(m membership.Member) bool { return !now.Before(p.disconnected[m.Address]) }
-	alive := make(map[string]bool) // alive holds the data centres with a connected member.
-	for _, m := range members {
-		if isConnected(m) {
-			alive[m.DataCentre] = true
-		}
-	}
-	return slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return alive[m.DataCentre] && !isConnected(m) })
-}
-
-// markDisconnected records that an instance is disconnected from the store, so that another one becomes the watcher of its
-// data centre. The instances there rely on the former watcher's updates until the next one has had time to take over.
-func (p *peers) markDisconnected(address netip.AddrPort, now time.Time) {
-	watcher, _ := p.watcher(p.gateway.settings.DataCentre)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	maps.DeleteFunc(p.disconnected, func(_ netip.AddrPort, until time.Time) bool { return now.After(until) })
-	p.disconnected[address] = now.Add(disconnectedTTL)
-	if address == watcher {
-		p.watcherSeenAt = now
-	}
-}
-
-// sendDisconnected informs all instances that this instance is disconnected from the store, if it is a watcher. Another
-// instance then becomes the watcher.
-func (p *peers) sendDisconnected() {
-	if p.isWatcher() {
-		p.markDisconnected(p.node.Address(), time.Now())
-		p.send(addressesOf(p.others()), &instancepb.StatusUpdate{Alone: true})
-	}
-}
-
-// watcherGrace returns how long after the last digest from a watcher an instance relies on watchers.
-func (p *peers) watcherGrace() time.Duration {
-	if len(p.node.Members()) > statusFanout {
-		return largeWatcherTTL
-	}
-	return watcherTTL
-}
-
 // notify wakes the reader of a channel, unless a wake-up is already pending.
 func notify(c chan struct{}) {
 	select {
--- a/pkg/gateway/receive.go
+++ b/pkg/gateway/receive.go
@@ -53,44 +53,6 @@
 	p.receiveConfirmation(from, u)
 }
 
-// compareDigest records whether the target list matches the digest of an instance that reads the list from the store.
-func (p *peers) compareDigest(digest uint64, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.watcherSeenAt = now
-	switch {
-	case digest == p.gateway.cache.digest.Load():
-		p.divergedSince = time.Time{}
-	case p.divergedSince.IsZero():
-		p.divergedSince = now
-	}
-}
-
-// receivesTargetsFromWatcher reports whether this instance relies on a watcher for the target list. If the list has
-// differed from the watcher's for longer than maxDivergence, it reports false and clears divergedSince.
-func (p *peers) receivesTargetsFromWatcher(now time.Time) bool {
-	if p.isWatcher() {
-		return false
-	}
-	grace := p.watcherGrace()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.divergedSince.IsZero() && now.Sub(p.divergedSince) > maxDivergence {
-		p.divergedSince = time.Time{}
-		return false
-	}
-	return now.Sub(p.watcherSeenAt) < grace
-}
-
-// receivedWatcherDigest reports whether a digest from an instance that reads the target list from the store was
-// received within watcherGrace.
-func (p *peers) receivedWatcherDigest(now time.Time) bool {
-	grace := p.watcherGrace()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return now.Sub(p.watcherSeenAt) < grace
-}
-
 // leaseSeen reports whether the row of the lease was received within the last two status intervals.
 func (p *peers) leaseSeen(now time.Time) bool {
 	p.mu.Lock()
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -6,9 +6,8 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/cuminroute/cuminroute/pkg/sleep"
-
 	"github.com/cuminroute/cuminroute/pkg/revision"
+	"github.com/cuminroute/cuminroute/pkg/sleep"
 )
 
 const (
