Allow an instance one retry right after its start

Cause: for 3 s after its start an instance could not retry at all, since a new bucket held the tokens of one second of the lowest rate. Tests: TestStart; TestFleet keeps its bound with both.

--- a/pkg/decision/retry/retry.go
+++ b/pkg/decision/retry/retry.go
@@ -52,6 +52,7 @@
 	ratio   float64
 	minRate float64
 	burst   float64
+	initial float64 // initial is the number of tokens of a new bucket; negative means the tokens of one second.
 }
 
 // Option configures a budget.
@@ -67,9 +68,14 @@
 	return func(b *Budget) { b.minRate = perSecond }
 }
 
+// WithInitial sets the number of retries that a new key may make at once. The default is that of one second.
+func WithInitial(retries float64) Option {
+	return func(b *Budget) { b.initial = retries }
+}
+
 // New returns a budget without keys.
 func New(options ...Option) *Budget {
-	b := &Budget{buckets: map[string]*bucket{}, ratio: defaultRatio, minRate: defaultMinRate, burst: defaultBurst}
+	b := &Budget{buckets: map[string]*bucket{}, ratio: defaultRatio, minRate: defaultMinRate, burst: defaultBurst, initial: -1}
 	for _, o := range options {
 		o(b)
 	}
@@ -126,7 +132,7 @@
 	b.sweep(now)
 	entry, ok := b.buckets[key]
 	if !ok {
-		entry = &bucket{tokens: b.minRate, filled: now} // A new bucket holds the tokens of one second.
+		entry = &bucket{tokens: b.initialTokens(), filled: now}
 		b.buckets[key] = entry
 	}
 	if elapsed := now.Sub(entry.filled); elapsed > 0 {
@@ -136,6 +142,14 @@
 	return entry
 }
 
+// initialTokens returns the tokens of a new bucket.
+func (b *Budget) initialTokens() float64 {
+	if b.initial < 0 {
+		return b.minRate
+	}
+	return b.initial
+}
+
 // sweep removes idle keys once per idleTimeout, so that memory is bounded by the keys in use.
 func (b *Budget) sweep(now time.Time) {
 	if now.Sub(b.swept) < idleTimeout {
--- a/pkg/decision/retryshare/share.go
+++ b/pkg/decision/retryshare/share.go
@@ -26,7 +26,7 @@
 	burstFraction = 0.6
 	rateFraction  = 0.25
 	// settleTime is how long after the start of an instance its member list may be incomplete.
-	settleTime = 3 * time.Second
+	settleTime = 1500 * time.Millisecond
 	// settlingRate and settlingBurst are the limits during settleTime: retries per second, and retries at once.
 	settlingRate  = 0.1
 	settlingBurst = 1
@@ -36,6 +36,10 @@
 	bucketTime = 5 * time.Second
 )
 
+// InitialRetries is the number of retries that an instance may make right after its start, when it knows no others. After
+// the loss of a whole fleet, its requests meet targets whose load no instance knows yet.
+const InitialRetries = settlingBurst
+
 // Share computes the limits of one instance.
 type Share struct {
 	retries   float64
--- a/pkg/decision/retryshare/share_test.go
+++ b/pkg/decision/retryshare/share_test.go
@@ -44,7 +44,7 @@
 			shares, budgets := make([]*retryshare.Share, instances), make([]*retry.Budget, instances)
 			for i := range instances {
 				shares[i] = retryshare.New(retries, window, start)
-				budgets[i] = retry.New(retry.WithRatio(0.8*ratio), retry.WithMinRate(0))
+				budgets[i] = retry.New(retry.WithRatio(0.8*ratio), retry.WithMinRate(0), retry.WithInitial(retryshare.InitialRetries))
 			}
 			for d := time.Duration(0); d < 30*time.Second; d += tick {
 				now, n := start.Add(d), 0
@@ -81,3 +81,13 @@
 	_, burst := share.Limits(start.Add(40 * time.Second))
 	qt.Assert(t, burst, qt.Equals, 0.6*retries/10)
 }
+
+// TestStart guards against an instance that cannot retry at all after its start: its first requests meet targets whose load
+// it does not know.
+func TestStart(t *testing.T) {
+	share := retryshare.New(retries, window, start)
+	budget := retry.New(retry.WithMinRate(0), retry.WithInitial(retryshare.InitialRetries))
+	budget.SetMinRate(share.Limits(start))
+	qt.Assert(t, budget.Allow("model", start), qt.IsTrue)
+	qt.Assert(t, budget.Allow("model", start), qt.IsFalse)
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -112,7 +112,8 @@
 	g.cache = newStateCache(platform, g.logger, settings.MaxConfigurationAge)
 	g.crashTracker = quarantinesync.New(func(items []membership.Item) { g.peers.broadcastItems(items) })
 	g.retryShare = retryshare.New(settings.RetryBudget.MinRetries, settings.RetryBudget.Window, time.Now())
-	g.retryBudget = retry.New(retry.WithRatio(ratioFraction*settings.RetryBudget.Ratio), retry.WithMinRate(0))
+	g.retryBudget = retry.New(retry.WithRatio(ratioFraction*settings.RetryBudget.Ratio), retry.WithMinRate(0),
+		retry.WithInitial(retryshare.InitialRetries))
 	g.retryBudget.SetMinRate(g.retryShare.Limits(time.Now()))
 	g.server = proxy.New(g.cache, platform.Upstream, g.targetStats, proxy.WithRetryBudget(g.retryBudget), proxy.WithLinkBudget(g.linkBudget),
 		proxy.WithDataCentre(settings.DataCentre), proxy.WithLogger(g.logger), proxy.WithRegistry(g.registry),
