--- a/pkg/probe/prober.go
+++ b/pkg/probe/prober.go
@@ -76,6 +76,14 @@
 	probes map[string]*probe // probes holds the recent probe of each target.
 }
 
+// probe is a running or finished probe of a target.
+type probe struct {
+	startedAt time.Time
+	ttl       time.Duration // ttl is how long the result is reused.
+	done      chan struct{} // done is closed when the probe has finished.
+	verdict   Verdict
+}
+
 // Option configures a Prober.
 type Option func(*Prober)
 
@@ -85,14 +93,6 @@
 	return func(r *Prober) { r.tick = tick }
 }
 
-// probe is a running or finished probe of a target.
-type probe struct {
-	startedAt time.Time
-	ttl       time.Duration // ttl is how long the result is reused.
-	done      chan struct{} // done is closed when the probe has finished.
-	verdict   Verdict
-}
-
 // WithControl sets the function that connects to a host that is expected to respond, such as another instance. It is
 // called if a target does not respond at once.
 func WithControl(control func(ctx context.Context) error) Option {
