Let one condition say whether a request may have run, and one whether a watcher's digest is recent

Cause: the refusal of a request and the error at its deadline each spelled out when a target may have run it, so that one could change without the other; the age of the watcher's last digest was compared in two places. Change: mayHaveRunAnywhere and receivedWatcherDigest are the only places; behaviour is the same.

--- a/pkg/gateway/watchers.go
+++ b/pkg/gateway/watchers.go
@@ -112,14 +112,19 @@
 	if p.isWatcher() {
 		return false
 	}
-	grace := p.watcherGrace()
+	return !p.takeDivergence(now) && p.receivedWatcherDigest(now)
+}
+
+// takeDivergence reports whether the target list has differed from the watcher's for longer than maxDivergence, and clears
+// divergedSince if so.
+func (p *peers) takeDivergence(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.divergedSince.IsZero() && now.Sub(p.divergedSince) > maxDivergence {
-		p.divergedSince = time.Time{}
+	if p.divergedSince.IsZero() || now.Sub(p.divergedSince) <= maxDivergence {
 		return false
 	}
-	return now.Sub(p.watcherSeenAt) < grace
+	p.divergedSince = time.Time{}
+	return true
 }
 
 // receivedWatcherDigest reports whether a digest from an instance that reads the target list from the store was
--- a/pkg/proxy/failure.go
+++ b/pkg/proxy/failure.go
@@ -63,12 +63,17 @@
 // refuse returns the refusal of a request that cannot be sent to a target now. Its outcome is Unknown if an earlier attempt
 // may have run, also if the client may repeat the request: the client must not be told that it has not run.
 func (r *activeRequest) refuse(code, message string, cause error) error {
-	if r.attempts > 0 || len(r.mayHaveRun) > 0 {
+	if r.mayHaveRunAnywhere() {
 		return refusal.New(http.StatusBadGateway, code, outcome.Unknown, "%s", message).WithCause(cause)
 	}
 	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, "%s", message).WithCause(cause).WithRetryAfter(r.server.retryAfter(r.service))
 }
 
+// mayHaveRunAnywhere reports whether a target may have run the request.
+func (r *activeRequest) mayHaveRunAnywhere() bool {
+	return r.attempts > 0 || len(r.mayHaveRun) > 0
+}
+
 // recordFailure records the failure of an attempt for the target that caused it, the first one of the path by default,
 // and excludes this target from the request.
 func (r *activeRequest) recordFailure(attemptErr *AttemptError, p path.Path, now time.Time) {
@@ -124,7 +129,7 @@
 // deadlineError returns the final error of a request whose deadline passed before a target responded. The request is
 // refused if no target may have run it.
 func (r *activeRequest) deadlineError(cause error) error {
-	if r.attempts == 0 && len(r.mayHaveRun) == 0 {
+	if !r.mayHaveRunAnywhere() {
 		return r.refuse("no_time", "the time ran out before the request was sent to a target that took it", cause)
 	}
 	return timeoutError(cause)
