Count the events of a stream atomically

A change of path runs beside the handler that counts them: a data race. Change: the counter is atomic. Decisions are the same.

--- a/pkg/proxy/active_request.go
+++ b/pkg/proxy/active_request.go
@@ -27,7 +27,7 @@
 	targets             []string      // targets lists the target or the path of each attempt, for the log.
 	crossDataCentreHops int           // crossDataCentreHops is the number of cross-data-centre hops of the last attempt's path.
 	firstEventLatency   time.Duration // firstEventLatency is the time to the first event.
-	eventCount          int
+	eventCount          atomic.Int64  // eventCount is written by the handler and also read when the path is changed.
 	longestGap          time.Duration // longestGap is the longest gap between two events.
 	resumes             int
 	pathChanges         atomic.Int32
--- a/pkg/proxy/active_stream.go
+++ b/pkg/proxy/active_stream.go
@@ -103,7 +103,7 @@
 	defer s.mu.Unlock()
 	gap := now.Sub(s.lastEventAt)
 	s.lastEventAt, s.stallChecks = now, 0
-	if s.eventCount > 1 {
+	if s.eventCount.Load() > 1 {
 		s.longestGap = max(s.longestGap, gap)
 		if s.smoothedGap == 0 {
 			s.smoothedGap = gap
--- a/pkg/proxy/find_path.go
+++ b/pkg/proxy/find_path.go
@@ -58,7 +58,7 @@
 	finder := snapshot.Targets[r.service.Name].PathFinder(r.service.Engine)
 	now := time.Now()
 	q.Loads = s.stats.Loads(finder.Targets(), now)
-	started := r.eventCount > 0
+	started := r.eventCount.Load() > 0
 	q.LinkAllowed = func(from, to string) bool { return s.linkBudget.Allows(from, to, started, now) }
 	var found path.Path
 	var err error
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -55,12 +55,12 @@
 func (s *activeStream) forwardEvents(response *Response, events []byte) error {
 	s.sendHeader(response)
 	now := time.Now()
-	if s.eventCount == 0 {
+	if s.eventCount.Load() == 0 {
 		s.firstEventLatency = now.Sub(s.ReceivedAt)
 		s.server.crashTracker.RequestProgressed(s.ID)
 	}
-	s.eventCount += bytes.Count(events, eventTerminator)
-	if s.Tokens.Output > 0 && s.eventCount > s.Tokens.Output+maxSurplusEvents {
+	count := s.eventCount.Add(int64(bytes.Count(events, eventTerminator)))
+	if s.Tokens.Output > 0 && count > int64(s.Tokens.Output+maxSurplusEvents) {
 		return errTooManyEvents
 	}
 	if id, ok := lastEventID(events); ok {
--- a/pkg/proxy/result.go
+++ b/pkg/proxy/result.go
@@ -52,9 +52,9 @@
 	if len(r.targets) > 0 {
 		entry = entry.Str("Targets", strings.Join(r.targets, "; "))
 	}
-	if r.eventCount > 0 {
+	if r.eventCount.Load() > 0 {
 		s.counters.firstEvent.Update(r.firstEventLatency)
-		entry = entry.Dur("First", r.firstEventLatency).Int("Events", r.eventCount).Dur("LongestPause", r.longestGap).
+		entry = entry.Dur("First", r.firstEventLatency).Int64("Events", r.eventCount.Load()).Dur("LongestPause", r.longestGap).
 			Int("Crossings", r.crossDataCentreHops).Int("Resumes", r.resumes).Int32("Repaths", r.pathChanges.Load())
 	}
 	var refused *refusal.Error
