Log and count crashes with their suspects, and verdicts on content

The logs named neither suspects nor verdicts, and a request's last line did not name its content, so that they could not be told apart. Now 'crash recorded' lists the requests that ran on the target with their verdicts, 'content refused' a new verdict and whether it is this instance's own, and 'request ended' the content; four counters go with them. Both front ends have them.

pkg/proxy, pkg/daemon and pkg/losses pass. In pkg/gateway TestWatcherFailover failed once: the port that the test had chosen was taken by another test before the instance listened on it.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -186,7 +186,8 @@
 func (d *Daemon) assemble(ctx context.Context) error {
 	d.assemblePlatform()
 	d.picker = route.NewPicker(route.WithPolicy(policyOf(d.settings.Routing)))
-	d.crashTracker = crashTracker{quarantinesync.New(func(items []membership.Item) { d.broadcast(items) })}
+	d.crashTracker = crashTracker{quarantinesync.New(func(items []membership.Item) { d.broadcast(items) },
+		quarantinesync.WithLogger(d.logger), quarantinesync.WithRegistry(d.registry))}
 	d.admission = &admissionController{controller: admission.NewController(admission.New(), time.Now)}
 	d.running = &drain.Counter{}
 	d.control = newControl(d)
--- a/pkg/daemon/operators.go
+++ b/pkg/daemon/operators.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"sync"
 	"time"
 
@@ -13,6 +12,7 @@
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
+	"github.com/cuminroute/cuminroute/pkg/quarantinesync"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -38,7 +38,7 @@
 		Details: map[string]any{"Membership": d.node.View(), "DataCentre": d.settings.DataCentre, "Stopping": d.running.Draining()},
 	}
 	for _, e := range d.crashTracker.Entries(time.Now()) {
-		state.Quarantine = append(state.Quarantine, api.Quarantined{Fingerprint: fmt.Sprintf("%016x", e.Fingerprint), Until: e.Until})
+		state.Quarantine = append(state.Quarantine, api.Quarantined{Fingerprint: quarantinesync.FormatFingerprint(e.Fingerprint), Until: e.Until})
 	}
 	return state, nil
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -110,7 +110,8 @@
 	g.logQueue = logqueue.New(g.output, logqueue.WithDropCounter(metrics.GetOrRegisterCounter("Log.Dropped", g.registry).Inc))
 	g.logger = newLogger(settings, g.logQueue)
 	g.cache = newStateCache(platform, g.logger, settings.MaxConfigurationAge)
-	g.crashTracker = quarantinesync.New(func(items []membership.Item) { g.peers.broadcastItems(items) })
+	g.crashTracker = quarantinesync.New(func(items []membership.Item) { g.peers.broadcastItems(items) },
+		quarantinesync.WithLogger(g.logger), quarantinesync.WithRegistry(g.registry))
 	g.retryShare = retryshare.New(settings.RetryBudget.MinRetries, settings.RetryBudget.Window, time.Now())
 	g.retryBudget = retry.New(retry.WithRatio(ratioFraction*settings.RetryBudget.Ratio), retry.WithMinRate(0),
 		retry.WithInitial(retryshare.InitialRetries))
--- a/pkg/proxy/result.go
+++ b/pkg/proxy/result.go
@@ -9,6 +9,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cuminroute/cuminroute/pkg/quarantinesync"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
 )
 
@@ -47,7 +48,7 @@
 	}
 	if r.route != nil {
 		entry = entry.Str("Route", r.route.Name).Str("Workspace", r.workspace).Int("Attempts", r.attempts).Int("Refusals", r.refusals).
-			Dur("Goal", r.route.LatencyGoal).Dur("PauseGoal", r.route.EventGapGoal)
+			Dur("Goal", r.route.LatencyGoal).Dur("PauseGoal", r.route.EventGapGoal).Str("Content", quarantinesync.FormatFingerprint(r.fingerprint))
 	}
 	if len(r.targets) > 0 {
 		entry = entry.Str("Targets", strings.Join(r.targets, "; "))
--- a/pkg/quarantinesync/tracker.go
+++ b/pkg/quarantinesync/tracker.go
@@ -20,6 +20,9 @@
 	"sync"
 	"time"
 
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -34,6 +37,8 @@
 type Tracker struct {
 	detector  *quarantine.Detector
 	broadcast func([]membership.Item) // broadcast sends items to the other instances without blocking.
+	logger    *log.Logger
+	counters  counters
 
 	mu sync.Mutex
 	// sharedQuarantines holds the expiry of each quarantine that the other instances have, by fingerprint.
@@ -42,12 +47,30 @@
 	sharedHolds map[uint64]time.Time
 }
 
+// Option configures a Tracker.
+type Option func(*Tracker)
+
+// WithLogger sets the logger.
+func WithLogger(l *log.Logger) Option {
+	return func(t *Tracker) { t.logger = l }
+}
+
+// WithRegistry sets the metrics registry.
+func WithRegistry(r metrics.Registry) Option {
+	return func(t *Tracker) { t.counters = newCounters(r) }
+}
+
 // New returns an empty tracker. broadcast sends items to the other instances and must not block.
-func New(broadcast func([]membership.Item)) *Tracker {
-	return &Tracker{
+func New(broadcast func([]membership.Item), options ...Option) *Tracker {
+	t := &Tracker{
 		detector: quarantine.New(), broadcast: broadcast,
+		logger: &log.Logger{Level: log.PanicLevel}, counters: newCounters(metrics.NewRegistry()),
 		sharedQuarantines: make(map[uint64]time.Time), sharedHolds: make(map[uint64]time.Time),
 	}
+	for _, o := range options {
+		o(t)
+	}
+	return t
 }
 
 // RequestStarted records that a request is sent to a target.
@@ -64,7 +87,9 @@
 // request may retry the request there before this instance has a verdict.
 func (t *Tracker) TargetCrashed(target string, now time.Time) {
 	var items []membership.Item
-	for _, s := range t.detector.TargetCrashed(target, now) {
+	suspects := t.detector.TargetCrashed(target, now)
+	t.logCrash(target, suspects)
+	for _, s := range suspects {
 		if s.Verdict != quarantine.Free {
 			items = append(items, t.newHold(s.Fingerprint, now))
 		}
@@ -138,6 +163,9 @@
 		t.detector.AddQuarantined(q.Fingerprint, q.Until)
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if t.sharedQuarantines[q.Fingerprint].Before(q.Until) {
+			t.logVerdict(q.Fingerprint, quarantine.Quarantined, remoteVerdict)
+		}
 		t.sharedQuarantines[q.Fingerprint] = q.Until
 		return
 	}
@@ -145,6 +173,7 @@
 	heldByThis := t.sharedHolds[q.Fingerprint].After(now)
 	t.mu.Unlock()
 	if !heldByThis {
+		t.logVerdict(q.Fingerprint, quarantine.Held, remoteVerdict)
 		t.detector.AddHeld(q.Fingerprint, q.Until)
 	}
 }
@@ -164,12 +193,14 @@
 	for _, e := range quarantined {
 		if t.sharedQuarantines[e.Fingerprint].Before(e.Until) {
 			t.sharedQuarantines[e.Fingerprint] = e.Until
+			t.logVerdict(e.Fingerprint, quarantine.Quarantined, ownVerdict)
 			unsent = append(unsent, membership.Quarantine{Fingerprint: e.Fingerprint, Until: e.Until})
 		}
 	}
 	for _, e := range holding {
 		if t.sharedHolds[e.Fingerprint].Sub(now) < holdTTL/2 {
 			t.sharedHolds[e.Fingerprint] = e.Until
+			t.logVerdict(e.Fingerprint, quarantine.Held, ownVerdict)
 			unsent = append(unsent, membership.Quarantine{Fingerprint: e.Fingerprint, Until: e.Until, Held: true})
 		}
 	}
