Let the system choose the ports of test instances

TestWatcherFailover failed once: 'cannot listen on the peer address ... address already in use'. The test chose a port by opening and closing a listener, and another test took it before the instance listened. The instance now listens on a port of the system's choice, and later instances take its address from it.

--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -305,11 +305,11 @@
 func start(t *testing.T, name string, s Store, c TargetControl, seeds ...*Gateway) *Gateway {
 	settings := Settings{
 		Instance: name, DataCentre: "dc", MemoryLimit: 1 << 30, GracePeriod: time.Second, MaxConfigurationAge: 5 * time.Second,
-		ClientAddress: loopback, ReadinessAddress: loopback, OperatorAddress: loopback, PeerAddress: freePort(t),
+		ClientAddress: loopback, ReadinessAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback,
 		RetryBudget: RetryBudget{Ratio: 0.2, MinRetries: 100, Window: 10 * time.Second},
 	}
 	for _, seed := range seeds {
-		settings.Seeds = append(settings.Seeds, seed.settings.PeerAddress)
+		settings.Seeds = append(settings.Seeds, seed.peers.node.Address())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	g, err := New(ctx, settings, fakePlatform(s, c), WithLogOutput(discard{}))
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -18,14 +17,6 @@
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
-// freePort returns a loopback address with a free TCP port, which is also used for UDP.
-func freePort(t *testing.T) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort()
-}
-
 // newFilledStore returns a store with a configuration and four engines that can hold at most two of four layers each.
 func newFilledStore() *fakeStore {
 	s := newFakeStore()
@@ -230,7 +221,7 @@
 	}
 	settings := Settings{
 		Instance: "i1", DataCentre: "dc", MemoryLimit: 1 << 30, GracePeriod: 8 * time.Second, MaxConfigurationAge: 5 * time.Second,
-		ClientAddress: loopback, ReadinessAddress: loopback, OperatorAddress: loopback, PeerAddress: freePort(t),
+		ClientAddress: loopback, ReadinessAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback,
 	}
 	g, err := New(context.Background(), settings, p, WithLogOutput(discard{}))
 	qt.Assert(t, err, qt.IsNil)
