Probe the target of a stream whose connection breaks

Cause: a crash is recorded when a target is found dead. A request to a plain service had its target probed after a broken connection; a stream had not, and neither had a body that broke off. Unless another stream stalled at the target, nobody recorded the crash, and the content never was a suspect. A probe from just before the crash could also hide it, since its result was reused for 100 to 800 ms. Class: evidence that one of two paths does not report.

TestJudgeBroken covers the reused result.

Why it works: the probe of a target that ended is refused within a millisecond, and the crash is recorded before the request ends, so that a hold is on its way before the client can repeat it. Looked at elsewhere: the own front end reports the target of each failed generation (pkg/stream/retry.go).

--- a/pkg/probe/prober.go
+++ b/pkg/probe/prober.go
@@ -44,6 +44,9 @@
 	// alive, up to maxResultTTL: a target that is suspected again and again is slow, and connections make it slower.
 	resultTTL    = 100 * time.Millisecond
 	maxResultTTL = 800 * time.Millisecond
+	// breakSlack is how much earlier than a broken connection a probe may have started whose result is reused: the
+	// connections of a target that ends break within milliseconds of each other.
+	breakSlack = 10 * time.Millisecond
 )
 
 // Verdict is the conclusion of a probe.
@@ -115,11 +118,22 @@
 // Judge probes a target and returns the verdict. If conclusive is set, the caller has ruled out that this process or
 // its links have stalled, and one short probe is enough.
 func (r *Prober) Judge(t target.Target, conclusive bool) Verdict {
+	return r.judge(t, conclusive, time.Time{})
+}
+
+// JudgeBroken probes a target after a connection to it broke, and returns the verdict. It does not reuse the result of a
+// probe from before the break: the target may have ended since.
+func (r *Prober) JudgeBroken(t target.Target, brokenAt time.Time) Verdict {
+	return r.judge(t, false, brokenAt.Add(-breakSlack))
+}
+
+// judge probes a target, unless a probe that started after the given time is running or its result may be reused.
+func (r *Prober) judge(t target.Target, conclusive bool, after time.Time) Verdict {
 	r.mu.Lock()
 	now := time.Now()
 	maps.DeleteFunc(r.probes, func(_ string, p *probe) bool { return p.finished() && now.Sub(p.startedAt) > 2*p.ttl })
 	p := r.probes[t.Name]
-	if p == nil || p.finished() && now.Sub(p.startedAt) > p.ttl {
+	if p == nil || p.startedAt.Before(after) || p.finished() && now.Sub(p.startedAt) > p.ttl {
 		p = nextProbe(p, now)
 		r.probes[t.Name] = p
 		go r.run(t, p, conclusive)
@@ -139,10 +153,10 @@
 	}
 }
 
-// nextProbe returns a new probe after the previous one, which has finished, or is nil if there was none recently.
+// nextProbe returns a new probe after the previous one, which is nil if there was none recently.
 func nextProbe(previous *probe, now time.Time) *probe {
 	p := &probe{startedAt: now, ttl: resultTTL, done: make(chan struct{})}
-	if previous != nil && previous.verdict == Alive {
+	if previous != nil && previous.finished() && previous.verdict == Alive {
 		p.ttl = min(2*previous.ttl, maxResultTTL)
 	}
 	return p
--- a/pkg/probe/prober_test.go
+++ b/pkg/probe/prober_test.go
@@ -117,3 +117,17 @@
 		qt.Assert(t, h.probes, qt.Equals, 2)
 	})
 }
+
+// TestJudgeBroken guards against taking a target for alive because a probe from before its connections broke succeeded.
+func TestJudgeBroken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := &host{responds: true, after: time.Millisecond}
+		prober := probe.New(h, func(string, time.Time) bool { return false })
+		qt.Assert(t, prober.Judge(target.Target{Name: "t"}, false), qt.Equals, probe.Alive)
+		time.Sleep(50 * time.Millisecond)
+		h.err = syscall.ECONNREFUSED
+		qt.Assert(t, prober.JudgeBroken(target.Target{Name: "t"}, time.Now()), qt.Equals, probe.Ended)
+		qt.Assert(t, prober.JudgeBroken(target.Target{Name: "t"}, time.Now()), qt.Equals, probe.Ended)
+		qt.Assert(t, h.probes, qt.Equals, 2)
+	})
+}
--- a/pkg/proxy/failure.go
+++ b/pkg/proxy/failure.go
@@ -77,10 +77,7 @@
 // recordFailure records the failure of an attempt for the target that caused it, the first one of the path by default,
 // and excludes this target from the request.
 func (r *activeRequest) recordFailure(attemptErr *AttemptError, p path.Path, now time.Time) {
-	failed := p[0].Target
-	if t, ok := p.TargetAt(attemptErr.FailedTarget); ok {
-		failed = t
-	}
+	failed := failedTarget(attemptErr, p)
 	r.exclude(failed.Name)
 	if attemptErr.Refused && !attemptErr.Misdirected {
 		r.server.stats.RecordRefusal(failed.Name, now)
@@ -94,6 +91,18 @@
 		Bool("NotRun", attemptErr.NotRun).Bool("Misdirected", attemptErr.Misdirected).Err(attemptErr.Cause).Msg("attempt failed")
 }
 
+// failedTarget returns the target that caused the error of an attempt along a path: the one that the response names, or
+// the first one.
+func failedTarget(err error, p path.Path) target.Target {
+	var attemptErr *AttemptError
+	if errors.As(err, &attemptErr) {
+		if t, ok := p.TargetAt(attemptErr.FailedTarget); ok {
+			return t
+		}
+	}
+	return p[0].Target
+}
+
 // isNearlyFull reports whether a target that refused the request lacks memory, as far as this instance knows. Otherwise it
 // refused for another reason, such as a target behind it on the path that is dead.
 func (r *activeRequest) isNearlyFull(t target.Target) bool {
--- a/pkg/proxy/failure_detector.go
+++ b/pkg/proxy/failure_detector.go
@@ -112,7 +112,7 @@
 	var group sync.WaitGroup
 	for _, t := range d.delegate(analysis.suspects, round, analysis.conclusive()) {
 		group.Go(func() {
-			if d.examine(t, analysis.conclusive(), "Silence") {
+			if d.examine(t, analysis.conclusive()) {
 				dead.Store(true)
 			}
 		})
@@ -124,8 +124,23 @@
 }
 
 // examine probes a target, marks it dead if it does not accept a connection, and reports whether it is dead.
-func (d *failureDetector) examine(t target.Target, conclusive bool, reason string) bool {
-	verdict := d.prober.Judge(t, conclusive)
+func (d *failureDetector) examine(t target.Target, conclusive bool) bool {
+	return d.applyVerdict(t, d.prober.Judge(t, conclusive), "Silence")
+}
+
+// examineAfterBreak probes a target whose connection broke after a request was sent on it, and marks the target dead if
+// it does not accept a connection. The crash is then recorded before the request ends, so that its content is a suspect
+// when the client sends it again.
+func (d *failureDetector) examineAfterBreak(t target.Target, err error) {
+	var attemptErr *AttemptError
+	if !errors.As(err, &attemptErr) || !attemptErr.Sent || attemptErr.Refused || d.server.isDead(t.Name) {
+		return
+	}
+	d.applyVerdict(t, d.prober.JudgeBroken(t, time.Now()), "Broken")
+}
+
+// applyVerdict marks a target dead unless the verdict is that it is alive, and reports whether it is dead.
+func (d *failureDetector) applyVerdict(t target.Target, verdict probe.Verdict, reason string) bool {
 	if verdict == probe.Alive {
 		return false
 	}
@@ -133,15 +148,6 @@
 	return true
 }
 
-// probeAfterError probes a target whose connection broke after the request was sent. If the probe fails, the target
-// counts as dead.
-func (d *failureDetector) probeAfterError(t target.Target, err error) {
-	var attemptErr *AttemptError
-	if errors.As(err, &attemptErr) && attemptErr.Sent && !attemptErr.Refused {
-		d.examine(t, false, "Broken")
-	}
-}
-
 // stallAnalysis holds the conclusions from the other streams about the cause of a stall.
 type stallAnalysis struct {
 	suspects       []target.Target
--- a/pkg/proxy/migration.go
+++ b/pkg/proxy/migration.go
@@ -33,7 +33,7 @@
 // instances. conclusive means that the other instance has ruled out that it has stalled itself.
 func (s *Server) ExamineTarget(t target.Target, conclusive bool) {
 	if !s.detector.aliveSince(t.Name, time.Now().Add(-maxRefutingEventAge)) {
-		s.detector.examine(t, conclusive, "Silence")
+		s.detector.examine(t, conclusive)
 	}
 }
 
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -119,6 +119,7 @@
 			}
 			return nil, s.deadlineError(err)
 		}
+		s.server.detector.examineAfterBreak(failedTarget(err, p), err)
 		if finalErr := s.handleFailure(err, p); finalErr != nil && !s.waitForRetryBudget(ctx) {
 			return nil, finalErr
 		}
@@ -199,7 +200,9 @@
 	if !s.takeCancelledLocally() {
 		// An attempt that was cancelled locally failed because of another target of the path, which is marked dead
 		// already.
-		s.recordFailure(&AttemptError{Sent: true, Cause: cause}, p, time.Now())
+		broken := &AttemptError{Sent: true, Cause: cause}
+		s.server.detector.examineAfterBreak(failedTarget(broken, p), broken)
+		s.recordFailure(broken, p, time.Now())
 	}
 	if !s.route.Resumable || s.resumes > maxResumes || !s.takeRetry() && !s.waitForRetryBudget(ctx) {
 		return refusal.New(http.StatusBadGateway, "stream_lost", outcome.Unknown, "the stream was interrupted").WithCause(cause)
--- a/pkg/proxy/unary.go
+++ b/pkg/proxy/unary.go
@@ -97,15 +97,17 @@
 	sent := time.Now()
 	response, err := s.upstream.Open(ctx, attempt)
 	if err != nil {
-		s.detector.probeAfterError(t, err)
+		s.detector.examineAfterBreak(t, err)
 		return false, r.handleFailure(err, p)
 	}
-	s.crashTracker.RequestProgressed(r.ID)
 	body, complete, err := readResponse(response)
 	if err != nil {
 		response.Abort()
-		return false, r.handleFailure(&AttemptError{Sent: true, Cause: err}, p)
+		broken := &AttemptError{Sent: true, Cause: err}
+		s.detector.examineAfterBreak(t, broken)
+		return false, r.handleFailure(broken, p)
 	}
+	s.crashTracker.RequestProgressed(r.ID)
 	if response.Status >= http.StatusInternalServerError {
 		s.stats.RecordError(t.Name)
 		r.attempts++
