Count the crashes under a content by the whole fleet

Cause: each instance counted only the crashes that it had seen itself. The others got a hold of 5 s, or of 10 s for content with two crashes, which nothing on the platform's front end renewed; and where other targets crashed within half a minute the verdict stayed open for good. With 18 instances that is up to two crashes each. Class: a limit for the whole fleet that each member keeps by itself.

The change: an instance sends the requests without progress of a crashed target to all others (pkg/decision/crashhistory). Content with three crashes of the fleet, by different requests, is quarantined at every instance, whatever else crashes then. Progress anywhere clears content; a known cause takes its crashes off the other content that ran there; crashes amid a larger failure do not count. A quarantine is also checked before each further attempt of a request. Both front ends have it.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"github.com/cuminroute/cuminroute/pkg/configlog"
 	"github.com/cuminroute/cuminroute/pkg/configuration"
 	"github.com/cuminroute/cuminroute/pkg/decision/admission"
+	"github.com/cuminroute/cuminroute/pkg/decision/crashhistory"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/route"
@@ -187,6 +188,7 @@
 	d.assemblePlatform()
 	d.picker = route.NewPicker(route.WithPolicy(policyOf(d.settings.Routing)))
 	d.crashTracker = crashTracker{quarantinesync.New(func(items []membership.Item) { d.broadcast(items) },
+		quarantinesync.WithCrashMessages(d.sendCrash, d.sendProgress),
 		quarantinesync.WithLogger(d.logger), quarantinesync.WithRegistry(d.registry))}
 	d.admission = &admissionController{controller: admission.NewController(admission.New(), time.Now)}
 	d.running = &drain.Counter{}
@@ -216,6 +218,7 @@
 		Address: d.settings.Listen.Peers, Seeds: d.settings.Seeds,
 	},
 		instance.WithConfigApplier(d.configuration), instance.WithConfigSource(logSource{d.configuration}), instance.WithStateDump(fleet{d}.dump),
+		instance.WithCrashHandler(d.crashTracker),
 		instance.WithLogger(d.logger), instance.WithMetrics(d.registry))
 	if err != nil {
 		return errListen.Wrap(err, "cannot listen on the peer address")
@@ -245,6 +248,20 @@
 	}
 }
 
+// sendCrash informs all other instances of a crash under requests of this instance.
+func (d *Daemon) sendCrash(r crashhistory.Report) {
+	if err := d.node.SendCrash(r); err != nil {
+		d.logger.Warn().Err(err).Msg("cannot report a crash to the other instances")
+	}
+}
+
+// sendProgress informs all other instances of contents with which requests of this instance have made progress.
+func (d *Daemon) sendProgress(contents []uint64) {
+	if err := d.node.SendProgress(contents); err != nil {
+		d.logger.Warn().Err(err).Msg("cannot report progress to the other instances")
+	}
+}
+
 func (d *Daemon) serviceTargets(name string) []target.Target {
 	var found []target.Target
 	for _, t := range *d.control.targets.Load() {
--- /dev/null
+++ b/pkg/decision/crashhistory/history_test.go
@@ -0,0 +1,102 @@
+package crashhistory_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/crashhistory"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// event is a crash or the progress of content.
+type event struct {
+	at       time.Duration
+	target   string             // target is the target that crashed. It is empty if content made progress.
+	runs     []crashhistory.Run // runs are the requests on the target.
+	progress uint64
+	remote   bool // remote means that another instance saw the progress.
+}
+
+// TestCauses guards against content that goes on crashing targets, and against refusing content that shares targets with it.
+func TestCauses(t *testing.T) {
+	run := func(request, content uint64) crashhistory.Run {
+		return crashhistory.Run{Request: request, Content: content}
+	}
+	crash := func(at time.Duration, target string, runs ...crashhistory.Run) event {
+		return event{at: at, target: target, runs: runs}
+	}
+	const s = time.Second
+	for _, test := range []struct {
+		name   string
+		events []event
+		want   []uint64
+	}{
+		{"three crashes", []event{crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7)), crash(2*s, "c", run(3, 7))}, []uint64{7}},
+		{"three crashes at once", []event{crash(0, "a", run(1, 7)), crash(0, "b", run(2, 7)), crash(0, "c", run(3, 7))}, []uint64{7}},
+		{"two crashes", []event{crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7))}, nil},
+		{"reports on the same crash", []event{crash(0, "a", run(1, 7)), crash(s/2, "a", run(2, 7)), crash(s, "a", run(3, 7))}, nil},
+		{"one request whose path crashed", []event{crash(0, "a", run(1, 7)), crash(s, "b", run(1, 7)), crash(2*s, "c", run(1, 7))}, nil},
+		{"progress after two crashes", []event{
+			crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7)), {at: 2 * s, progress: 7}, crash(13*s, "c", run(3, 7)),
+		}, nil},
+		{"progress elsewhere", []event{
+			crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7)), {at: 2 * s, progress: 7, remote: true}, crash(3*s, "c", run(3, 7)),
+		}, nil},
+		{"content that shares targets with the cause", []event{
+			crash(0, "a", run(1, 7), run(9, 8)), crash(s, "b", run(2, 7), run(8, 8)), crash(2*s, "c", run(3, 7)), crash(3*s, "d", run(4, 7), run(6, 8)),
+		}, []uint64{7}},
+		{"a rack", []event{
+			crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7)), crash(2*s, "c", run(3, 7)), crash(2*s, "d"), crash(2*s, "e"),
+		}, nil},
+		{"other crashes one after another", []event{
+			crash(0, "a", run(1, 7)), crash(s, "x", run(8, 8)), crash(2*s, "b", run(2, 7)), crash(3*s, "y", run(9, 9)), crash(4*s, "c", run(3, 7)),
+		}, []uint64{7}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := crashhistory.New()
+			var causes []uint64
+			now := epoch
+			for _, e := range test.events {
+				now = epoch.Add(e.at)
+				causes = append(causes, h.Causes(now)...)
+				switch {
+				case e.target != "":
+					h.Add(crashhistory.Report{Target: e.target, Runs: e.runs}, now)
+				case e.remote:
+					h.Clear(e.progress, now)
+				default:
+					qt.Assert(t, h.Progressed(e.progress, now), qt.IsTrue)
+				}
+			}
+			causes = append(causes, h.Causes(now.Add(time.Second))...)
+			qt.Assert(t, causes, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestInnocent guards against refusing content that makes progress all the time, while all targets crash.
+func TestInnocent(t *testing.T) {
+	h := crashhistory.New()
+	for i := range 100 {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		h.Progressed(7, now)
+		innocent := h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Request: uint64(i), Content: 7}}}, now)
+		qt.Assert(t, innocent, qt.DeepEquals, []uint64{7})
+		qt.Assert(t, h.Causes(now.Add(time.Second/2)), qt.HasLen, 0)
+	}
+}
+
+// TestLateCrash guards against counting a crash under a known cause against other content on the target.
+func TestLateCrash(t *testing.T) {
+	h := crashhistory.New()
+	h.AddCause(7, epoch)
+	for i := range 5 {
+		now := epoch.Add(time.Duration(i) * time.Second)
+		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Request: uint64(i), Content: 7}, {Request: uint64(100 + i), Content: 8}}}, now)
+		qt.Assert(t, h.Causes(now.Add(time.Second/2)), qt.HasLen, 0)
+	}
+}
--- a/pkg/decision/quarantine/detector.go
+++ b/pkg/decision/quarantine/detector.go
@@ -120,6 +120,23 @@
 	batch[request] = &run{request: request, fingerprint: fingerprint, started: d.sequence}
 }
 
+// RunsWithoutProgress returns the requests that may cause a crash of the target: those that run on it and those that ended
+// there since the target last responded, unless they made progress. They map to the fingerprints of their contents.
+func (d *Detector) RunsWithoutProgress(target string) map[string]uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	contents := make(map[string]uint64)
+	for _, r := range d.ended[target] {
+		contents[r.request] = r.fingerprint
+	}
+	for _, r := range d.running[target] {
+		if !r.progressed {
+			contents[r.request] = r.fingerprint
+		}
+	}
+	return contents
+}
+
 // RequestFinished records that a request no longer runs on a target. If the target crashed,
 // TargetCrashed must be called first; RequestFinished then has no effect.
 func (d *Detector) RequestFinished(request, target string) {
@@ -176,13 +193,13 @@
 
 // RequestProgressed records that a step of the request has passed its whole path. This clears the
 // request's content if all its runs on the path started after the last crash: content that crashes
-// targets would have crashed one of them.
-func (d *Detector) RequestProgressed(request string) {
+// targets would have crashed one of them. It returns the fingerprint of the content if the request is running.
+func (d *Detector) RequestProgressed(request string) (fingerprint uint64, running bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	path, ok := d.paths[request]
 	if !ok {
-		return
+		return 0, false
 	}
 	started := d.sequence
 	for _, target := range path.targets {
@@ -195,6 +212,7 @@
 		s.cleared = true
 		d.removeIfCleared(s)
 	}
+	return path.fingerprint, true
 }
 
 // RequestCompleted records that a request with this content got its whole response, which clears the
--- a/pkg/decision/quarantine/verdict.go
+++ b/pkg/decision/quarantine/verdict.go
@@ -50,6 +50,23 @@
 	setExpiry(d.quarantined, fingerprint, until)
 }
 
+// Quarantine quarantines content that the crashes of all instances show to crash targets. The crashes that this detector
+// counts against the content are attributed to it.
+func (d *Detector) Quarantine(fingerprint uint64, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	setExpiry(d.quarantined, fingerprint, until)
+	s, ok := d.suspects[fingerprint]
+	if !ok {
+		return
+	}
+	delete(d.suspects, fingerprint)
+	d.attribute(s.first, fingerprint)
+	if s.second != nil {
+		d.attribute(s.second, fingerprint)
+	}
+}
+
 // AddHeld makes Check return Held until the given time, because another instance holds the content.
 func (d *Detector) AddHeld(fingerprint uint64, until time.Time) {
 	d.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/crashhistory"
 	"github.com/cuminroute/cuminroute/pkg/decision/linkbudget"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
@@ -111,6 +112,7 @@
 	g.logger = newLogger(settings, g.logQueue)
 	g.cache = newStateCache(platform, g.logger, settings.MaxConfigurationAge)
 	g.crashTracker = quarantinesync.New(func(items []membership.Item) { g.peers.broadcastItems(items) },
+		quarantinesync.WithCrashMessages(func(r crashhistory.Report) { g.peers.sendCrash(r) }, func(contents []uint64) { g.peers.sendProgress(contents) }),
 		quarantinesync.WithLogger(g.logger), quarantinesync.WithRegistry(g.registry))
 	g.retryShare = retryshare.New(settings.RetryBudget.MinRetries, settings.RetryBudget.Window, time.Now())
 	g.retryBudget = retry.New(retry.WithRatio(ratioFraction*settings.RetryBudget.Ratio), retry.WithMinRate(0),
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/crashhistory"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance"
@@ -72,7 +73,7 @@
 	settings := p.gateway.settings
 	node, err := instance.New(ctx, instance.Config{
 		Fleet: fleetName, Name: settings.Instance, DataCentre: settings.DataCentre, Address: settings.PeerAddress, Seeds: settings.Seeds,
-	}, instance.WithStatusHandler(p.receive), instance.WithSnapshotProvider(p.snapshot), instance.WithoutConfigSync(), instance.WithLogger(p.gateway.logger),
+	}, instance.WithStatusHandler(p.receive), instance.WithCrashHandler(p.gateway.crashTracker), instance.WithSnapshotProvider(p.snapshot), instance.WithoutConfigSync(), instance.WithLogger(p.gateway.logger),
 		instance.WithMetrics(p.gateway.registry))
 	if err != nil {
 		return errListen.Wrap(err, "cannot listen on the peer address")
@@ -214,6 +215,20 @@
 	}
 }
 
+// sendCrash informs all instances of a crash under requests of this instance.
+func (p *peers) sendCrash(r crashhistory.Report) {
+	if err := p.node.SendCrash(r); err != nil {
+		p.gateway.logger.Error().Err(err).Msg("failed to report a crash")
+	}
+}
+
+// sendProgress informs all instances of contents with which requests of this instance have made progress.
+func (p *peers) sendProgress(contents []uint64) {
+	if err := p.node.SendProgress(contents); err != nil {
+		p.gateway.logger.Error().Err(err).Msg("failed to report progress")
+	}
+}
+
 // sendTargets sends changed entries to other instances, if this instance reads the target list from the store.
 func (p *peers) sendTargets(rows []Row) {
 	if !p.gateway.readsTargetsFromStore(time.Now()) {
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/configsync"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
@@ -39,12 +40,14 @@
 // Node runs membership and configuration synchronization for one instance, and exchanges status updates with other
 // instances. It must be created by New. All methods are safe for concurrent use.
 type Node struct {
-	fleet     string
-	source    ConfigSource
-	applier   ConfigApplier
-	logger    *log.Logger
-	counters  counters
-	stateDump func(context.Context) ([]byte, error)
+	fleet        string
+	source       ConfigSource
+	applier      ConfigApplier
+	logger       *log.Logger
+	counters     counters
+	stateDump    func(context.Context) ([]byte, error)
+	crashHandler CrashHandler // crashHandler is nil if messages about crashes are ignored.
+	crashLimiter *rate.Limiter
 	// statusHandler handles the status updates of other instances. It is nil if they are ignored.
 	statusHandler      func(netip.AddrPort, *instancepb.StatusUpdate)
 	snapshotProvider   func(context.Context) (ConfigSnapshot, error)
@@ -86,6 +89,7 @@
 	n := &Node{
 		fleet: c.Fleet, logger: &log.DefaultLogger, counters: newCounters(metrics.NewRegistry()),
 		commands: make(chan func()), packets: make(chan receivedPacket, packetQueueSize), notifier: newNotifier(),
+		crashLimiter: newCrashLimiter(),
 	}
 	for _, o := range options {
 		o(n)
--- a/pkg/peer/instance/status.go
+++ b/pkg/peer/instance/status.go
@@ -43,6 +43,7 @@
 		n.counters.refused.Inc(1)
 		return
 	}
+	n.receiveCrash(&update)
 	if n.statusHandler != nil {
 		n.statusHandler(from, &update)
 	}
--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -72,7 +72,7 @@
 	r.fingerprint = quarantine.Fingerprint(r.workspace, append([]byte(r.Method+" "+r.Host+r.URI+"\n"), r.Body...))
 	switch r.server.crashTracker.Check(r.fingerprint, time.Now()) {
 	case quarantine.Quarantined:
-		return refusal.New(http.StatusBadGateway, "crashes_targets", outcome.Failed, "this request crashes the targets that run it")
+		return quarantinedError()
 	case quarantine.Held:
 		return refusal.New(http.StatusServiceUnavailable, "crash_suspected", outcome.NotRun, "this request may have crashed a target").
 			WithRetryAfter(heldRetryAfter)
@@ -81,6 +81,18 @@
 	}
 }
 
+// checkQuarantine returns the final error of a request whose content was quarantined since the request was admitted.
+func (r *activeRequest) checkQuarantine() error {
+	if r.server.crashTracker.Check(r.fingerprint, time.Now()) == quarantine.Quarantined {
+		return quarantinedError()
+	}
+	return nil
+}
+
+func quarantinedError() error {
+	return refusal.New(http.StatusBadGateway, "crashes_targets", outcome.Failed, "this request crashes the targets that run it")
+}
+
 // refusalUnlessStale returns e, or a retryable refusal if the configuration is stale: a newer one might accept the
 // request.
 func (r *activeRequest) refusalUnlessStale(fresh bool, e *refusal.Error) error {
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -109,6 +109,9 @@
 		if err := s.checkFresh(); err != nil && !s.headerSent {
 			return nil, err
 		}
+		if err := s.checkQuarantine(); err != nil && !s.headerSent {
+			return nil, err
+		}
 		response, err := s.send(ctx, p)
 		if err == nil {
 			return response, nil
--- a/pkg/proxy/unary.go
+++ b/pkg/proxy/unary.go
@@ -37,6 +37,9 @@
 		if err := r.checkFresh(); err != nil {
 			return err
 		}
+		if err := r.checkQuarantine(); err != nil {
+			return err
+		}
 		done, err := r.tryTarget(ctx, w, t)
 		if done || err != nil {
 			return err
--- a/pkg/quarantinesync/tracker.go
+++ b/pkg/quarantinesync/tracker.go
@@ -5,7 +5,9 @@
 // not be started again yet) or Quarantined (it crashes targets and is refused).
 //
 // A Tracker wraps a quarantine.Detector and broadcasts holds and quarantines to the other instances, so that these have
-// received them before the client can retry the request there. Both HTTP front ends use a Tracker.
+// received them before the client can retry the request there. It also sends the crashes themselves, which a
+// crashhistory.History of each instance counts: content that is sent to one instance after another is quarantined after
+// few crashes of the fleet. Both HTTP front ends use a Tracker.
 //
 // Usage:
 //
@@ -20,9 +22,11 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/crashhistory"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -36,9 +40,13 @@
 // safe for concurrent use.
 type Tracker struct {
 	detector  *quarantine.Detector
+	history   *crashhistory.History
 	broadcast func([]membership.Item) // broadcast sends items to the other instances without blocking.
-	logger    *log.Logger
-	counters  counters
+	// sendCrash and sendProgress inform the other instances of crashes and progress without blocking.
+	sendCrash    func(crashhistory.Report)
+	sendProgress func(contents []uint64)
+	logger       *log.Logger
+	counters     counters
 
 	mu sync.Mutex
 	// sharedQuarantines holds the expiry of each quarantine that the other instances have, by fingerprint.
@@ -60,10 +68,18 @@
 	return func(t *Tracker) { t.counters = newCounters(r) }
 }
 
+// WithCrashMessages sets the functions that inform the other instances of a crash under requests of this instance, and of
+// progress of requests whose content is suspected by others. They must not block. Without this option the tracker counts
+// only the crashes that it sees itself.
+func WithCrashMessages(sendCrash func(crashhistory.Report), sendProgress func(contents []uint64)) Option {
+	return func(t *Tracker) { t.sendCrash, t.sendProgress = sendCrash, sendProgress }
+}
+
 // New returns an empty tracker. broadcast sends items to the other instances and must not block.
 func New(broadcast func([]membership.Item), options ...Option) *Tracker {
 	t := &Tracker{
-		detector: quarantine.New(), broadcast: broadcast,
+		detector: quarantine.New(), history: crashhistory.New(), broadcast: broadcast,
+		sendCrash: func(crashhistory.Report) {}, sendProgress: func([]uint64) {},
 		logger: &log.Logger{Level: log.PanicLevel}, counters: newCounters(metrics.NewRegistry()),
 		sharedQuarantines: make(map[uint64]time.Time), sharedHolds: make(map[uint64]time.Time),
 	}
@@ -87,6 +103,7 @@
 // request may retry the request there before this instance has a verdict.
 func (t *Tracker) TargetCrashed(target string, now time.Time) {
 	var items []membership.Item
+	t.reportCrash(target, now)
 	suspects := t.detector.TargetCrashed(target, now)
 	t.logCrash(target, suspects)
 	for _, s := range suspects {
@@ -100,6 +117,38 @@
 	}
 }
 
+// reportCrash adds a crash to the history and informs the other instances of the requests that may have caused it.
+func (t *Tracker) reportCrash(target string, now time.Time) {
+	report := crashhistory.Report{Target: target}
+	for request, content := range t.detector.RunsWithoutProgress(target) {
+		report.Runs = append(report.Runs, crashhistory.Run{Request: xxhash.Sum64String(request), Content: content})
+	}
+	t.addReport(report, now)
+	if len(report.Runs) > 0 {
+		t.sendCrash(report)
+	}
+}
+
+// addReport adds a crash to the history. If content of it has just made progress at this instance, the others are told.
+func (t *Tracker) addReport(report crashhistory.Report, now time.Time) {
+	if innocent := t.history.Add(report, now); len(innocent) > 0 {
+		t.sendProgress(innocent)
+	}
+}
+
+// AddReport implements instance.CrashHandler: it adds a crash under requests of another instance.
+func (t *Tracker) AddReport(report crashhistory.Report) {
+	t.addReport(report, time.Now())
+}
+
+// AddProgress implements instance.CrashHandler: it clears contents that made progress at another instance.
+func (t *Tracker) AddProgress(contents []uint64) {
+	now := time.Now()
+	for _, content := range contents {
+		t.history.Clear(content, now)
+	}
+}
+
 // newHold records a hold as broadcast and returns its item.
 func (t *Tracker) newHold(fingerprint uint64, now time.Time) membership.Item {
 	t.mu.Lock()
@@ -111,6 +160,7 @@
 // Check returns the verdict on a request's content. Check broadcasts a new quarantine before it returns, since the
 // client may retry the request at another instance as soon as the client has the response.
 func (t *Tracker) Check(fingerprint uint64, now time.Time) quarantine.Verdict {
+	t.quarantineCauses(now)
 	verdict := t.detector.Check(fingerprint, now)
 	if verdict == quarantine.Quarantined {
 		t.BroadcastNew(now)
@@ -118,6 +168,17 @@
 	return verdict
 }
 
+// quarantineCauses quarantines the contents that the crashes of the fleet show to crash targets.
+func (t *Tracker) quarantineCauses(now time.Time) {
+	causes := t.history.Causes(now)
+	for _, content := range causes {
+		t.detector.Quarantine(content, now.Add(quarantine.Duration))
+	}
+	if len(causes) > 0 {
+		t.BroadcastNew(now)
+	}
+}
+
 // BroadcastNew broadcasts the quarantines and holds that the other instances do not have yet.
 func (t *Tracker) BroadcastNew(now time.Time) {
 	if items := t.takeUnsent(now); len(items) > 0 {
@@ -127,7 +188,10 @@
 
 // RequestProgressed records that a request has passed all stages of its path, which clears the request of suspicion.
 func (t *Tracker) RequestProgressed(request string) {
-	t.detector.RequestProgressed(request)
+	content, running := t.detector.RequestProgressed(request)
+	if running && t.history.Progressed(content, time.Now()) {
+		t.sendProgress([]uint64{content})
+	}
 }
 
 // RequestCompleted records that a request with this content got its complete response.
@@ -161,6 +225,7 @@
 func (t *Tracker) AddRemote(q membership.Quarantine, now time.Time) {
 	if !q.Held {
 		t.detector.AddQuarantined(q.Fingerprint, q.Until)
+		t.history.AddCause(q.Fingerprint, now)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if t.sharedQuarantines[q.Fingerprint].Before(q.Until) {
