Log the parts of a request's prompt

The requests with the part that crashes targets could not be told from those that shared a target with them.

--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -29,6 +29,8 @@
 	Tokens   TokenCounts
 	// LastEventID is the ID of the last stream event that the client has received.
 	LastEventID string
+	// PromptParts holds the IDs of the parts of the prompt, in order. Requests may share all but the last part.
+	PromptParts []string
 }
 
 // TokenCounts holds the token counts that the client gives for a request to a model.
--- a/pkg/proxy/result.go
+++ b/pkg/proxy/result.go
@@ -50,6 +50,9 @@
 		entry = entry.Str("Route", r.route.Name).Str("Workspace", r.workspace).Int("Attempts", r.attempts).Int("Refusals", r.refusals).
 			Dur("Goal", r.route.LatencyGoal).Dur("PauseGoal", r.route.EventGapGoal).Str("Content", quarantinesync.FormatFingerprint(r.fingerprint))
 	}
+	if len(r.PromptParts) > 0 {
+		entry = entry.Str("Parts", strings.Join(r.PromptParts, ","))
+	}
 	if len(r.targets) > 0 {
 		entry = entry.Str("Targets", strings.Join(r.targets, "; "))
 	}
