--- a/pkg/proxy/crash_test.go
+++ b/pkg/proxy/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -60,3 +61,43 @@
 		})
 	}
 }
+
+// TestPromptPartThatCrashesTargets guards against requests that crash one target after another since only a part of their
+// prompts is the same, and against refusing those that share other parts with them.
+func TestPromptPartThatCrashesTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const rounds, maxCrashes = 20, 5
+		h := newHarness(t)
+		crashes := 0
+		h.upstream.open = func(_ context.Context, _ int, a proxy.Attempt) (*proxy.Response, error) {
+			if !slices.Contains(a.Request.PromptParts, "bad") {
+				return streamingResponse(strings.NewReader(events(1, 5))), nil
+			}
+			crashes++
+			h.upstream.kill(a.Path[0].Target.Name)
+			return nil, errLost
+		}
+		for round := range rounds {
+			_, err := h.call("/chat/1", func(r *proxy.Request) {
+				r.ID = fmt.Sprint("bad-", round)
+				r.Body = []byte(r.ID)
+				r.PromptParts = []string{"system", "bad", r.ID}
+			})
+			qt.Assert(t, err, qt.IsNotNil)
+			time.Sleep(100 * time.Millisecond)
+			h.upstream.reviveAll()
+			time.Sleep(5 * time.Second)
+			for n := range 8 {
+				recorder, err := h.call("/chat/1", func(r *proxy.Request) {
+					r.ID = fmt.Sprint("good-", round, "-", n)
+					r.Body = []byte(r.ID)
+					r.PromptParts = []string{"system", "good", r.ID}
+				})
+				qt.Assert(t, err, qt.IsNil)
+				qt.Assert(t, recorder.Code, qt.Equals, http.StatusOK)
+			}
+		}
+		qt.Assert(t, crashes <= maxCrashes, qt.IsTrue, qt.Commentf("%d of %d requests crashed a target", crashes, rounds))
+		time.Sleep(time.Minute)
+	})
+}
