--- a/pkg/proof/crash_test.go
+++ b/pkg/proof/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -63,6 +64,36 @@
 	c.Assert(crashedEngines(h) <= 2, qt.IsTrue, qt.Commentf("%d engines crashed", crashedEngines(h)))
 }
 
+// No two requests are alike, but the first message of each crashes every engine that runs it. Guards against engines that
+// crash one after another since only whole requests are identified, and against refusing requests without that message.
+func TestCrashingMessageIsQuarantined(t *testing.T) {
+	t.Parallel()
+	const maxCrashes = 5
+	c := qt.New(t)
+	h := newHarness(c, proof.Options{Seed: 83, Instances: 3, EnginesPerHalf: 6})
+	var response caller.Response
+	for n := range 12 {
+		response = sendConversation(h.Instances()[n%3], "crash "+engine.CrashMarker, n)
+		time.Sleep(400 * time.Millisecond)
+	}
+	c.Assert(crashedEngines(h) <= maxCrashes, qt.IsTrue, qt.Commentf("%d engines crashed", crashedEngines(h)))
+	assertQuarantined(c, response)
+	for n, instance := range h.Instances() {
+		response := sendConversation(instance, "be brief", n)
+		c.Assert(response.Outcome, qt.Equals, outcome.Done, qt.Commentf("%v", response.Err))
+	}
+}
+
+// sendConversation sends the n-th request of a client whose requests begin with the same message.
+func sendConversation(instance *fleet.NamedInstance, first string, n int) caller.Response {
+	client := caller.New()
+	defer client.Close()
+	return client.Chat(context.Background(), caller.ChatRequest{
+		Address: instance.ClientAddress(), Key: fleet.ClientKey(1), Pipeline: fleet.Pipeline, Tokens: 5,
+		History: []caller.Message{{Role: "system", Content: first}}, Prompt: fmt.Sprint("question ", n),
+	})
+}
+
 // sendCrashing sends the crashing request over a new connection, as a client does for each resend.
 func sendCrashing(instance *fleet.NamedInstance) caller.Response {
 	client := caller.New()
