Find the part of prompts that crashes targets

Class: a key that is finer than the fault.

TestCrashesAreCountedByTheFleet has two more cases, by a part, with six instances over real sockets.

The change: a run carries the fingerprints of the parts of its prompt, all but the last, and of the whole, and the crashes of the fleet are counted for each. A part is quarantined after three crashes under two contents; the one with the most crashes is chosen, then the last in the prompt. Progress anywhere clears a part. Attempts are counted in place of requests, since the retry of a request on another target is evidence of its own. In the own front end the parts are the messages before the last.

Why it works: each request with the bad part adds a crash and none makes progress, while sound requests make progress with all parts that they share with it.

--- a/pkg/daemon/crashtracker.go
+++ b/pkg/daemon/crashtracker.go
@@ -13,6 +13,6 @@
 }
 
 // Check implements stream.CrashTracker.
-func (t crashTracker) Check(fingerprint uint64, now time.Time) stream.Verdict {
-	return stream.Verdict(t.Tracker.Check(fingerprint, now))
+func (t crashTracker) Check(fingerprint uint64, now time.Time, parts ...uint64) stream.Verdict {
+	return stream.Verdict(t.Tracker.Check(fingerprint, now, parts...))
 }
--- a/pkg/decision/crashhistory/doc.go
+++ b/pkg/decision/crashhistory/doc.go
@@ -10,6 +10,11 @@
 // instance that saw the progress says so to the others. Crashes whose cause has been found no longer count against the
 // other content that ran there. A crash counts once other instances have had settleTime to report or to clear.
 //
+// The cause may be a part of the content that many requests share, such as a document in their prompts. A run therefore
+// lists the fingerprints of its parts and of the whole, and each is counted. Requests without the bad part share its other
+// parts and clear them by their progress. Of several possible causes the one with the most crashes is chosen, then the most
+// specific one.
+//
 // All instances get the same reports and come to the same causes. A lost report delays the verdict by one crash.
 //
 // A History reads no clock and is safe for concurrent use. Its memory is bounded.
@@ -17,7 +22,7 @@
 // Usage:
 //
 //	innocent := history.Add(report, now)          // a crash reported by this or another instance
-//	cleared := history.Progressed(content, now)   // the other instances should be told
-//	history.Clear(content, now)                   // another instance saw progress
+//	cleared := history.Progressed(contents, now)  // the other instances should be told
+//	history.Clear(contents, now)                  // another instance saw progress
 //	for _, content := range history.Causes(now) { ... }
 package crashhistory
--- a/pkg/decision/crashhistory/history.go
+++ b/pkg/decision/crashhistory/history.go
@@ -10,6 +10,8 @@
 const (
 	// minCrashes is the number of crashes after which content is a cause.
 	minCrashes = 3
+	// minContents is the number of different contents under which a part of them must have crashed targets.
+	minContents = 2
 	// settleTime is how long after a crash it counts: the reports of other instances arrive meanwhile.
 	settleTime = 250 * time.Millisecond
 	// crashTTL is how long a crash counts.
@@ -33,8 +35,10 @@
 
 // Run is a request that ran on a crashed target and had made no progress.
 type Run struct {
-	Request uint64 // Request is a hash of the request's ID.
-	Content uint64 // Content is the fingerprint of the request's content.
+	Attempt uint64 // Attempt is a hash of the request's ID and of the number of its attempt.
+	// Contents are the fingerprints of what may have caused the crash, from the least to the most specific: of the parts
+	// of the content that other requests may share, and of the content as a whole.
+	Contents []uint64
 }
 
 // Report says which requests of one instance ran on a target that crashed.
@@ -45,10 +49,9 @@
 
 // crash is the crash of one target.
 type crash struct {
-	target     string
-	at         time.Time
-	runs       []Run
-	attributed bool // attributed means that the cause has been found.
+	target string
+	at     time.Time
+	runs   []Run
 }
 
 // History holds the crashes of the fleet. It is safe for concurrent use.
@@ -74,25 +77,44 @@
 	h.dropExpired(now)
 	c := h.crashOf(report.Target, now)
 	for _, r := range report.Runs {
-		switch {
-		case h.progressed.contains(r.Content, now):
-			if !slices.Contains(innocent, r.Content) {
-				innocent = append(innocent, r.Content)
+		suspects, cleared := h.divide(r.Contents, now)
+		for _, content := range cleared {
+			if !slices.Contains(innocent, content) {
+				innocent = append(innocent, content)
 			}
-		case len(c.runs) < maxRunsPerCrash && !slices.Contains(c.runs, r):
-			c.runs = append(c.runs, r)
-			c.attributed = c.attributed || h.causes.contains(r.Content, now)
 		}
+		c.add(Run{Attempt: r.Attempt, Contents: suspects})
 	}
 	h.changed = true
 	return innocent
 }
 
+// divide returns the contents that may have caused a crash, and those that have just made progress.
+func (h *History) divide(contents []uint64, now time.Time) (suspects, cleared []uint64) {
+	for _, content := range contents {
+		if h.progressed.contains(content, now) {
+			cleared = append(cleared, content)
+		} else {
+			suspects = append(suspects, content)
+		}
+	}
+	return suspects, cleared
+}
+
+// add adds a run, unless it is known.
+func (c *crash) add(r Run) {
+	known := slices.ContainsFunc(c.runs, func(other Run) bool { return other.Attempt == r.Attempt })
+	if len(r.Contents) > 0 && !known && len(c.runs) < maxRunsPerCrash {
+		c.runs = append(c.runs, r)
+	}
+}
+
 // AddCause records that another instance found the content to crash targets.
 func (h *History) AddCause(content uint64, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.attribute(content, now)
+	h.causes.add(content, now)
+	h.changed = true
 }
 
 // crashOf returns the crash that a report received now is about. It is new if there is none yet.
@@ -114,29 +136,33 @@
 	h.crashes = slices.DeleteFunc(h.crashes, func(c *crash) bool { return now.Sub(c.at) > crashTTL })
 }
 
-// Progressed records that a request with the content made progress at this instance, which clears the content. It
-// reports whether crashes counted against it.
-func (h *History) Progressed(content uint64, now time.Time) (cleared bool) {
+// Progressed records that a request with the contents made progress at this instance, which clears them. It returns those
+// against which crashes counted.
+func (h *History) Progressed(contents []uint64, now time.Time) (cleared []uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.progressed.add(content, now)
-	return h.forget(content)
+	for _, content := range contents {
+		h.progressed.add(content, now)
+		if h.forget(content) {
+			cleared = append(cleared, content)
+		}
+	}
+	return cleared
 }
 
-// Clear clears content that made progress at another instance.
-func (h *History) Clear(content uint64, now time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.progressed.add(content, now)
-	h.forget(content)
+// Clear clears contents that made progress at another instance.
+func (h *History) Clear(contents []uint64, now time.Time) {
+	h.Progressed(contents, now)
 }
 
 // forget removes the content from all crashes and reports whether it was in one.
 func (h *History) forget(content uint64) (found bool) {
 	for _, c := range h.crashes {
-		before := len(c.runs)
-		c.runs = slices.DeleteFunc(c.runs, func(r Run) bool { return r.Content == content })
-		found = found || len(c.runs) < before
+		for i, r := range c.runs {
+			kept := slices.DeleteFunc(r.Contents, func(other uint64) bool { return other == content })
+			found = found || len(kept) < len(r.Contents)
+			c.runs[i].Contents = kept
+		}
 	}
 	return found
 }
@@ -156,7 +182,7 @@
 		if !ok {
 			return causes
 		}
-		h.attribute(cause, now)
+		h.causes.add(cause, now)
 		causes = append(causes, cause)
 	}
 }
@@ -166,53 +192,102 @@
 	return len(h.crashes) > 0 && now.Sub(h.crashes[len(h.crashes)-1].at) < settleTime
 }
 
-// findCause returns the content with the most crashes, if these are enough.
+// findCause returns the content with the most crashes, if these are enough. Of contents with the same number it returns
+// the most specific one, which leaves the others to requests without it.
 func (h *History) findCause(now time.Time) (cause uint64, ok bool) {
-	counts := make(map[uint64]int)
+	best := candidate{}
+	for content, specificity := range h.suspects(now) {
+		c := h.count(content, now)
+		c.specificity = specificity
+		if c.isCause() && c.precedes(best) {
+			best, ok = c, true
+		}
+	}
+	return best.content, ok
+}
+
+// candidate is content that may be a cause.
+type candidate struct {
+	content     uint64
+	crashes     int
+	whole       bool // whole means that it is the whole content of the requests, not a part.
+	contents    int  // contents counts the different whole contents of the requests that ran.
+	specificity int  // specificity is the position in Run.Contents.
+}
+
+// isCause reports whether the crashes are enough. The crashes of a part must be of different contents: otherwise the whole
+// content is the cause.
+func (c candidate) isCause() bool {
+	return c.crashes >= minCrashes && (c.whole || c.contents >= minContents)
+}
+
+// precedes reports whether the candidate is the more likely cause. The fingerprint makes the order the same everywhere.
+func (c candidate) precedes(other candidate) bool {
+	return cmp.Or(cmp.Compare(c.crashes, other.crashes), cmp.Compare(c.specificity, other.specificity),
+		cmp.Compare(c.content, other.content)) > 0
+}
+
+// suspects returns the contents of the crashes that are not known causes, with their specificities.
+func (h *History) suspects(now time.Time) map[uint64]int {
+	found := make(map[uint64]int)
 	for _, c := range h.crashes {
 		for _, r := range c.runs {
-			if _, counted := counts[r.Content]; !counted && !c.attributed {
-				counts[r.Content] = h.count(r.Content, now)
+			for i, content := range r.Contents {
+				if !h.causes.contains(content, now) {
+					found[content] = max(found[content], i)
+				}
 			}
 		}
 	}
-	most := minCrashes - 1
-	for content, n := range counts {
-		if n > most || n == most && ok && cmp.Less(content, cause) {
-			cause, most, ok = content, n, true
-		}
-	}
-	return cause, ok
+	return found
 }
 
-// count returns the number of crashes that count against the content. A request counts once, although several targets of
-// its path may have crashed.
-func (h *History) count(content uint64, now time.Time) int {
-	n := 0
-	counted := make(map[uint64]bool) // counted holds the requests of the crashes so far.
+// count counts the crashes that count against the content. An attempt counts once, although several targets of its path may
+// have crashed.
+func (h *History) count(content uint64, now time.Time) candidate {
+	result := candidate{content: content}
+	attempts := make(map[uint64]bool)
+	contents := make(map[uint64]bool)
 	for _, c := range h.crashes {
-		if c.attributed || now.Sub(c.at) < settleTime || h.partOfLargerFailure(c, content) {
+		if now.Sub(c.at) < settleTime || h.explained(c, content, now) || h.partOfLargerFailure(c, content, now) {
 			continue
 		}
 		further := false
 		for _, r := range c.runs {
-			if r.Content == content && !counted[r.Request] {
-				counted[r.Request] = true
-				further = true
+			if !r.involves(content) || attempts[r.Attempt] {
+				continue
 			}
+			attempts[r.Attempt], contents[r.whole()] = true, true
+			result.whole = result.whole || r.whole() == content
+			further = true
 		}
 		if further {
-			n++
+			result.crashes++
+		}
+	}
+	result.contents = len(contents)
+	return result
+}
+
+// explained reports whether a known cause explains the crash, so that it does not count against the content. A whole
+// content explains it for other requests only: a part of the content may be what crashed the target.
+func (h *History) explained(c *crash, content uint64, now time.Time) bool {
+	for _, r := range c.runs {
+		for _, cause := range r.Contents {
+			if h.causes.contains(cause, now) && (cause != r.whole() || !r.involves(content)) {
+				return true
+			}
 		}
 	}
-	return n
+	return false
 }
 
-// partOfLargerFailure reports whether several targets without the content crashed at the time of a crash.
-func (h *History) partOfLargerFailure(c *crash, content uint64) bool {
+// partOfLargerFailure reports whether several targets without the content crashed at the time of a crash, without a known
+// cause.
+func (h *History) partOfLargerFailure(c *crash, content uint64, now time.Time) bool {
 	others := 0
 	for _, other := range h.crashes {
-		if other != c && !other.attributed && other.at.Sub(c.at).Abs() <= simultaneous && !other.involves(content) {
+		if other != c && other.at.Sub(c.at).Abs() <= simultaneous && !other.involves(content) && !h.explained(other, content, now) {
 			others++
 		}
 	}
@@ -220,13 +295,15 @@
 }
 
 func (c *crash) involves(content uint64) bool {
-	return slices.ContainsFunc(c.runs, func(r Run) bool { return r.Content == content })
+	return slices.ContainsFunc(c.runs, func(r Run) bool { return r.involves(content) })
 }
 
-// attribute attributes the crashes that involve the content to it, also later ones.
-func (h *History) attribute(cause uint64, now time.Time) {
-	h.causes.add(cause, now)
-	for _, c := range h.crashes {
-		c.attributed = c.attributed || c.involves(cause)
+func (r Run) involves(content uint64) bool { return slices.Contains(r.Contents, content) }
+
+// whole returns the fingerprint of the whole content. It is the last: what clears it clears the parts as well.
+func (r Run) whole() uint64 {
+	if len(r.Contents) == 0 {
+		return 0
 	}
+	return r.Contents[len(r.Contents)-1]
 }
--- a/pkg/decision/crashhistory/history_test.go
+++ b/pkg/decision/crashhistory/history_test.go
@@ -17,14 +17,15 @@
 	at       time.Duration
 	target   string             // target is the target that crashed. It is empty if content made progress.
 	runs     []crashhistory.Run // runs are the requests on the target.
-	progress uint64
-	remote   bool // remote means that another instance saw the progress.
+	progress []uint64
+	cause    uint64 // cause is content that another instance found to crash targets.
+	remote   bool   // remote means that another instance saw the progress.
 }
 
 // TestCauses guards against content that goes on crashing targets, and against refusing content that shares targets with it.
 func TestCauses(t *testing.T) {
-	run := func(request, content uint64) crashhistory.Run {
-		return crashhistory.Run{Request: request, Content: content}
+	run := func(attempt uint64, contents ...uint64) crashhistory.Run {
+		return crashhistory.Run{Attempt: attempt, Contents: contents}
 	}
 	crash := func(at time.Duration, target string, runs ...crashhistory.Run) event {
 		return event{at: at, target: target, runs: runs}
@@ -39,12 +40,12 @@
 		{"three crashes at once", []event{crash(0, "a", run(1, 7)), crash(0, "b", run(2, 7)), crash(0, "c", run(3, 7))}, []uint64{7}},
 		{"two crashes", []event{crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7))}, nil},
 		{"reports on the same crash", []event{crash(0, "a", run(1, 7)), crash(s/2, "a", run(2, 7)), crash(s, "a", run(3, 7))}, nil},
-		{"one request whose path crashed", []event{crash(0, "a", run(1, 7)), crash(s, "b", run(1, 7)), crash(2*s, "c", run(1, 7))}, nil},
+		{"one attempt whose path crashed", []event{crash(0, "a", run(1, 7)), crash(s, "b", run(1, 7)), crash(2*s, "c", run(1, 7))}, nil},
 		{"progress after two crashes", []event{
-			crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7)), {at: 2 * s, progress: 7}, crash(13*s, "c", run(3, 7)),
+			crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7)), {at: 2 * s, progress: []uint64{7}}, crash(13*s, "c", run(3, 7)),
 		}, nil},
 		{"progress elsewhere", []event{
-			crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7)), {at: 2 * s, progress: 7, remote: true}, crash(3*s, "c", run(3, 7)),
+			crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7)), {at: 2 * s, progress: []uint64{7}, remote: true}, crash(3*s, "c", run(3, 7)),
 		}, nil},
 		{"content that shares targets with the cause", []event{
 			crash(0, "a", run(1, 7), run(9, 8)), crash(s, "b", run(2, 7), run(8, 8)), crash(2*s, "c", run(3, 7)), crash(3*s, "d", run(4, 7), run(6, 8)),
@@ -55,6 +56,21 @@
 		{"other crashes one after another", []event{
 			crash(0, "a", run(1, 7)), crash(s, "x", run(8, 8)), crash(2*s, "b", run(2, 7)), crash(3*s, "y", run(9, 9)), crash(4*s, "c", run(3, 7)),
 		}, []uint64{7}},
+		{"a part, no two contents alike", []event{
+			crash(0, "a", run(1, 5, 6, 11)), crash(s, "b", run(2, 5, 6, 12)), crash(2*s, "c", run(3, 5, 6, 13)),
+		}, []uint64{6}},
+		{"a part before one that others share", []event{
+			crash(0, "a", run(1, 5, 6, 11)), {at: s / 2, progress: []uint64{6}}, crash(s, "b", run(2, 5, 6, 12)), crash(2*s, "c", run(3, 5, 6, 13)),
+		}, []uint64{5}},
+		{"a part in other requests than the cause's", []event{
+			crash(0, "a", run(1, 5, 6, 11)), crash(s, "b", run(2, 5, 6, 12)), crash(2*s, "c", run(3, 5, 7, 13)), crash(3*s, "d", run(4, 5, 6, 14), run(9, 5, 7, 15)),
+		}, []uint64{5}},
+		{"a whole content and its parts", []event{
+			crash(0, "a", run(1, 5, 6, 11)), crash(s, "b", run(2, 5, 6, 11)), crash(2*s, "c", run(3, 5, 6, 11)),
+		}, []uint64{11}},
+		{"a part, after the whole content of each request was found", []event{
+			crash(0, "a", run(1, 6, 11)), crash(s, "b", run(2, 6, 11)), {at: s, cause: 11}, crash(2*s, "c", run(3, 6, 12)),
+		}, []uint64{6}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			h := crashhistory.New()
@@ -66,10 +82,12 @@
 				switch {
 				case e.target != "":
 					h.Add(crashhistory.Report{Target: e.target, Runs: e.runs}, now)
+				case e.cause != 0:
+					h.AddCause(e.cause, now)
 				case e.remote:
 					h.Clear(e.progress, now)
 				default:
-					qt.Assert(t, h.Progressed(e.progress, now), qt.IsTrue)
+					qt.Assert(t, h.Progressed(e.progress, now), qt.DeepEquals, e.progress)
 				}
 			}
 			causes = append(causes, h.Causes(now.Add(time.Second))...)
@@ -83,8 +101,8 @@
 	h := crashhistory.New()
 	for i := range 100 {
 		now := epoch.Add(time.Duration(i) * time.Second)
-		h.Progressed(7, now)
-		innocent := h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Request: uint64(i), Content: 7}}}, now)
+		h.Progressed([]uint64{7}, now)
+		innocent := h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Attempt: uint64(i), Contents: []uint64{7}}}}, now)
 		qt.Assert(t, innocent, qt.DeepEquals, []uint64{7})
 		qt.Assert(t, h.Causes(now.Add(time.Second/2)), qt.HasLen, 0)
 	}
@@ -96,7 +114,7 @@
 	h.AddCause(7, epoch)
 	for i := range 5 {
 		now := epoch.Add(time.Duration(i) * time.Second)
-		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Request: uint64(i), Content: 7}, {Request: uint64(100 + i), Content: 8}}}, now)
+		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Attempt: uint64(i), Contents: []uint64{7}}, {Attempt: uint64(100 + i), Contents: []uint64{8}}}}, now)
 		qt.Assert(t, h.Causes(now.Add(time.Second/2)), qt.HasLen, 0)
 	}
 }
--- a/pkg/decision/quarantine/crash.go
+++ b/pkg/decision/quarantine/crash.go
@@ -20,6 +20,7 @@
 		d.removeFromPath(r.request, target)
 	}
 	all := d.withEnded(target, batch)
+	delete(d.ended, target)
 	for _, r := range all {
 		if !slices.Contains(c.fingerprints, r.fingerprint) {
 			c.fingerprints = append(c.fingerprints, r.fingerprint)
@@ -33,14 +34,12 @@
 	return d.verdicts(batch, now)
 }
 
-// withEnded returns the given runs together with the runs that ended on the target without progress,
-// and removes the latter from d.ended.
+// withEnded returns the given runs together with the runs that ended on the target without progress.
 func (d *Detector) withEnded(target string, batch map[string]*run) map[string]*run {
 	all := map[string]*run{}
 	for _, r := range d.ended[target] {
 		all[r.request] = r
 	}
-	delete(d.ended, target)
 	maps.Copy(all, batch)
 	return all
 }
--- a/pkg/decision/quarantine/detector.go
+++ b/pkg/decision/quarantine/detector.go
@@ -40,11 +40,19 @@
 	fingerprint uint64
 	started     uint64 // started is the detector's sequence number at the start.
 	progressed  bool   // progressed reports that a step of the request has passed its whole path.
+	parts       []uint64
+	attempt     uint64 // attempt is that of the path.
+}
+
+// contents returns the fingerprints of the parts and of the whole content.
+func (r *run) contents() []uint64 {
+	return append(slices.Clone(r.parts), r.fingerprint)
 }
 
 // requestPath is the path of targets on which one request runs.
 type requestPath struct {
 	fingerprint uint64
+	attempt     uint64 // attempt distinguishes the paths of one request, each of which is a further attempt.
 	targets     []string
 }
 
@@ -104,8 +112,9 @@
 	}
 }
 
-// RequestStarted records that a request is sent to a target.
-func (d *Detector) RequestStarted(request string, fingerprint uint64, target string) {
+// RequestStarted records that a request is sent to a target. parts are the fingerprints of those parts of its content that
+// other requests may share, from the least to the most specific. The detector only passes them on, see RunsWithoutProgress.
+func (d *Detector) RequestStarted(request string, fingerprint uint64, target string, parts ...uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.sequence++
@@ -117,24 +126,28 @@
 	if _, known := batch[request]; !known {
 		d.addToPath(request, fingerprint, target)
 	}
-	batch[request] = &run{request: request, fingerprint: fingerprint, started: d.sequence}
+	batch[request] = &run{request: request, fingerprint: fingerprint, started: d.sequence, parts: parts, attempt: d.paths[request].attempt}
+}
+
+// Run is an attempt of a request on a target.
+type Run struct {
+	Request  string
+	Attempt  uint64   // Attempt distinguishes the attempts of the request.
+	Contents []uint64 // Contents are the fingerprints of the parts of the content and of the whole, the most specific last.
 }
 
-// RunsWithoutProgress returns the requests that may cause a crash of the target: those that run on it and those that ended
-// there since the target last responded, unless they made progress. They map to the fingerprints of their contents.
-func (d *Detector) RunsWithoutProgress(target string) map[string]uint64 {
+// RunsWithoutProgress returns the runs that may cause a crash of the target: those that are running and those that ended
+// since the target last responded, unless they made progress.
+func (d *Detector) RunsWithoutProgress(target string) []Run {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	contents := make(map[string]uint64)
-	for _, r := range d.ended[target] {
-		contents[r.request] = r.fingerprint
-	}
-	for _, r := range d.running[target] {
+	var runs []Run
+	for _, r := range d.withEnded(target, d.running[target]) {
 		if !r.progressed {
-			contents[r.request] = r.fingerprint
+			runs = append(runs, Run{Request: r.request, Attempt: r.attempt, Contents: r.contents()})
 		}
 	}
-	return contents
+	return runs
 }
 
 // RequestFinished records that a request no longer runs on a target. If the target crashed,
@@ -171,7 +184,7 @@
 func (d *Detector) addToPath(request string, fingerprint uint64, target string) {
 	p, ok := d.paths[request]
 	if !ok {
-		p = &requestPath{fingerprint: fingerprint}
+		p = &requestPath{fingerprint: fingerprint, attempt: d.sequence}
 		d.paths[request] = p
 		d.copies[fingerprint]++
 	}
@@ -193,18 +206,20 @@
 
 // RequestProgressed records that a step of the request has passed its whole path. This clears the
 // request's content if all its runs on the path started after the last crash: content that crashes
-// targets would have crashed one of them. It returns the fingerprint of the content if the request is running.
-func (d *Detector) RequestProgressed(request string) (fingerprint uint64, running bool) {
+// targets would have crashed one of them. It returns the fingerprints of the parts and of the whole content, or nil if the
+// request is not running.
+func (d *Detector) RequestProgressed(request string) (contents []uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	path, ok := d.paths[request]
 	if !ok {
-		return 0, false
+		return nil
 	}
 	started := d.sequence
 	for _, target := range path.targets {
 		r := d.running[target][request]
 		r.progressed = true
+		contents = r.contents()
 		started = min(started, r.started)
 		d.recordResponse(target)
 	}
@@ -212,7 +227,7 @@
 		s.cleared = true
 		d.removeIfCleared(s)
 	}
-	return path.fingerprint, true
+	return contents
 }
 
 // RequestCompleted records that a request with this content got its whole response, which clears the
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -14,10 +14,13 @@
 func TestCrashesAreCountedByTheFleet(t *testing.T) {
 	for _, test := range []struct {
 		name         string
-		otherCrashes int // otherCrashes counts the crashes of targets that run other content, before the first wave.
+		otherCrashes int  // otherCrashes counts the crashes of targets that run other content, before the first wave.
+		byPart       bool // byPart means that the requests share a part only.
 	}{
-		{"alone", 0},
-		{"after other crashes", 3},
+		{"alone", 0, false},
+		{"after other crashes", 3, false},
+		{"by a part", 0, true},
+		{"by a part, after other crashes", 3, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -27,8 +30,14 @@
 				waveInterval = 3500 * time.Millisecond
 				reactionTime = 3 * time.Second // reactionTime is how long after the third crash the content may still be retried freely.
 				maxRetries   = 3               // maxRetries bounds the retries after reactionTime.
-				content      = 42
+				part         = 7
 			)
+			contentOf := func(wave, instance int) uint64 {
+				if test.byPart {
+					return uint64(100*wave + instance + 1)
+				}
+				return 42
+			}
 			gateways := startFleet(t, instances)
 			for n := range test.otherCrashes {
 				for i, g := range gateways {
@@ -43,10 +52,11 @@
 				for i, g := range gateways { // All copies of a wave start before the first of them crashes its target.
 					request, name := fmt.Sprint("r", wave, "-", i), fmt.Sprint("t", wave, "-", i)
 					g.crashTracker.TargetResponded(name)
-					if !mayStart(g, request, content, name) {
+					content := contentOf(wave, i)
+					if !mayStart(g, request, content, name, part) {
 						continue
 					}
-					g.crashTracker.RequestStarted(request, content, name)
+					g.crashTracker.RequestStarted(request, content, name, part)
 					running = append(running, g)
 					if crashes >= 3 && time.Since(thirdCrash) > reactionTime {
 						late++
@@ -65,7 +75,8 @@
 			}
 			qt.Assert(t, late <= maxRetries, qt.IsTrue, qt.Commentf("%d retries later than %v after the third crash, %d crashes", late, reactionTime, crashes))
 			for _, g := range gateways {
-				qt.Assert(t, g.crashTracker.Check(content, time.Now()), qt.Equals, quarantine.Quarantined)
+				qt.Assert(t, g.crashTracker.Check(contentOf(waves, 0), time.Now(), part), qt.Equals, quarantine.Quarantined)
+				qt.Assert(t, test.byPart || g.crashTracker.Check(1, time.Now(), part) == quarantine.Free, qt.IsTrue)
 			}
 		})
 	}
@@ -92,8 +103,8 @@
 }
 
 // mayStart reports whether an instance may start a request on a target now.
-func mayStart(g *Gateway, request string, content uint64, name string) bool {
+func mayStart(g *Gateway, request string, content uint64, name string, part uint64) bool {
 	now := time.Now()
-	verdict := g.crashTracker.Check(content, now)
+	verdict := g.crashTracker.Check(content, now, part)
 	return verdict != quarantine.Held && verdict != quarantine.Quarantined && g.crashTracker.MayRun(request, content, name, now)
 }
--- a/pkg/peer/caller/chat.go
+++ b/pkg/peer/caller/chat.go
@@ -79,10 +79,25 @@
 	return stream.Request{
 		ID: x.id, Workspace: x.client.Workspace, Model: m.Name, Layers: m.Layers, Prompt: prompt,
 		PrefixHash: prefixHash(messages), MaxTokens: parsed.maxOutputTokens(s.maxTokens), Priority: priority,
-		Fingerprint: s.fingerprint(x.client.Workspace, []byte(m.Name+"\n"+prompt)),
+		Fingerprint: s.fingerprint(x.client.Workspace, []byte(m.Name+"\n"+prompt)), Parts: s.messageParts(messages),
 	}, nil
 }
 
+// maxMessageParts bounds the messages of a request that are tracked as parts; the latest are.
+const maxMessageParts = 32
+
+// messageParts returns the fingerprints of the messages that other requests may share: all but the last. A message that
+// crashes engines does so in any request.
+func (s *Server) messageParts(messages []Message) []uint64 {
+	shared := messages[:max(0, len(messages)-1)]
+	shared = shared[max(0, len(shared)-maxMessageParts):]
+	parts := make([]uint64, len(shared))
+	for i := range shared {
+		parts[i] = s.fingerprint("", []byte("message\n"+PromptPrefix(shared[i:i+1])))
+	}
+	return parts
+}
+
 // prefixHash returns the hash of the prompt prefix that engines may have cached from an earlier request.
 // Engines cache prompts but not generated output. The next request of a conversation therefore shares with
 // the previous one all messages before the latest assistant message. Another conversation with the same
--- a/pkg/peer/instance/crash.go
+++ b/pkg/peer/instance/crash.go
@@ -15,9 +15,9 @@
 	// delays a verdict by one crash, while many targets that fail at once must not fill the links.
 	crashRate  = 10
 	crashBurst = 40
-	// maxRunsPerMessage and maxProgressedPerMessage keep a message within one packet.
-	maxRunsPerMessage       = 32
-	maxProgressedPerMessage = 64
+	// maxFingerprints bounds the fingerprints of a message, so that it fits one packet. A run counts as runOverhead more.
+	maxFingerprints = 96
+	runOverhead     = 2
 )
 
 // CrashHandler handles what other instances say about crashes. Its methods are called from the goroutine that reads all
@@ -38,21 +38,24 @@
 
 // SendCrash informs all other instances of a crash under requests of this instance.
 func (n *Node) SendCrash(report crashhistory.Report) error {
-	for runs := range slices.Chunk(report.Runs, maxRunsPerMessage) {
-		c := &instancepb.Crash{Target: report.Target}
-		for _, r := range runs {
-			c.Runs = append(c.Runs, &instancepb.CrashedRun{Request: r.Request, Content: r.Content})
-		}
-		if err := n.sendToOthers(&instancepb.StatusUpdate{Crash: c}); err != nil {
-			return err
+	c, size := &instancepb.Crash{Target: report.Target}, 0
+	for _, r := range report.Runs {
+		added := len(r.Contents) + runOverhead
+		if size > 0 && size+added > maxFingerprints {
+			if err := n.sendToOthers(&instancepb.StatusUpdate{Crash: c}); err != nil {
+				return err
+			}
+			c, size = &instancepb.Crash{Target: report.Target}, 0
 		}
+		c.Runs = append(c.Runs, &instancepb.CrashedRun{Attempt: r.Attempt, Contents: r.Contents})
+		size += added
 	}
-	return nil
+	return n.sendToOthers(&instancepb.StatusUpdate{Crash: c})
 }
 
 // SendProgress informs all other instances that requests with these contents have made progress at this instance.
 func (n *Node) SendProgress(contents []uint64) error {
-	for chunk := range slices.Chunk(contents, maxProgressedPerMessage) {
+	for chunk := range slices.Chunk(contents, maxFingerprints) {
 		if err := n.sendToOthers(&instancepb.StatusUpdate{Progressed: chunk}); err != nil {
 			return err
 		}
@@ -83,7 +86,7 @@
 	if c := u.GetCrash(); c != nil {
 		report := crashhistory.Report{Target: c.GetTarget()}
 		for _, r := range c.GetRuns() {
-			report.Runs = append(report.Runs, crashhistory.Run{Request: r.GetRequest(), Content: r.GetContent()})
+			report.Runs = append(report.Runs, crashhistory.Run{Attempt: r.GetAttempt(), Contents: r.GetContents()})
 		}
 		n.crashHandler.AddReport(report)
 	}
--- a/pkg/proxy/active_request.go
+++ b/pkg/proxy/active_request.go
@@ -18,6 +18,7 @@
 	workspace   string
 	priority    int
 	fingerprint uint64          // fingerprint is the hash of the request's content for crash tracking.
+	parts       []uint64        // parts are the fingerprints of the parts of the prompt that other requests may share.
 	deadline    time.Time       // deadline is when the final response is due.
 	excluded    map[string]bool // excluded holds the names of targets that the request must not use again.
 	refusals    int             // refusals counts the attempts that provably did not run.
--- a/pkg/proxy/active_stream.go
+++ b/pkg/proxy/active_stream.go
@@ -81,7 +81,7 @@
 	s.releasePath()
 	s.path, s.release = p, release
 	for _, stage := range p {
-		s.server.crashTracker.RequestStarted(s.ID, s.fingerprint, stage.Target.Name)
+		s.server.crashTracker.RequestStarted(s.ID, s.fingerprint, stage.Target.Name, s.parts...)
 	}
 }
 
--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -66,11 +66,14 @@
 	return nil
 }
 
-// checkCrashes refuses a request whose content is quarantined, since it crashes the targets that run it, or held, since
+// checkCrashes refuses a request whose content, or a part of whose prompt, is quarantined, since it crashes the targets that run it, or held, since
 // it may have crashed one.
 func (r *activeRequest) checkCrashes() error {
 	r.fingerprint = quarantine.Fingerprint(r.workspace, append([]byte(r.Method+" "+r.Host+r.URI+"\n"), r.Body...))
-	switch r.server.crashTracker.Check(r.fingerprint, time.Now()) {
+	for _, id := range r.PromptParts[:max(0, len(r.PromptParts)-1)] {
+		r.parts = append(r.parts, quarantine.Part(id))
+	}
+	switch r.server.crashTracker.Check(r.fingerprint, time.Now(), r.parts...) {
 	case quarantine.Quarantined:
 		return quarantinedError()
 	case quarantine.Held:
@@ -83,7 +86,7 @@
 
 // checkQuarantine returns the final error of a request whose content was quarantined since the request was admitted.
 func (r *activeRequest) checkQuarantine() error {
-	if r.server.crashTracker.Check(r.fingerprint, time.Now()) == quarantine.Quarantined {
+	if r.server.crashTracker.Check(r.fingerprint, time.Now(), r.parts...) == quarantine.Quarantined {
 		return quarantinedError()
 	}
 	return nil
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -101,8 +101,9 @@
 
 // CrashTracker attributes crashes of targets to requests. Requests with the same content have the same fingerprint.
 type CrashTracker interface {
-	// RequestStarted records that a request is sent to a target.
-	RequestStarted(request string, fingerprint uint64, target string)
+	// RequestStarted records that a request is sent to a target. parts are the fingerprints of the parts of its content
+	// that other requests may share.
+	RequestStarted(request string, fingerprint uint64, target string, parts ...uint64)
 	// RequestProgressed records that the response to a request has begun.
 	RequestProgressed(request string)
 	// RequestFinished records that a request no longer runs on a target.
@@ -111,9 +112,9 @@
 	TargetCrashed(target string, now time.Time)
 	// RequestCompleted records that a request with this content got a complete response.
 	RequestCompleted(fingerprint uint64)
-	// Check returns the verdict for a content: quarantined if it crashes targets, held if it may have crashed one, or
-	// free.
-	Check(fingerprint uint64, now time.Time) quarantine.Verdict
+	// Check returns the verdict for a content: quarantined if it or one of its parts crashes targets, held if it may have
+	// crashed one, or free.
+	Check(fingerprint uint64, now time.Time, parts ...uint64) quarantine.Verdict
 	// MayRun reports whether a request may be started on a target.
 	MayRun(request string, fingerprint uint64, target string, now time.Time) bool
 }
--- a/pkg/proxy/unary.go
+++ b/pkg/proxy/unary.go
@@ -89,7 +89,7 @@
 	p := path.Path{{Target: t}}
 	release := s.stats.Reserve(p, 1)
 	defer release()
-	s.crashTracker.RequestStarted(r.ID, r.fingerprint, t.Name)
+	s.crashTracker.RequestStarted(r.ID, r.fingerprint, t.Name, r.parts...)
 	defer s.crashTracker.RequestFinished(r.ID, t.Name)
 	r.targets = append(r.targets, t.Name)
 	attempt := r.newAttempt(p)
--- a/pkg/quarantinesync/tracker.go
+++ b/pkg/quarantinesync/tracker.go
@@ -19,6 +19,7 @@
 package quarantinesync
 
 import (
+	"fmt"
 	"sync"
 	"time"
 
@@ -89,9 +90,10 @@
 	return t
 }
 
-// RequestStarted records that a request is sent to a target.
-func (t *Tracker) RequestStarted(request string, fingerprint uint64, target string) {
-	t.detector.RequestStarted(request, fingerprint, target)
+// RequestStarted records that a request is sent to a target. parts are the fingerprints of those parts of its content that
+// other requests may share, from the least to the most specific; see quarantine.Part.
+func (t *Tracker) RequestStarted(request string, fingerprint uint64, target string, parts ...uint64) {
+	t.detector.RequestStarted(request, fingerprint, target, parts...)
 }
 
 // RequestFinished records that a request no longer runs on a target. After a crash, it must follow TargetCrashed.
@@ -120,8 +122,9 @@
 // reportCrash adds a crash to the history and informs the other instances of the requests that may have caused it.
 func (t *Tracker) reportCrash(target string, now time.Time) {
 	report := crashhistory.Report{Target: target}
-	for request, content := range t.detector.RunsWithoutProgress(target) {
-		report.Runs = append(report.Runs, crashhistory.Run{Request: xxhash.Sum64String(request), Content: content})
+	for _, r := range t.detector.RunsWithoutProgress(target) {
+		attempt := xxhash.Sum64String(fmt.Sprint(r.Request, " ", r.Attempt))
+		report.Runs = append(report.Runs, crashhistory.Run{Attempt: attempt, Contents: r.Contents})
 	}
 	t.addReport(report, now)
 	if len(report.Runs) > 0 {
@@ -143,10 +146,7 @@
 
 // AddProgress implements instance.CrashHandler: it clears contents that made progress at another instance.
 func (t *Tracker) AddProgress(contents []uint64) {
-	now := time.Now()
-	for _, content := range contents {
-		t.history.Clear(content, now)
-	}
+	t.history.Clear(contents, time.Now())
 }
 
 // newHold records a hold as broadcast and returns its item.
@@ -157,10 +157,16 @@
 	return membership.Quarantine{Fingerprint: fingerprint, Until: now.Add(holdTTL), Held: true}
 }
 
-// Check returns the verdict on a request's content. Check broadcasts a new quarantine before it returns, since the
-// client may retry the request at another instance as soon as the client has the response.
-func (t *Tracker) Check(fingerprint uint64, now time.Time) quarantine.Verdict {
+// Check returns the verdict on a request's content, which is Quarantined if one of its parts is. Check broadcasts a new
+// quarantine before it returns, since the client may retry the request at another instance as soon as the client has the
+// response.
+func (t *Tracker) Check(fingerprint uint64, now time.Time, parts ...uint64) quarantine.Verdict {
 	t.quarantineCauses(now)
+	for _, part := range parts {
+		if t.detector.IsQuarantined(part, now) {
+			return quarantine.Quarantined
+		}
+	}
 	verdict := t.detector.Check(fingerprint, now)
 	if verdict == quarantine.Quarantined {
 		t.BroadcastNew(now)
@@ -188,9 +194,9 @@
 
 // RequestProgressed records that a request has passed all stages of its path, which clears the request of suspicion.
 func (t *Tracker) RequestProgressed(request string) {
-	content, running := t.detector.RequestProgressed(request)
-	if running && t.history.Progressed(content, time.Now()) {
-		t.sendProgress([]uint64{content})
+	contents := t.detector.RequestProgressed(request)
+	if cleared := t.history.Progressed(contents, time.Now()); len(cleared) > 0 {
+		t.sendProgress(cleared)
 	}
 }
 
--- a/pkg/stream/generation.go
+++ b/pkg/stream/generation.go
@@ -31,7 +31,7 @@
 	}
 	for _, t := range route {
 		g.stages = append(g.stages, r.runner.stages(t))
-		r.runner.crashTracker.RequestStarted(r.req.ID, r.req.Fingerprint, t.Name)
+		r.runner.crashTracker.RequestStarted(r.req.ID, r.req.Fingerprint, t.Name, r.req.Parts...)
 	}
 	return g
 }
--- a/pkg/stream/response.go
+++ b/pkg/stream/response.go
@@ -101,7 +101,7 @@
 // crash is usually known soon; a request that has not is refused.
 func (r *response) awaitVerdict(ctx context.Context) error {
 	for {
-		verdict := r.runner.crashTracker.Check(r.req.Fingerprint, r.runner.now())
+		verdict := r.runner.crashTracker.Check(r.req.Fingerprint, r.runner.now(), r.req.Parts...)
 		r.exclusive = verdict == Suspected
 		switch verdict {
 		case Quarantined:
--- a/pkg/stream/runner.go
+++ b/pkg/stream/runner.go
@@ -109,13 +109,13 @@
 // noCrashTracker lets all content run on any target.
 type noCrashTracker struct{}
 
-func (noCrashTracker) Check(uint64, time.Time) Verdict       { return Free }
-func (noCrashTracker) RequestStarted(string, uint64, string) {}
-func (noCrashTracker) RequestProgressed(string)              {}
-func (noCrashTracker) TargetResponded(string)                {}
-func (noCrashTracker) TargetCrashed(string, time.Time)       {}
-func (noCrashTracker) RequestFinished(string, string)        {}
-func (noCrashTracker) RequestCompleted(uint64)               {}
+func (noCrashTracker) Check(uint64, time.Time, ...uint64) Verdict       { return Free }
+func (noCrashTracker) RequestStarted(string, uint64, string, ...uint64) {}
+func (noCrashTracker) RequestProgressed(string)                         {}
+func (noCrashTracker) TargetResponded(string)                           {}
+func (noCrashTracker) TargetCrashed(string, time.Time)                  {}
+func (noCrashTracker) RequestFinished(string, string)                   {}
+func (noCrashTracker) RequestCompleted(uint64)                          {}
 
 // noRetryBudget allows all retries.
 type noRetryBudget struct{}
--- a/pkg/stream/runner_test.go
+++ b/pkg/stream/runner_test.go
@@ -177,13 +177,15 @@
 	crashed           []string
 }
 
-func (l *fakeCrashTracker) Check(uint64, time.Time) stream.Verdict {
+func (l *fakeCrashTracker) Check(uint64, time.Time, ...uint64) stream.Verdict {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.verdict
 }
 
-func (l *fakeCrashTracker) RequestStarted(_ string, _ uint64, name string) { l.addRunning(name, 1) }
+func (l *fakeCrashTracker) RequestStarted(_ string, _ uint64, name string, _ ...uint64) {
+	l.addRunning(name, 1)
+}
 
 func (l *fakeCrashTracker) RequestFinished(_, name string) { l.addRunning(name, -1) }
 
--- a/pkg/stream/stream.go
+++ b/pkg/stream/stream.go
@@ -95,10 +95,11 @@
 // CrashTracker records which requests run on which targets and which targets crash. It must be safe for concurrent
 // use; an adapter of quarantine.Detector implements it.
 type CrashTracker interface {
-	// Check returns the verdict on the content with that fingerprint.
-	Check(fingerprint uint64, now time.Time) Verdict
-	// RequestStarted records that a request is about to be sent to a target.
-	RequestStarted(request string, fingerprint uint64, target string)
+	// Check returns the verdict on the content with that fingerprint, and with parts of these fingerprints.
+	Check(fingerprint uint64, now time.Time, parts ...uint64) Verdict
+	// RequestStarted records that a request is about to be sent to a target. parts are the fingerprints of the parts of
+	// its content that other requests may share.
+	RequestStarted(request string, fingerprint uint64, target string, parts ...uint64)
 	// RequestProgressed records that the prefill has passed through the whole route. It is called once for each route.
 	RequestProgressed(request string)
 	// TargetResponded records that a target responded. It is called for each step and must be cheap.
@@ -131,6 +132,7 @@
 	MaxTokens   int // MaxTokens is at least 1.
 	Priority    configuration.Priority
 	Fingerprint uint64
+	Parts       []uint64 // Parts are the fingerprints of the messages that other requests may share.
 }
 
 // Token is one output token.
