Do not take a stream without a length that ends before its first event for complete

If its target crashes after the header, the connection ends, the client gets a complete stream without events, and the content is cleared of suspicion.

Cause: the end of the connection was the regular end of such a body. TestEmptyStream and the new case of TestStreamThatCrashesTargets failed before. A stream without a length and without an event has now been broken off; it is repeated where that is allowed, and its target is probed. An end in the middle of an event was taken for broken off before.

Open: a target that ends between two events of such a stream still looks like the end of the stream.

--- a/pkg/proxy/crash_test.go
+++ b/pkg/proxy/crash_test.go
@@ -29,6 +29,11 @@
 		{"in the middle of the first event", func() (*proxy.Response, error) {
 			return streamingResponse(io.MultiReader(strings.NewReader("id: 1\nda"), iotest.ErrReader(errReset))), nil
 		}},
+		{"before the first event, without a length", func() (*proxy.Response, error) {
+			r := streamingResponse(strings.NewReader(""))
+			r.CloseDelimited = true
+			return r, nil
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -6,7 +6,8 @@
 )
 
 // relay forwards the complete events of a response to the client until the response ends. It returns errTruncatedEvent
-// if the response ends in the middle of an event or an event exceeds maxEventBytes.
+// if the response ends in the middle of an event or an event exceeds maxEventBytes, and errEmptyStream if the connection
+// ends before the first event of a stream without a length.
 func (s *activeStream) relay(response *Response) error {
 	buffer := make([]byte, 0, eventBufferBytes)
 	for {
@@ -29,6 +30,8 @@
 		}
 		switch {
 		case err == nil:
+		case isBodyEnd(err) && len(buffer) == 0 && response.CloseDelimited && s.eventCount.Load() == 0:
+			return errEmptyStream
 		case isBodyEnd(err) && len(buffer) == 0:
 			s.sendHeader(response) // A stream without events still has a response header.
 			return nil
--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -63,8 +63,10 @@
 	Header        http.Header // Header holds the end-to-end fields.
 	Body          io.Reader
 	ContentLength int64 // ContentLength is -1 if the length is unknown.
-	Release       func()
-	Abort         func()
+	// CloseDelimited means that the body ends with the connection, so that a target that ends looks like the end of the body.
+	CloseDelimited bool
+	Release        func()
+	Abort          func()
 }
 
 // AttemptError is the error of an attempt that got no response from the target.
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -35,6 +35,9 @@
 // errTruncatedEvent reports a stream whose connection ended in the middle of an event.
 var errTruncatedEvent = errors.New("the stream ended in the middle of an event")
 
+// errEmptyStream reports a stream without a length whose connection ended before the first event: its target has ended.
+var errEmptyStream = errors.New("the connection ended before the first event")
+
 // errTooManyEvents reports a stream with more events than the tokens that the client asked for.
 var errTooManyEvents = errors.New("the stream has more events than tokens were requested")
 
--- a/pkg/proxy/stream_test.go
+++ b/pkg/proxy/stream_test.go
@@ -68,6 +68,36 @@
 	}
 }
 
+// TestEmptyStream guards against an empty response that looks complete, since its target ended before the first event and
+// the response had no length.
+func TestEmptyStream(t *testing.T) {
+	for _, test := range []struct {
+		name           string
+		closeDelimited bool
+		want           string
+		attempts       int
+	}{
+		{"ends with its connection", true, events(1, 3), 2},
+		{"is complete", false, "", 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.upstream.open = func(_ context.Context, n int, _ proxy.Attempt) (*proxy.Response, error) {
+				if n == 1 {
+					r := streamingResponse(strings.NewReader(""))
+					r.CloseDelimited = test.closeDelimited
+					return r, nil
+				}
+				return streamingResponse(strings.NewReader(events(1, 3))), nil
+			}
+			recorder, err := h.call("/plan/1")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, recorder.Body.String(), qt.Equals, test.want)
+			qt.Assert(t, h.upstream.sent(), qt.HasLen, test.attempts)
+		})
+	}
+}
+
 // TestTruncatedStream guards against a truncated stream that looks complete.
 func TestTruncatedStream(t *testing.T) {
 	for _, test := range []struct {
