--- a/pkg/decision/crashhistory/history.go
+++ b/pkg/decision/crashhistory/history.go
@@ -57,7 +57,8 @@
 // History holds the crashes of the fleet. It is safe for concurrent use.
 type History struct {
 	mu          sync.Mutex
-	crashes     []*crash // crashes are ordered by time.
+	crashes     []*crash            // crashes are ordered by time.
+	byContent   map[uint64][]*crash // byContent holds the crashes of each content.
 	progressed  *recentSet
 	causes      *recentSet // causes are the contents that are known to crash targets.
 	changed     bool       // changed means that crashes were added or have settled since the last evaluation.
@@ -66,7 +67,9 @@
 
 // New returns a history without crashes.
 func New() *History {
-	return &History{progressed: newRecentSet(progressTTL, maxRecentContent), causes: newRecentSet(2*crashTTL, maxRecentContent)}
+	return &History{
+		byContent: make(map[uint64][]*crash), progressed: newRecentSet(progressTTL, maxRecentContent), causes: newRecentSet(2*crashTTL, maxRecentContent),
+	}
 }
 
 // Add records a report of this or another instance. It returns the contents that have just made progress at this
@@ -74,7 +77,7 @@
 func (h *History) Add(report Report, now time.Time) (innocent []uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.dropExpired(now)
+	h.dropOldest(now)
 	c := h.crashOf(report.Target, now)
 	for _, r := range report.Runs {
 		suspects, cleared := h.divide(r.Contents, now)
@@ -83,7 +86,7 @@
 				innocent = append(innocent, content)
 			}
 		}
-		c.add(Run{Attempt: r.Attempt, Contents: suspects})
+		h.addRun(c, Run{Attempt: r.Attempt, Contents: suspects})
 	}
 	h.changed = true
 	return innocent
@@ -101,11 +104,22 @@
 	return suspects, cleared
 }
 
-// add adds a run, unless it is known.
-func (c *crash) add(r Run) {
+// addRun adds a run to a crash, unless it is known.
+func (h *History) addRun(c *crash, r Run) {
 	known := slices.ContainsFunc(c.runs, func(other Run) bool { return other.Attempt == r.Attempt })
-	if len(r.Contents) > 0 && !known && len(c.runs) < maxRunsPerCrash {
-		c.runs = append(c.runs, r)
+	if len(r.Contents) == 0 || known || len(c.runs) >= maxRunsPerCrash {
+		return
+	}
+	c.runs = append(c.runs, r)
+	h.index(c, r)
+}
+
+// index adds the crash to those of the run's contents.
+func (h *History) index(c *crash, r Run) {
+	for _, content := range r.Contents {
+		if crashes := h.byContent[content]; !slices.Contains(crashes, c) {
+			h.byContent[content] = append(crashes, c)
+		}
 	}
 }
 
@@ -126,14 +140,25 @@
 	}
 	c := &crash{target: target, at: now}
 	h.crashes = append(h.crashes, c)
-	if len(h.crashes) > maxCrashes {
-		h.crashes = slices.Delete(h.crashes, 0, len(h.crashes)-maxCrashes)
-	}
 	return c
 }
 
-func (h *History) dropExpired(now time.Time) {
+// dropOldest drops the crashes that have expired and, if there are maxCrashes, the older half: the index is then made anew.
+func (h *History) dropOldest(now time.Time) {
+	before := len(h.crashes)
 	h.crashes = slices.DeleteFunc(h.crashes, func(c *crash) bool { return now.Sub(c.at) > crashTTL })
+	if len(h.crashes) >= maxCrashes {
+		h.crashes = slices.Delete(h.crashes, 0, len(h.crashes)/2)
+	}
+	if len(h.crashes) == before {
+		return
+	}
+	clear(h.byContent)
+	for _, c := range h.crashes {
+		for _, r := range c.runs {
+			h.index(c, r)
+		}
+	}
 }
 
 // Progressed records that a request with the contents made progress at this instance, which clears them. It returns those
@@ -157,13 +182,13 @@
 
 // forget removes the content from all crashes and reports whether it was in one.
 func (h *History) forget(content uint64) (found bool) {
-	for _, c := range h.crashes {
-		for i, r := range c.runs {
-			kept := slices.DeleteFunc(r.Contents, func(other uint64) bool { return other == content })
-			found = found || len(kept) < len(r.Contents)
-			c.runs[i].Contents = kept
+	crashes, found := h.byContent[content]
+	for _, c := range crashes {
+		for i := range c.runs {
+			c.runs[i].Contents = slices.DeleteFunc(c.runs[i].Contents, func(other uint64) bool { return other == content })
 		}
 	}
+	delete(h.byContent, content)
 	return found
 }
 
@@ -196,10 +221,11 @@
 // the most specific one, which leaves the others to requests without it.
 func (h *History) findCause(now time.Time) (cause uint64, ok bool) {
 	best := candidate{}
-	for content, specificity := range h.suspects(now) {
-		c := h.count(content, now)
-		c.specificity = specificity
-		if c.isCause() && c.precedes(best) {
+	for content, crashes := range h.byContent {
+		if len(crashes) < minCrashes || h.causes.contains(content, now) {
+			continue
+		}
+		if c := h.count(content, now); c.isCause() && c.precedes(best) {
 			best, ok = c, true
 		}
 	}
@@ -227,36 +253,23 @@
 		cmp.Compare(c.content, other.content)) > 0
 }
 
-// suspects returns the contents of the crashes that are not known causes, with their specificities.
-func (h *History) suspects(now time.Time) map[uint64]int {
-	found := make(map[uint64]int)
-	for _, c := range h.crashes {
-		for _, r := range c.runs {
-			for i, content := range r.Contents {
-				if !h.causes.contains(content, now) {
-					found[content] = max(found[content], i)
-				}
-			}
-		}
-	}
-	return found
-}
-
 // count counts the crashes that count against the content. An attempt counts once, although several targets of its path may
 // have crashed.
 func (h *History) count(content uint64, now time.Time) candidate {
 	result := candidate{content: content}
 	attempts := make(map[uint64]bool)
 	contents := make(map[uint64]bool)
-	for _, c := range h.crashes {
+	for _, c := range h.byContent[content] {
 		if now.Sub(c.at) < settleTime || h.explained(c, content, now) || h.partOfLargerFailure(c, content, now) {
 			continue
 		}
 		further := false
 		for _, r := range c.runs {
-			if !r.involves(content) || attempts[r.Attempt] {
+			position := slices.Index(r.Contents, content)
+			if position < 0 || attempts[r.Attempt] {
 				continue
 			}
+			result.specificity = max(result.specificity, position)
 			attempts[r.Attempt], contents[r.whole()] = true, true
 			result.whole = result.whole || r.whole() == content
 			further = true
--- a/pkg/decision/crashhistory/history_test.go
+++ b/pkg/decision/crashhistory/history_test.go
@@ -118,3 +118,21 @@
 		qt.Assert(t, h.Causes(now.Add(time.Second/2)), qt.HasLen, 0)
 	}
 }
+
+// TestBounds guards against losing the newest crashes, or forgetting to clear content, once many crashes were dropped.
+func TestBounds(t *testing.T) {
+	h := crashhistory.New()
+	now := epoch
+	for i := range uint64(1000) {
+		now = now.Add(time.Second)
+		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Attempt: i, Contents: []uint64{1 << 32, 1<<33 + i}}}}, now)
+		qt.Assert(t, h.Progressed([]uint64{1 << 32}, now.Add(time.Millisecond)), qt.DeepEquals, []uint64{1 << 32})
+		qt.Assert(t, h.Causes(now.Add(time.Second/2)), qt.HasLen, 0)
+		now = now.Add(20 * time.Second)
+	}
+	for i := range uint64(3) {
+		now = now.Add(time.Second)
+		h.Add(crashhistory.Report{Target: fmt.Sprint("bad-", i), Runs: []crashhistory.Run{{Attempt: 1<<40 + i, Contents: []uint64{7}}}}, now)
+	}
+	qt.Assert(t, h.Causes(now.Add(time.Second)), qt.DeepEquals, []uint64{7})
+}
