Bound what the counted crashes cost a large fleet, and let causes end with their quarantines

A report now leaves out what its sender has cleared, and of the instances that all find the same cause only those that reported a crash broadcast it. The log shows the parts of a prompt as fingerprints, of bounded length, as verdicts name them.

--- a/pkg/decision/crashhistory/doc.go
+++ b/pkg/decision/crashhistory/doc.go
@@ -15,14 +15,17 @@
 // parts and clear them by their progress. Of several possible causes the one with the most crashes is chosen, then the most
 // specific one.
 //
-// All instances get the same reports and come to the same causes. A lost report delays the verdict by one crash.
+// All instances get the same reports and come to the same causes. A lost report delays the verdict by one crash. In a large
+// fleet nearly all instances make progress with popular parts, so that an instance leaves out of its report what it has
+// cleared itself, and only instances that reported a crash pass its cause on.
 //
 // A History reads no clock and is safe for concurrent use. Its memory is bounded.
 //
 // Usage:
 //
 //	innocent := history.Add(report, now)          // a crash reported by this or another instance
+//	send(report.Without(innocent))                // if it is of this instance; otherwise, send innocent
 //	cleared := history.Progressed(contents, now)  // the other instances should be told
 //	history.Clear(contents, now)                  // another instance saw progress
-//	for _, content := range history.Causes(now) { ... }
+//	for _, cause := range history.Causes(now) { ... }
 package crashhistory
--- a/pkg/decision/crashhistory/history.go
+++ b/pkg/decision/crashhistory/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -29,6 +30,7 @@
 	evaluationInterval = 50 * time.Millisecond
 
 	maxCrashes       = 128
+	maxCauses        = 4096
 	maxRunsPerCrash  = 256
 	maxRecentContent = 4096 // maxRecentContent bounds the contents of each half of progressTTL.
 )
@@ -44,13 +46,33 @@
 // Report says which requests of one instance ran on a target that crashed.
 type Report struct {
 	Target string
+	Own    bool // Own means that the report is of this instance.
 	Runs   []Run
 }
 
+// Without returns the report without the given contents, and without runs of nothing else.
+func (r Report) Without(contents []uint64) Report {
+	kept := Report{Target: r.Target, Own: r.Own}
+	for _, run := range r.Runs {
+		left := slices.DeleteFunc(slices.Clone(run.Contents), func(content uint64) bool { return slices.Contains(contents, content) })
+		if len(left) > 0 {
+			kept.Runs = append(kept.Runs, Run{Attempt: run.Attempt, Contents: left})
+		}
+	}
+	return kept
+}
+
+// Cause is content that crashes targets.
+type Cause struct {
+	Content uint64
+	Own     bool // Own means that this instance has reported one of the crashes.
+}
+
 // crash is the crash of one target.
 type crash struct {
 	target string
 	at     time.Time
+	own    bool // own means that requests of this instance ran on the target.
 	runs   []Run
 }
 
@@ -60,15 +82,16 @@
 	crashes     []*crash            // crashes are ordered by time.
 	byContent   map[uint64][]*crash // byContent holds the crashes of each content.
 	progressed  *recentSet
-	causes      *recentSet // causes are the contents that are known to crash targets.
-	changed     bool       // changed means that crashes were added or have settled since the last evaluation.
+	causes      map[uint64]time.Time // causes holds until when contents are known to crash targets.
+	changed     bool                 // changed means that crashes were added or have settled since the last evaluation.
 	evaluatedAt time.Time
 }
 
 // New returns a history without crashes.
 func New() *History {
 	return &History{
-		byContent: make(map[uint64][]*crash), progressed: newRecentSet(progressTTL, maxRecentContent), causes: newRecentSet(2*crashTTL, maxRecentContent),
+		byContent: make(map[uint64][]*crash), progressed: newRecentSet(progressTTL, maxRecentContent),
+		causes: make(map[uint64]time.Time),
 	}
 }
 
@@ -79,6 +102,7 @@
 	defer h.mu.Unlock()
 	h.dropOldest(now)
 	c := h.crashOf(report.Target, now)
+	c.own = c.own || report.Own && len(report.Runs) > 0
 	for _, r := range report.Runs {
 		suspects, cleared := h.divide(r.Contents, now)
 		for _, content := range cleared {
@@ -123,14 +147,37 @@
 	}
 }
 
-// AddCause records that another instance found the content to crash targets.
-func (h *History) AddCause(content uint64, now time.Time) {
+// AddCause records that the content was found to crash targets and is not run until the given time.
+func (h *History) AddCause(content uint64, until, now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.causes.add(content, now)
+	h.addCause(content, until, now)
 	h.changed = true
 }
 
+func (h *History) addCause(content uint64, until, now time.Time) {
+	maps.DeleteFunc(h.causes, func(_ uint64, until time.Time) bool { return !until.After(now) })
+	if len(h.causes) >= maxCauses {
+		delete(h.causes, oldest(h.causes))
+	}
+	h.causes[content] = until
+}
+
+// oldest returns the key with the earliest time.
+func oldest(times map[uint64]time.Time) (key uint64) {
+	var earliest time.Time
+	for k, at := range times {
+		if earliest.IsZero() || at.Before(earliest) {
+			key, earliest = k, at
+		}
+	}
+	return key
+}
+
+func (h *History) isCause(content uint64, now time.Time) bool {
+	return h.causes[content].After(now)
+}
+
 // crashOf returns the crash that a report received now is about. It is new if there is none yet.
 func (h *History) crashOf(target string, now time.Time) *crash {
 	for _, c := range slices.Backward(h.crashes) {
@@ -193,7 +240,7 @@
 }
 
 // Causes returns the contents that are newly found to crash targets.
-func (h *History) Causes(now time.Time) []uint64 {
+func (h *History) Causes(now time.Time) []Cause {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.changed || now.Sub(h.evaluatedAt) < evaluationInterval {
@@ -201,17 +248,22 @@
 	}
 	h.evaluatedAt = now
 	h.changed = h.settling(now)
-	var causes []uint64
+	var causes []Cause
 	for {
-		cause, ok := h.findCause(now)
+		content, ok := h.findCause(now)
 		if !ok {
 			return causes
 		}
-		h.causes.add(cause, now)
-		causes = append(causes, cause)
+		h.addCause(content, now.Add(crashTTL), now) // It explains the crashes for as long as they count.
+		causes = append(causes, Cause{Content: content, Own: h.reportedHere(content)})
 	}
 }
 
+// reportedHere reports whether this instance has reported a crash that involves the content.
+func (h *History) reportedHere(content uint64) bool {
+	return slices.ContainsFunc(h.byContent[content], func(c *crash) bool { return c.own })
+}
+
 // settling reports whether a crash does not count yet.
 func (h *History) settling(now time.Time) bool {
 	return len(h.crashes) > 0 && now.Sub(h.crashes[len(h.crashes)-1].at) < settleTime
@@ -222,7 +274,7 @@
 func (h *History) findCause(now time.Time) (cause uint64, ok bool) {
 	best := candidate{}
 	for content, crashes := range h.byContent {
-		if len(crashes) < minCrashes || h.causes.contains(content, now) {
+		if len(crashes) < minCrashes || h.isCause(content, now) {
 			continue
 		}
 		if c := h.count(content, now); c.isCause() && c.precedes(best) {
@@ -287,7 +339,7 @@
 func (h *History) explained(c *crash, content uint64, now time.Time) bool {
 	for _, r := range c.runs {
 		for _, cause := range r.Contents {
-			if h.causes.contains(cause, now) && (cause != r.whole() || !r.involves(content)) {
+			if h.isCause(cause, now) && (cause != r.whole() || !r.involves(content)) {
 				return true
 			}
 		}
--- a/pkg/decision/crashhistory/history_test.go
+++ b/pkg/decision/crashhistory/history_test.go
@@ -78,24 +78,76 @@
 			now := epoch
 			for _, e := range test.events {
 				now = epoch.Add(e.at)
-				causes = append(causes, h.Causes(now)...)
+				causes = append(causes, contentsOf(h.Causes(now))...)
 				switch {
 				case e.target != "":
 					h.Add(crashhistory.Report{Target: e.target, Runs: e.runs}, now)
 				case e.cause != 0:
-					h.AddCause(e.cause, now)
+					h.AddCause(e.cause, now.Add(time.Minute), now)
 				case e.remote:
 					h.Clear(e.progress, now)
 				default:
 					qt.Assert(t, h.Progressed(e.progress, now), qt.DeepEquals, e.progress)
 				}
 			}
-			causes = append(causes, h.Causes(now.Add(time.Second))...)
+			causes = append(causes, contentsOf(h.Causes(now.Add(time.Second)))...)
 			qt.Assert(t, causes, qt.DeepEquals, test.want)
 		})
 	}
 }
 
+func contentsOf(causes []crashhistory.Cause) []uint64 {
+	var contents []uint64
+	for _, c := range causes {
+		contents = append(contents, c.Content)
+	}
+	return contents
+}
+
+// TestCauseReturns guards against content that crashes targets again, unnoticed, once its quarantine has ended, and against
+// taking the content beside it for the cause meanwhile.
+func TestCauseReturns(t *testing.T) {
+	h := crashhistory.New()
+	n := uint64(0)
+	crash := func(at time.Duration) []uint64 {
+		n++
+		now := epoch.Add(at)
+		h.Add(crashhistory.Report{Target: fmt.Sprint("t", n), Runs: []crashhistory.Run{{Attempt: n, Contents: []uint64{7}}, {Attempt: 100 + n, Contents: []uint64{8}}}}, now)
+		if n%2 == 0 {
+			h.Add(crashhistory.Report{Target: fmt.Sprint("u", n), Runs: []crashhistory.Run{{Attempt: 200 + n, Contents: []uint64{7}}}}, now)
+		}
+		return contentsOf(h.Causes(now.Add(time.Second)))
+	}
+	var found []uint64
+	for i := range 6 {
+		found = append(found, crash(time.Duration(i)*10*time.Second)...)
+	}
+	qt.Assert(t, found, qt.DeepEquals, []uint64{7})
+	for i := range 6 {
+		found = append(found, crash(11*time.Minute+time.Duration(i)*10*time.Second)...)
+	}
+	qt.Assert(t, found, qt.DeepEquals, []uint64{7, 7})
+}
+
+// TestManyCauses guards against a search that does not end once there are more causes than are kept.
+func TestManyCauses(t *testing.T) {
+	h := crashhistory.New()
+	for i := range uint64(5000) {
+		h.AddCause(i, epoch.Add(time.Minute+time.Duration(i)), epoch)
+	}
+	for i := range uint64(3) {
+		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Attempt: i, Contents: []uint64{1 << 40}}}}, epoch.Add(time.Second))
+	}
+	qt.Assert(t, contentsOf(h.Causes(epoch.Add(2*time.Second))), qt.DeepEquals, []uint64{1 << 40})
+}
+
+// TestWithout guards against a report that makes each instance of a large fleet answer, since it names popular parts.
+func TestWithout(t *testing.T) {
+	report := crashhistory.Report{Target: "t", Own: true, Runs: []crashhistory.Run{{Attempt: 1, Contents: []uint64{5, 6}}, {Attempt: 2, Contents: []uint64{5}}}}
+	want := crashhistory.Report{Target: "t", Own: true, Runs: []crashhistory.Run{{Attempt: 1, Contents: []uint64{6}}}}
+	qt.Assert(t, report.Without([]uint64{5}), qt.DeepEquals, want)
+}
+
 // TestInnocent guards against refusing content that makes progress all the time, while all targets crash.
 func TestInnocent(t *testing.T) {
 	h := crashhistory.New()
@@ -111,7 +163,7 @@
 // TestLateCrash guards against counting a crash under a known cause against other content on the target.
 func TestLateCrash(t *testing.T) {
 	h := crashhistory.New()
-	h.AddCause(7, epoch)
+	h.AddCause(7, epoch.Add(time.Minute), epoch)
 	for i := range 5 {
 		now := epoch.Add(time.Duration(i) * time.Second)
 		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Attempt: uint64(i), Contents: []uint64{7}}, {Attempt: uint64(100 + i), Contents: []uint64{8}}}}, now)
@@ -134,5 +186,5 @@
 		now = now.Add(time.Second)
 		h.Add(crashhistory.Report{Target: fmt.Sprint("bad-", i), Runs: []crashhistory.Run{{Attempt: 1<<40 + i, Contents: []uint64{7}}}}, now)
 	}
-	qt.Assert(t, h.Causes(now.Add(time.Second)), qt.DeepEquals, []uint64{7})
+	qt.Assert(t, contentsOf(h.Causes(now.Add(time.Second))), qt.DeepEquals, []uint64{7})
 }
--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -66,8 +66,8 @@
 	return nil
 }
 
-// checkCrashes refuses a request whose content, or a part of whose prompt, is quarantined, since it crashes the targets that run it, or held, since
-// it may have crashed one.
+// checkCrashes refuses a request whose content, or a part of whose prompt, is quarantined, since it crashes the targets
+// that run it, or whose content is held, since it may have crashed one.
 func (r *activeRequest) checkCrashes() error {
 	r.fingerprint = quarantine.Fingerprint(r.workspace, append([]byte(r.Method+" "+r.Host+r.URI+"\n"), r.Body...))
 	for _, id := range r.PromptParts[:max(0, len(r.PromptParts)-1)] {
--- a/pkg/proxy/result.go
+++ b/pkg/proxy/result.go
@@ -48,10 +48,10 @@
 	}
 	if r.route != nil {
 		entry = entry.Str("Route", r.route.Name).Str("Workspace", r.workspace).Int("Attempts", r.attempts).Int("Refusals", r.refusals).
-			Dur("Goal", r.route.LatencyGoal).Dur("PauseGoal", r.route.EventGapGoal).Str("Content", quarantinesync.FormatFingerprint(r.fingerprint))
+			Dur("Goal", r.route.LatencyGoal).Dur("PauseGoal", r.route.EventGapGoal)
 	}
-	if len(r.PromptParts) > 0 {
-		entry = entry.Str("Parts", strings.Join(r.PromptParts, ","))
+	if r.fingerprint != 0 {
+		entry = entry.Str("Content", quarantinesync.FormatFingerprint(r.fingerprint)).Str("Parts", quarantinesync.FormatFingerprints(r.parts))
 	}
 	if len(r.targets) > 0 {
 		entry = entry.Str("Targets", strings.Join(r.targets, "; "))
--- a/pkg/quarantinesync/log.go
+++ b/pkg/quarantinesync/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	"github.com/rcrowley/go-metrics"
 
@@ -31,6 +32,15 @@
 	return fmt.Sprintf("%016x", fingerprint)
 }
 
+// FormatFingerprints returns fingerprints as the logs show them, separated by commas.
+func FormatFingerprints(fingerprints []uint64) string {
+	formatted := make([]string, len(fingerprints))
+	for i, f := range fingerprints {
+		formatted[i] = FormatFingerprint(f)
+	}
+	return strings.Join(formatted, ",")
+}
+
 // loggedSuspect is a suspect in the log.
 type loggedSuspect struct {
 	Request string
--- a/pkg/quarantinesync/tracker.go
+++ b/pkg/quarantinesync/tracker.go
@@ -121,29 +121,25 @@
 
 // reportCrash adds a crash to the history and informs the other instances of the requests that may have caused it.
 func (t *Tracker) reportCrash(target string, now time.Time) {
-	report := crashhistory.Report{Target: target}
+	report := crashhistory.Report{Target: target, Own: true}
 	for _, r := range t.detector.RunsWithoutProgress(target) {
 		attempt := xxhash.Sum64String(fmt.Sprint(r.Request, " ", r.Attempt))
 		report.Runs = append(report.Runs, crashhistory.Run{Attempt: attempt, Contents: r.Contents})
 	}
-	t.addReport(report, now)
-	if len(report.Runs) > 0 {
+	innocent := t.history.Add(report, now)
+	if report = report.Without(innocent); len(report.Runs) > 0 {
 		t.sendCrash(report)
 	}
 }
 
-// addReport adds a crash to the history. If content of it has just made progress at this instance, the others are told.
-func (t *Tracker) addReport(report crashhistory.Report, now time.Time) {
-	if innocent := t.history.Add(report, now); len(innocent) > 0 {
+// AddReport implements instance.CrashHandler: it adds a crash under requests of another instance. If content of it has just
+// made progress at this instance, the others are told.
+func (t *Tracker) AddReport(report crashhistory.Report) {
+	if innocent := t.history.Add(report, time.Now()); len(innocent) > 0 {
 		t.sendProgress(innocent)
 	}
 }
 
-// AddReport implements instance.CrashHandler: it adds a crash under requests of another instance.
-func (t *Tracker) AddReport(report crashhistory.Report) {
-	t.addReport(report, time.Now())
-}
-
 // AddProgress implements instance.CrashHandler: it clears contents that made progress at another instance.
 func (t *Tracker) AddProgress(contents []uint64) {
 	t.history.Clear(contents, time.Now())
@@ -174,17 +170,32 @@
 	return verdict
 }
 
-// quarantineCauses quarantines the contents that the crashes of the fleet show to crash targets.
+// quarantineCauses quarantines the contents that the crashes of the fleet show to crash targets. All instances find the same;
+// those that have reported a crash under the content broadcast it.
 func (t *Tracker) quarantineCauses(now time.Time) {
 	causes := t.history.Causes(now)
-	for _, content := range causes {
-		t.detector.Quarantine(content, now.Add(quarantine.Duration))
+	for _, c := range causes {
+		until := now.Add(quarantine.Duration)
+		t.detector.Quarantine(c.Content, until)
+		if !c.Own {
+			t.markShared(c.Content, until)
+		}
 	}
 	if len(causes) > 0 {
 		t.BroadcastNew(now)
 	}
 }
 
+// markShared records that the other instances have a quarantine.
+func (t *Tracker) markShared(fingerprint uint64, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.sharedQuarantines[fingerprint].Before(until) {
+		t.logVerdict(fingerprint, quarantine.Quarantined, remoteVerdict)
+		t.sharedQuarantines[fingerprint] = until
+	}
+}
+
 // BroadcastNew broadcasts the quarantines and holds that the other instances do not have yet.
 func (t *Tracker) BroadcastNew(now time.Time) {
 	if items := t.takeUnsent(now); len(items) > 0 {
@@ -231,13 +242,8 @@
 func (t *Tracker) AddRemote(q membership.Quarantine, now time.Time) {
 	if !q.Held {
 		t.detector.AddQuarantined(q.Fingerprint, q.Until)
-		t.history.AddCause(q.Fingerprint, now)
-		t.mu.Lock()
-		defer t.mu.Unlock()
-		if t.sharedQuarantines[q.Fingerprint].Before(q.Until) {
-			t.logVerdict(q.Fingerprint, quarantine.Quarantined, remoteVerdict)
-		}
-		t.sharedQuarantines[q.Fingerprint] = q.Until
+		t.history.AddCause(q.Fingerprint, q.Until, now)
+		t.markShared(q.Fingerprint, q.Until)
 		return
 	}
 	t.mu.Lock()
