Do not quarantine the content of one request that meets several failing targets

Cause: three attempts of one request were evidence enough. The crashes must now be under two requests at least; a request by itself is bounded by its attempts. Two new cases of TestCauses, of which the first failed before.

--- a/pkg/decision/crashhistory/doc.go
+++ b/pkg/decision/crashhistory/doc.go
@@ -3,7 +3,7 @@
 // A client sends a request again to any instance, so that each instance sees only some of the crashes that the request
 // causes. Package quarantine judges the crashes that one instance has seen, and leaves the verdict open where another
 // cause is possible. A History counts the crashes of the whole fleet and bounds what such content can do: it is a cause
-// after minCrashes crashes, whatever else crashes at the time.
+// after minCrashes crashes under different requests, whatever else crashes at the time.
 //
 // Each instance reports the requests that ran on a crashed target and had made no progress. Reports of several instances
 // on the same target are one crash. Content that makes progress anywhere does not crash targets: it is cleared, and an
--- a/pkg/decision/crashhistory/history.go
+++ b/pkg/decision/crashhistory/history.go
@@ -11,6 +11,9 @@
 const (
 	// minCrashes is the number of crashes after which content is a cause.
 	minCrashes = 3
+	// minRequests is the number of different requests under which it must have crashed them: one request that is retried
+	// while several targets fail may meet each of them.
+	minRequests = 2
 	// minContents is the number of different contents under which a part of them must have crashed targets.
 	minContents = 2
 	// settleTime is how long after a crash it counts: the reports of other instances arrive meanwhile.
@@ -37,6 +40,7 @@
 
 // Run is a request that ran on a crashed target and had made no progress.
 type Run struct {
+	Request uint64 // Request is a hash of the request's ID.
 	Attempt uint64 // Attempt is a hash of the request's ID and of the number of its attempt.
 	// Contents are the fingerprints of what may have caused the crash, from the least to the most specific: of the parts
 	// of the content that other requests may share, and of the content as a whole.
@@ -56,7 +60,7 @@
 	for _, run := range r.Runs {
 		left := slices.DeleteFunc(slices.Clone(run.Contents), func(content uint64) bool { return slices.Contains(contents, content) })
 		if len(left) > 0 {
-			kept.Runs = append(kept.Runs, Run{Attempt: run.Attempt, Contents: left})
+			kept.Runs = append(kept.Runs, Run{Request: run.Request, Attempt: run.Attempt, Contents: left})
 		}
 	}
 	return kept
@@ -110,7 +114,7 @@
 				innocent = append(innocent, content)
 			}
 		}
-		h.addRun(c, Run{Attempt: r.Attempt, Contents: suspects})
+		h.addRun(c, Run{Request: r.Request, Attempt: r.Attempt, Contents: suspects})
 	}
 	h.changed = true
 	return innocent
@@ -289,6 +293,7 @@
 	content     uint64
 	crashes     int
 	whole       bool // whole means that it is the whole content of the requests, not a part.
+	requests    int  // requests counts the different requests that ran.
 	contents    int  // contents counts the different whole contents of the requests that ran.
 	specificity int  // specificity is the position in Run.Contents.
 }
@@ -296,7 +301,7 @@
 // isCause reports whether the crashes are enough. The crashes of a part must be of different contents: otherwise the whole
 // content is the cause.
 func (c candidate) isCause() bool {
-	return c.crashes >= minCrashes && (c.whole || c.contents >= minContents)
+	return c.crashes >= minCrashes && c.requests >= minRequests && (c.whole || c.contents >= minContents)
 }
 
 // precedes reports whether the candidate is the more likely cause. The fingerprint makes the order the same everywhere.
@@ -310,6 +315,7 @@
 func (h *History) count(content uint64, now time.Time) candidate {
 	result := candidate{content: content}
 	attempts := make(map[uint64]bool)
+	requests := make(map[uint64]bool)
 	contents := make(map[uint64]bool)
 	for _, c := range h.byContent[content] {
 		if now.Sub(c.at) < settleTime || h.explained(c, content, now) || h.partOfLargerFailure(c, content, now) {
@@ -322,7 +328,7 @@
 				continue
 			}
 			result.specificity = max(result.specificity, position)
-			attempts[r.Attempt], contents[r.whole()] = true, true
+			attempts[r.Attempt], requests[r.Request], contents[r.whole()] = true, true, true
 			result.whole = result.whole || r.whole() == content
 			further = true
 		}
@@ -330,7 +336,7 @@
 			result.crashes++
 		}
 	}
-	result.contents = len(contents)
+	result.requests, result.contents = len(requests), len(contents)
 	return result
 }
 
--- a/pkg/decision/crashhistory/history_test.go
+++ b/pkg/decision/crashhistory/history_test.go
@@ -25,7 +25,10 @@
 // TestCauses guards against content that goes on crashing targets, and against refusing content that shares targets with it.
 func TestCauses(t *testing.T) {
 	run := func(attempt uint64, contents ...uint64) crashhistory.Run {
-		return crashhistory.Run{Attempt: attempt, Contents: contents}
+		return crashhistory.Run{Request: attempt, Attempt: attempt, Contents: contents}
+	}
+	retry := func(request, attempt, content uint64) crashhistory.Run {
+		return crashhistory.Run{Request: request, Attempt: attempt, Contents: []uint64{content}}
 	}
 	crash := func(at time.Duration, target string, runs ...crashhistory.Run) event {
 		return event{at: at, target: target, runs: runs}
@@ -41,6 +44,12 @@
 		{"two crashes", []event{crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7))}, nil},
 		{"reports on the same crash", []event{crash(0, "a", run(1, 7)), crash(s/2, "a", run(2, 7)), crash(s, "a", run(3, 7))}, nil},
 		{"one attempt whose path crashed", []event{crash(0, "a", run(1, 7)), crash(s, "b", run(1, 7)), crash(2*s, "c", run(1, 7))}, nil},
+		{"one request that meets three targets", []event{
+			crash(0, "a", retry(1, 1, 7)), crash(s/10, "b", retry(1, 2, 7)), crash(s/5, "c", retry(1, 3, 7)),
+		}, nil},
+		{"two requests, one of them retried", []event{
+			crash(0, "a", retry(1, 1, 7)), crash(s/10, "b", retry(1, 2, 7)), crash(s, "c", retry(2, 3, 7)),
+		}, []uint64{7}},
 		{"progress after two crashes", []event{
 			crash(0, "a", run(1, 7)), crash(s, "b", run(2, 7)), {at: 2 * s, progress: []uint64{7}}, crash(13*s, "c", run(3, 7)),
 		}, nil},
@@ -112,9 +121,9 @@
 	crash := func(at time.Duration) []uint64 {
 		n++
 		now := epoch.Add(at)
-		h.Add(crashhistory.Report{Target: fmt.Sprint("t", n), Runs: []crashhistory.Run{{Attempt: n, Contents: []uint64{7}}, {Attempt: 100 + n, Contents: []uint64{8}}}}, now)
+		h.Add(crashhistory.Report{Target: fmt.Sprint("t", n), Runs: []crashhistory.Run{{Request: n, Attempt: n, Contents: []uint64{7}}, {Request: 100 + n, Attempt: 100 + n, Contents: []uint64{8}}}}, now)
 		if n%2 == 0 {
-			h.Add(crashhistory.Report{Target: fmt.Sprint("u", n), Runs: []crashhistory.Run{{Attempt: 200 + n, Contents: []uint64{7}}}}, now)
+			h.Add(crashhistory.Report{Target: fmt.Sprint("u", n), Runs: []crashhistory.Run{{Request: 200 + n, Attempt: 200 + n, Contents: []uint64{7}}}}, now)
 		}
 		return contentsOf(h.Causes(now.Add(time.Second)))
 	}
@@ -136,15 +145,15 @@
 		h.AddCause(i, epoch.Add(time.Minute+time.Duration(i)), epoch)
 	}
 	for i := range uint64(3) {
-		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Attempt: i, Contents: []uint64{1 << 40}}}}, epoch.Add(time.Second))
+		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Request: i, Attempt: i, Contents: []uint64{1 << 40}}}}, epoch.Add(time.Second))
 	}
 	qt.Assert(t, contentsOf(h.Causes(epoch.Add(2*time.Second))), qt.DeepEquals, []uint64{1 << 40})
 }
 
 // TestWithout guards against a report that makes each instance of a large fleet answer, since it names popular parts.
 func TestWithout(t *testing.T) {
-	report := crashhistory.Report{Target: "t", Own: true, Runs: []crashhistory.Run{{Attempt: 1, Contents: []uint64{5, 6}}, {Attempt: 2, Contents: []uint64{5}}}}
-	want := crashhistory.Report{Target: "t", Own: true, Runs: []crashhistory.Run{{Attempt: 1, Contents: []uint64{6}}}}
+	report := crashhistory.Report{Target: "t", Own: true, Runs: []crashhistory.Run{{Request: 1, Attempt: 1, Contents: []uint64{5, 6}}, {Request: 2, Attempt: 2, Contents: []uint64{5}}}}
+	want := crashhistory.Report{Target: "t", Own: true, Runs: []crashhistory.Run{{Request: 1, Attempt: 1, Contents: []uint64{6}}}}
 	qt.Assert(t, report.Without([]uint64{5}), qt.DeepEquals, want)
 }
 
@@ -154,7 +163,7 @@
 	for i := range 100 {
 		now := epoch.Add(time.Duration(i) * time.Second)
 		h.Progressed([]uint64{7}, now)
-		innocent := h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Attempt: uint64(i), Contents: []uint64{7}}}}, now)
+		innocent := h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Request: uint64(i), Attempt: uint64(i), Contents: []uint64{7}}}}, now)
 		qt.Assert(t, innocent, qt.DeepEquals, []uint64{7})
 		qt.Assert(t, h.Causes(now.Add(time.Second/2)), qt.HasLen, 0)
 	}
@@ -166,7 +175,7 @@
 	h.AddCause(7, epoch.Add(time.Minute), epoch)
 	for i := range 5 {
 		now := epoch.Add(time.Duration(i) * time.Second)
-		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Attempt: uint64(i), Contents: []uint64{7}}, {Attempt: uint64(100 + i), Contents: []uint64{8}}}}, now)
+		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Request: uint64(i), Attempt: uint64(i), Contents: []uint64{7}}, {Request: uint64(100 + i), Attempt: uint64(100 + i), Contents: []uint64{8}}}}, now)
 		qt.Assert(t, h.Causes(now.Add(time.Second/2)), qt.HasLen, 0)
 	}
 }
@@ -177,14 +186,14 @@
 	now := epoch
 	for i := range uint64(1000) {
 		now = now.Add(time.Second)
-		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Attempt: i, Contents: []uint64{1 << 32, 1<<33 + i}}}}, now)
+		h.Add(crashhistory.Report{Target: fmt.Sprint("t", i), Runs: []crashhistory.Run{{Request: i, Attempt: i, Contents: []uint64{1 << 32, 1<<33 + i}}}}, now)
 		qt.Assert(t, h.Progressed([]uint64{1 << 32}, now.Add(time.Millisecond)), qt.DeepEquals, []uint64{1 << 32})
 		qt.Assert(t, h.Causes(now.Add(time.Second/2)), qt.HasLen, 0)
 		now = now.Add(20 * time.Second)
 	}
 	for i := range uint64(3) {
 		now = now.Add(time.Second)
-		h.Add(crashhistory.Report{Target: fmt.Sprint("bad-", i), Runs: []crashhistory.Run{{Attempt: 1<<40 + i, Contents: []uint64{7}}}}, now)
+		h.Add(crashhistory.Report{Target: fmt.Sprint("bad-", i), Runs: []crashhistory.Run{{Request: 1<<40 + i, Attempt: 1<<40 + i, Contents: []uint64{7}}}}, now)
 	}
 	qt.Assert(t, contentsOf(h.Causes(now.Add(time.Second))), qt.DeepEquals, []uint64{7})
 }
--- a/pkg/peer/instance/crash.go
+++ b/pkg/peer/instance/crash.go
@@ -17,7 +17,7 @@
 	crashBurst = 40
 	// maxFingerprints bounds the fingerprints of a message, so that it fits one packet. A run counts as runOverhead more.
 	maxFingerprints = 96
-	runOverhead     = 2
+	runOverhead     = 3
 )
 
 // CrashHandler handles what other instances say about crashes. Its methods are called from the goroutine that reads all
@@ -47,7 +47,7 @@
 			}
 			c, size = &instancepb.Crash{Target: report.Target}, 0
 		}
-		c.Runs = append(c.Runs, &instancepb.CrashedRun{Attempt: r.Attempt, Contents: r.Contents})
+		c.Runs = append(c.Runs, &instancepb.CrashedRun{Request: r.Request, Attempt: r.Attempt, Contents: r.Contents})
 		size += added
 	}
 	return n.sendToOthers(&instancepb.StatusUpdate{Crash: c})
@@ -86,7 +86,7 @@
 	if c := u.GetCrash(); c != nil {
 		report := crashhistory.Report{Target: c.GetTarget()}
 		for _, r := range c.GetRuns() {
-			report.Runs = append(report.Runs, crashhistory.Run{Attempt: r.GetAttempt(), Contents: r.GetContents()})
+			report.Runs = append(report.Runs, crashhistory.Run{Request: r.GetRequest(), Attempt: r.GetAttempt(), Contents: r.GetContents()})
 		}
 		n.crashHandler.AddReport(report)
 	}
--- a/pkg/peer/instance/crash_test.go
+++ b/pkg/peer/instance/crash_test.go
@@ -58,7 +58,7 @@
 	eventually(t, 10*time.Second, "members", func() bool { return len(sender.Members()) == 2 })
 	report := crashhistory.Report{Target: "t1"}
 	for i := range uint64(runs) {
-		r := crashhistory.Run{Attempt: 1<<63 + i}
+		r := crashhistory.Run{Request: 1<<61 + i, Attempt: 1<<63 + i}
 		for part := range uint64(parts + 1) {
 			r.Contents = append(r.Contents, 1<<62+i<<8+part)
 		}
--- a/pkg/quarantinesync/tracker.go
+++ b/pkg/quarantinesync/tracker.go
@@ -123,8 +123,9 @@
 func (t *Tracker) reportCrash(target string, now time.Time) {
 	report := crashhistory.Report{Target: target, Own: true}
 	for _, r := range t.detector.RunsWithoutProgress(target) {
-		attempt := xxhash.Sum64String(fmt.Sprint(r.Request, " ", r.Attempt))
-		report.Runs = append(report.Runs, crashhistory.Run{Attempt: attempt, Contents: r.Contents})
+		report.Runs = append(report.Runs, crashhistory.Run{
+			Request: xxhash.Sum64String(r.Request), Attempt: xxhash.Sum64String(fmt.Sprint(r.Request, " ", r.Attempt)), Contents: r.Contents,
+		})
 	}
 	innocent := t.history.Add(report, now)
 	if report = report.Without(innocent); len(report.Runs) > 0 {
