Log and count the request limits that targets name

A response now carries the limit that it names, or that it names none, and each change of it at an instance is logged. No decision uses it yet.

--- a/pkg/proxy/request.go
+++ b/pkg/proxy/request.go
@@ -65,10 +65,17 @@
 	ContentLength int64 // ContentLength is -1 if the length is unknown.
 	// CloseDelimited means that the body ends with the connection, so that a target that ends looks like the end of the body.
 	CloseDelimited bool
+	RequestLimit   RequestLimit
 	Release        func()
 	Abort          func()
 }
 
+// RequestLimit is the limit on requests that a response of a target names.
+type RequestLimit struct {
+	PerSecond float64 // PerSecond is the number of requests a second that the target takes from all instances together.
+	Named     bool    // Named is false if the response names no limit.
+}
+
 // AttemptError is the error of an attempt that got no response from the target.
 type AttemptError struct {
 	// NotRun means that the request has not run and never will.
@@ -81,6 +88,7 @@
 	Refused bool
 	// FailedTarget is the address of the stage that failed, if the response names one.
 	FailedTarget netip.AddrPort
+	RequestLimit RequestLimit
 	Cause        error
 }
 
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -14,6 +14,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/linkbudget"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/memorylimit"
+	"github.com/cuminroute/cuminroute/pkg/decision/requestlimit"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 	"github.com/cuminroute/cuminroute/pkg/quarantinesync"
@@ -29,18 +30,19 @@
 
 // Server serves requests. It is safe for concurrent use.
 type Server struct {
-	snapshots    SnapshotSource
-	upstream     Upstream
-	stats        *targetstats.Tracker
-	retryBudget  *retry.Budget
-	linkBudget   *linkbudget.Budget
-	memoryLimit  *memorylimit.Limit
-	crashTracker CrashTracker
-	dataCentre   string
-	logger       *log.Logger
-	counters     counters
-	detector     *failureDetector
-	stopping     func() bool
+	snapshots      SnapshotSource
+	upstream       Upstream
+	stats          *targetstats.Tracker
+	retryBudget    *retry.Budget
+	linkBudget     *linkbudget.Budget
+	memoryLimit    *memorylimit.Limit
+	crashTracker   CrashTracker
+	requestLimiter *requestlimit.Limiter
+	dataCentre     string
+	logger         *log.Logger
+	counters       counters
+	detector       *failureDetector
+	stopping       func() bool
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -114,7 +116,8 @@
 func New(snapshots SnapshotSource, upstream Upstream, stats *targetstats.Tracker, options ...Option) *Server {
 	s := &Server{
 		snapshots: snapshots, upstream: upstream, stats: stats, retryBudget: retry.New(), linkBudget: linkbudget.New(), memoryLimit: memorylimit.New(),
-		crashTracker: quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
+		requestLimiter: requestlimit.New(),
+		crashTracker:   quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
 		stopping: func() bool { return false },
 		counters: newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -184,6 +184,7 @@
 	s.attemptStarted(cancel)
 	sentAt := time.Now()
 	response, err := s.server.upstream.Open(attemptCtx, attempt)
+	s.server.recordRequestLimit(p[0].Target.Name, response, err)
 	s.recordPossibleRun(p[0].Target.Name, sentAt, err)
 	if err != nil {
 		cancel()
--- a/pkg/proxy/unary.go
+++ b/pkg/proxy/unary.go
@@ -99,6 +99,7 @@
 	}
 	sent := time.Now()
 	response, err := s.upstream.Open(ctx, attempt)
+	s.recordRequestLimit(t.Name, response, err)
 	if err != nil {
 		s.detector.examineAfterBreak(t, err)
 		return false, r.handleFailure(err, p)
