--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/quarantine"
+	"github.com/cuminroute/cuminroute/pkg/proxy"
 )
 
 // TestCrashesAreCountedByTheFleet guards against content that crashes targets again at each instance to which it is sent.
@@ -84,11 +85,16 @@
 
 // startFleet starts instances that know each other.
 func startFleet(t *testing.T, instances int) []*Gateway {
-	store := newFilledStore()
-	control := &fakeTargetControl{store: store}
-	gateways := []*Gateway{start(t, "i0", store, control)}
+	return startFleetWith(t, instances, newFilledStore(), nil)
+}
+
+// startFleetWith starts instances that know each other, on a store and with an upstream, which may be nil.
+func startFleetWith(t *testing.T, instances int, store *fakeStore, upstream proxy.Upstream) []*Gateway {
+	platform := fakePlatform(store, &fakeTargetControl{store: store})
+	platform.Upstream = upstream
+	gateways := []*Gateway{startOn(t, "i0", platform)}
 	for i := 1; i < instances; i++ {
-		gateways = append(gateways, start(t, fmt.Sprint("i", i), store, control, gateways[0]))
+		gateways = append(gateways, startOn(t, fmt.Sprint("i", i), platform, gateways[0]))
 	}
 	for _, g := range gateways {
 		eventually(t, "all instances", func() bool { return len(g.peers.node.Members()) == instances })
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -232,7 +232,7 @@
 	return t, err
 }
 
-// decodeCatalogue decodes configurations of the fake store, which consist of their version only.
+// decodeCatalogue decodes configurations of the fake store, which consist of their version only: the routes and services are always the same.
 func decodeCatalogue(content []byte) (*catalogue.Catalogue, error) {
 	var version uint64
 	if _, err := fmt.Sscan(string(content), &version); err != nil {
@@ -242,7 +242,11 @@
 		Layers: 4, LayerBytes: 10, KVBytesPerToken: 4, KVCapacity: 1, LoadTime: 50 * time.Millisecond,
 		Accelerators: map[string]catalogue.Accelerator{"k": {MemoryBytes: 25, StepFactor: 1, PrefillFactor: 1}},
 	}
-	return catalogue.New(version, catalogue.Limits{}, nil, []catalogue.Service{{Name: "model", Engine: engine}}, nil)
+	desk := catalogue.Route{
+		Name: "desk", Host: "shop.example", Prefix: "/desk/", Kind: catalogue.NonIdempotent, Timeout: time.Second, MaxAttempts: 1, Public: true,
+		WeightedServices: []catalogue.WeightedService{{Service: "desk"}},
+	}
+	return catalogue.New(version, catalogue.Limits{}, []catalogue.Route{desk}, []catalogue.Service{{Name: "model", Engine: engine}, {Name: "desk"}}, nil)
 }
 
 func fakePlatform(s Store, c TargetControl) Platform {
@@ -303,6 +307,11 @@
 
 // start starts a gateway on loopback addresses. Its seeds are the given gateways.
 func start(t *testing.T, name string, s Store, c TargetControl, seeds ...*Gateway) *Gateway {
+	return startOn(t, name, fakePlatform(s, c), seeds...)
+}
+
+// startOn starts a gateway as start does, on a platform.
+func startOn(t *testing.T, name string, platform Platform, seeds ...*Gateway) *Gateway {
 	settings := Settings{
 		Instance: name, DataCentre: "dc", MemoryLimit: 1 << 30, GracePeriod: time.Second, MaxConfigurationAge: 5 * time.Second,
 		ClientAddress: loopback, ReadinessAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback,
@@ -312,7 +321,7 @@
 		settings.Seeds = append(settings.Seeds, seed.peers.node.Address())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	g, err := New(ctx, settings, fakePlatform(s, c), WithLogOutput(discard{}))
+	g, err := New(ctx, settings, platform, WithLogOutput(discard{}))
 	if err != nil {
 		cancel()
 		t.Fatal(err)
