Keep the request limits that targets name, by all instances together

Cause: the header was forwarded to clients and read by nothing, and no decision counts requests a second. Class: a statement of a peer that no part of the program owns. The limit holds for all machines together, so that keeping it at each instance would not have been enough.

Each gets permits at its part of the limit, by its demand; permits expire, so that the instances of a large fleet do not collect one each. A limit ends with the first response without one, anywhere. A request whose preferred first target has no permit takes another; if all first targets are used up, it is refused at once as targets_limited with Retry-After; if another one only lacks room, it waits as before.

Evidence: TestRequestLimit and TestRequestLimitHoldsForTheFleet failed before (86 requests in 4 s of 35 allowed, 120 of 53) and pass; TestFleetKeepsLimit simulates fleets of up to 146 instances.

--- a/pkg/decision/retryshare/share.go
+++ b/pkg/decision/retryshare/share.go
@@ -74,17 +74,24 @@
 	return int64(now.Sub(s.startedAt) / bucketTime)
 }
 
+// Instances returns the highest number of live instances that was recently observed, this one included.
+func (s *Share) Instances(now time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	instances := 1
+	for bucket, n := range s.highest {
+		if bucket >= s.bucket(now)-int64(memory/bucketTime) {
+			instances = max(instances, n)
+		}
+	}
+	return instances
+}
+
 // Limits returns the retries per second and the retries at once that this instance may make.
 func (s *Share) Limits(now time.Time) (perSecond, burst float64) {
 	if now.Sub(s.startedAt) < settleTime || s.window <= 0 {
 		return settlingRate, settlingBurst
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	instances := 1
-	for _, n := range s.highest {
-		instances = max(instances, n)
-	}
-	part := s.retries / float64(instances)
+	part := s.retries / float64(s.Instances(now))
 	return rateFraction * part / s.window.Seconds(), burstFraction * part
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/crashhistory"
 	"github.com/cuminroute/cuminroute/pkg/decision/linkbudget"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/requestlimit"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/retryshare"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
@@ -61,15 +62,16 @@
 	output   io.Writer
 	logQueue *logqueue.Queue
 
-	cache        *stateCache
-	targetStats  *targetstats.Tracker
-	retryBudget  *retry.Budget
-	retryShare   *retryshare.Share
-	linkBudget   *linkbudget.Budget
-	crashTracker *quarantinesync.Tracker
-	server       *proxy.Server
-	leader       *leader
-	peers        *peers
+	cache          *stateCache
+	targetStats    *targetstats.Tracker
+	retryBudget    *retry.Budget
+	retryShare     *retryshare.Share
+	requestLimiter *requestlimit.Limiter
+	linkBudget     *linkbudget.Budget
+	crashTracker   *quarantinesync.Tracker
+	server         *proxy.Server
+	leader         *leader
+	peers          *peers
 
 	clientListener, readinessListener, operatorListener net.Listener
 
@@ -102,7 +104,7 @@
 func New(ctx context.Context, settings Settings, platform Platform, options ...Option) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, platform: platform, registry: metrics.NewRegistry(), output: os.Stdout,
-		targetStats: targetstats.New(), linkBudget: linkbudget.New(), done: make(chan struct{}), storeFailing: make(map[string]bool),
+		targetStats: targetstats.New(), linkBudget: linkbudget.New(), requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), done: make(chan struct{}), storeFailing: make(map[string]bool),
 	}
 	for _, o := range options {
 		o(g)
@@ -119,6 +121,7 @@
 		retry.WithInitial(retryshare.InitialRetries))
 	g.retryBudget.SetMinRate(g.retryShare.Limits(time.Now()))
 	g.server = proxy.New(g.cache, platform.Upstream, g.targetStats, proxy.WithRetryBudget(g.retryBudget), proxy.WithLinkBudget(g.linkBudget),
+		proxy.WithRequestLimiter(g.requestLimiter),
 		proxy.WithDataCentre(settings.DataCentre), proxy.WithLogger(g.logger), proxy.WithRegistry(g.registry),
 		proxy.WithStopping(g.stopsSoon), proxy.WithCrashTracker(g.crashTracker),
 		proxy.WithDeadTargetHandler(func(t target.Target, ended bool) { g.peers.sendDead(t, ended) }),
@@ -190,11 +193,12 @@
 	if g.cache.Snapshot() == nil {
 		return
 	}
-	listed := make(map[string]bool)
+	listed, hashes := make(map[string]bool), make(map[uint64]bool)
 	for _, t := range g.cache.allTargets() {
-		listed[t.Name] = true
+		listed[t.Name], hashes[targetstats.TargetHash(t.Name)] = true, true
 	}
 	g.targetStats.Retain(func(name string) bool { return listed[name] })
+	g.requestLimiter.Retain(func(hash uint64) bool { return hashes[hash] })
 }
 
 // Wait blocks until the instance has stopped.
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -28,6 +28,8 @@
 	statusFanout = 24
 	// maxLoads bounds the number of target loads in one status update, so that the update fits a datagram.
 	maxLoads = 48
+	// maxLimits bounds the number of request limits in one status update, so that the update fits a datagram.
+	maxLimits = 28
 	// maxUpdateRows is the number of changed entries of the target list in one status update.
 	maxUpdateRows = 2
 	// maxUpdateRowBytes bounds the size of an entry in a status update. Longer entries are left out; instances read
@@ -146,6 +148,17 @@
 	u.HasLoads = true
 	u.Loads = sampleLoads(p.gateway.targetStats.LocalLoads())
 	p.send(others, u)
+	p.sendLimits(others, now)
+}
+
+// sendLimits sends the request limits of targets to other instances, in an update of their own since they may be many. Without
+// limits it sends nothing.
+func (p *peers) sendLimits(others []netip.AddrPort, now time.Time) {
+	limiter := p.gateway.requestLimiter
+	limiter.SetInstances(p.gateway.retryShare.Instances(now))
+	if limits := encodeLimits(limiter.Reports(now)); len(limits) > 0 {
+		p.send(others, &instancepb.StatusUpdate{Limits: limits, HasLimits: true})
+	}
 }
 
 // instancesByDataCentre returns the number of live instances in each data centre, this one included.
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -35,6 +35,8 @@
 	Load    targetstats.Load `json:"Load"` // Load is the sum of the loads of all instances.
 	Ejected bool             `json:"Avoided"`
 	Dead    bool             `json:"Dead"`
+	// RequestLimit is the number of requests a second that the target takes from all instances, or nil if it names no limit.
+	RequestLimit *float64 `json:"RequestLimit,omitempty"`
 }
 
 // State returns the state of the instance.
@@ -50,9 +52,13 @@
 		state.ConfigurationAge = age.Round(time.Millisecond).String()
 	}
 	for _, t := range g.cache.allTargets() {
-		state.Targets = append(state.Targets, TargetState{
+		targetState := TargetState{
 			Target: t, Load: g.targetStats.Load(t.Name), Ejected: g.targetStats.Ejected(t.Name, now), Dead: g.targetStats.IsDead(t.Name, now),
-		})
+		}
+		if perSecond, limited := g.requestLimiter.PerSecond(t.Name); limited {
+			targetState.RequestLimit = &perSecond
+		}
+		state.Targets = append(state.Targets, targetState)
 	}
 	slices.SortFunc(state.Targets, func(a, b TargetState) int { return strings.Compare(a.Name, b.Name) })
 	return state
--- a/pkg/proxy/active_request.go
+++ b/pkg/proxy/active_request.go
@@ -21,6 +21,7 @@
 	parts       []uint64        // parts are the fingerprints of the parts of the prompt that other requests may share.
 	deadline    time.Time       // deadline is when the final response is due.
 	excluded    map[string]bool // excluded holds the names of targets that the request must not use again.
+	demanded    map[string]bool // demanded holds the limited targets whose demand the request was counted in.
 	refusals    int             // refusals counts the attempts that provably did not run.
 	attempts    int             // attempts counts the attempts that may have run and did not succeed.
 	// mayHaveRun holds when the stream was last sent to each first-stage target that may have run it.
--- a/pkg/proxy/find_path.go
+++ b/pkg/proxy/find_path.go
@@ -7,17 +7,48 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 )
 
-// findPath returns a path without the targets that the request must avoid. If there is none, it excludes only dead
+// findPath returns a path whose first target's request limit allows the request. If the limits of all first targets are used
+// up, it returns a requestLimited error.
+func (s *activeStream) findPath(q path.Request) (path.Path, error) {
+	var denied map[string]bool
+	for {
+		p, err := s.findUnlimitedPath(q)
+		if err != nil && len(denied) > 0 && !s.hasFirstTarget(denied) {
+			return nil, requestLimited.Wrap(err, "%d first targets take no more requests now", len(denied))
+		}
+		if err != nil || s.acquire(p[0].Target.Name) {
+			return p, err
+		}
+		if denied == nil {
+			denied = make(map[string]bool)
+			q.FirstAllowed = func(name string) bool { return !denied[name] }
+		}
+		denied[p[0].Target.Name] = true
+	}
+}
+
+// hasFirstTarget reports whether a path may begin at a target that is not denied, once there is room on the rest of the path.
+func (s *activeStream) hasFirstTarget(denied map[string]bool) bool {
+	for _, t := range s.snapshot.Targets[s.service.Name].Targets() {
+		if t.AcceptsRequests() && t.Layers.Valid() && t.Layers.First == 0 && !denied[t.Name] && !s.server.isDead(t.Name) {
+			return true
+		}
+	}
+	return false
+}
+
+// findUnlimitedPath returns a path without the targets that the request must avoid. If there is none, it excludes only dead
 // targets and those that have just refused a request; if all remaining paths need such a target, it returns a NoCapacity
 // error, so that the request waits for them. A stream that has reached the target limit of its route gets a path that
 // starts at one of the targets that may have run it.
-func (s *activeStream) findPath(q path.Request) (path.Path, error) {
+func (s *activeStream) findUnlimitedPath(q path.Request) (path.Path, error) {
 	q.Excluded = s.isExcluded
 	if !s.headerSent {
 		q.MaxUtilization = s.server.memoryLimit.Utilization(time.Now())
 	}
 	if s.targetLimitReached() {
-		q.FirstAllowed = func(name string) bool { return !s.mayHaveRun[name].IsZero() }
+		allowed := q.FirstAllowed
+		q.FirstAllowed = func(name string) bool { return !s.mayHaveRun[name].IsZero() && (allowed == nil || allowed(name)) }
 		q.Excluded = s.server.isDead
 	}
 	p, err := s.server.findPath(s.snapshot, s.activeRequest, q)
--- a/pkg/proxy/result.go
+++ b/pkg/proxy/result.go
@@ -20,6 +20,7 @@
 type counters struct {
 	served, refused, failed, aborted, clientsLeft        metrics.Counter
 	resumed, pathsChanged, retriesDenied, reportsRefuted metrics.Counter
+	limited                                              metrics.Counter
 	firstEvent, fullResponse                             metrics.Timer
 }
 
@@ -34,6 +35,7 @@
 		served: counter("Served"), refused: counter("Refused"), failed: counter("Failed"), aborted: counter("BrokenOff"),
 		clientsLeft: counter("CallersLeft"), resumed: counter("Resumed"), pathsChanged: counter("Repathed"),
 		retriesDenied: counter("RetriesDenied"), reportsRefuted: counter("HearsayDisproved"),
+		limited:    counter("Limited"),
 		firstEvent: timer("FirstEvent"), fullResponse: timer("WholeAnswer"),
 	}
 }
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -66,6 +66,11 @@
 	return func(s *Server) { s.crashTracker = t }
 }
 
+// WithRequestLimiter sets the limiter that keeps the request limits of targets.
+func WithRequestLimiter(l *requestlimit.Limiter) Option {
+	return func(s *Server) { s.requestLimiter = l }
+}
+
 // WithDataCentre sets the data centre of the instance.
 func WithDataCentre(name string) Option {
 	return func(s *Server) { s.dataCentre = name }
@@ -116,7 +121,7 @@
 func New(snapshots SnapshotSource, upstream Upstream, stats *targetstats.Tracker, options ...Option) *Server {
 	s := &Server{
 		snapshots: snapshots, upstream: upstream, stats: stats, retryBudget: retry.New(), linkBudget: linkbudget.New(), memoryLimit: memorylimit.New(),
-		requestLimiter: requestlimit.New(),
+		requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
 		crashTracker:   quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
 		stopping: func() bool { return false },
 		counters: newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -103,6 +103,9 @@
 			if s.waitToRetry(ctx, err) {
 				continue
 			}
+			if errorx.IsOfType(err, requestLimited) {
+				return nil, s.refuseLimited(err)
+			}
 			return nil, s.refuse("no_path", "no targets have room for the request on all layers", err)
 		}
 		if !p.Complete(s.service.Engine.Layers) {
--- a/pkg/proxy/unary.go
+++ b/pkg/proxy/unary.go
@@ -30,9 +30,9 @@
 // serveUnary serves a request to a service that is not a model.
 func (r *activeRequest) serveUnary(ctx context.Context, w http.ResponseWriter) error {
 	for {
-		t, ok := r.pickTarget()
-		if !ok {
-			return r.refuse("no_target", "no target takes requests", nil)
+		t, err := r.pickTarget()
+		if err != nil {
+			return err
 		}
 		if err := r.checkFresh(); err != nil {
 			return err
@@ -47,14 +47,35 @@
 	}
 }
 
-// pickTarget returns the target with the lowest cost. Ejected targets are used only if there is no other target.
-func (r *activeRequest) pickTarget() (target.Target, bool) {
+// pickTarget returns the target with the lowest cost whose request limit allows the request, or a refusal. Ejected targets
+// are used only if there is no other target.
+func (r *activeRequest) pickTarget() (target.Target, error) {
+	var denied map[string]bool
+	for {
+		t, ok := r.cheapestTarget(denied)
+		switch {
+		case !ok && len(denied) > 0:
+			return target.Target{}, r.refuseLimited(nil)
+		case !ok:
+			return target.Target{}, r.refuse("no_target", "no target takes requests", nil)
+		case r.acquire(t.Name):
+			return t, nil
+		}
+		if denied == nil {
+			denied = make(map[string]bool)
+		}
+		denied[t.Name] = true
+	}
+}
+
+// cheapestTarget returns the target with the lowest cost that is not denied, one that is not ejected if there is any.
+func (r *activeRequest) cheapestTarget(denied map[string]bool) (target.Target, bool) {
 	now := time.Now()
 	var best *target.Target
 	bestCost := 0.0
 	for _, ejected := range []bool{false, true} {
 		for _, t := range r.snapshot.Targets[r.service.Name].Targets() {
-			if !t.AcceptsRequests() || r.excluded[t.Name] || r.server.stats.Ejected(t.Name, now) != ejected {
+			if !t.AcceptsRequests() || r.excluded[t.Name] || denied[t.Name] || r.server.stats.Ejected(t.Name, now) != ejected {
 				continue
 			}
 			cost := r.targetCost(t)
