--- a/pkg/standin/service/server.go
+++ b/pkg/standin/service/server.go
@@ -19,6 +19,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -26,6 +27,9 @@
 // KeyHeader names the header that identifies a request that may not be repeated.
 const KeyHeader = "Idempotency-Key"
 
+// RequestLimitHeader names the requests a second that the service takes from all instances together.
+const RequestLimitHeader = "Cuminroute-Request-Limit"
+
 // Response is the body of a successful response. It echoes the request, so that a client can
 // detect the response to another request.
 type Response struct {
@@ -44,6 +48,8 @@
 	CrashAfter  bool          `json:"CrashAfter,omitempty"`  // CrashAfter kills the service at the next request, after it is executed and before the response.
 	LoseAnswers int           `json:"LoseAnswers,omitempty"` // LoseAnswers is how many of the next requests are executed without a response.
 	Kill        bool          `json:"Kill,omitempty"`        // Kill breaks all connections at once.
+	// RequestLimit is the number of requests a second that responses name, 0 if they name none.
+	RequestLimit float64 `json:"RequestLimit,omitempty"`
 }
 
 // Server is a stand-in service.
@@ -162,9 +168,18 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	if limit := s.requestLimit(); limit > 0 {
+		w.Header().Set(RequestLimitHeader, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
 	_ = json.NewEncoder(w).Encode(response)
 }
 
+func (s *Server) requestLimit() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.RequestLimit
+}
+
 // waitFaults records the arrival and waits while the service is frozen, then for the delay fault.
 func (s *Server) waitFaults(r *http.Request) {
 	s.mu.Lock()
