Keep request limits of services in the own front end

A service names its limit in Cuminroute-Request-Limit. pkg/decision/requestlimit keeps it as on the platform; the reports between instances now are pkg/peer/instance's, for both front ends. The number of live instances, of which a partitioned instance counts too few, comes from pkg/decision/fleetsize, split from pkg/decision/retryshare without a change there. A request for which all targets are limited is refused at once as targets_limited, NotRun. Engines of the own protocol name no limit.

--- a/pkg/daemon/control.go
+++ b/pkg/daemon/control.go
@@ -10,6 +10,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/rollout"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetregistry"
+	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 	"github.com/cuminroute/cuminroute/pkg/peer/instancelist"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -20,6 +21,10 @@
 	listInterval = time.Second
 	// tickInterval is the interval at which queued requests are checked against their deadlines.
 	tickInterval = 50 * time.Millisecond
+	// requestLimitInterval is how often an instance sends the request limits that it knows, to at most requestLimitFanout
+	// others each time.
+	requestLimitInterval = 300 * time.Millisecond
+	requestLimitFanout   = 24
 	// instanceRole is the role of instances of this daemon in the platform's list.
 	instanceRole = "Entry"
 	// engineRole is the role of model engines; every other role is the name of an HTTP service.
@@ -71,6 +76,8 @@
 	defer tick.Stop()
 	reports := time.NewTicker(time.Second / reportsPerSecond)
 	defer reports.Stop()
+	limits := time.NewTicker(requestLimitInterval)
+	defer limits.Stop()
 	c.pollList(ctx)
 	for {
 		select {
@@ -85,6 +92,8 @@
 			c.publishLoad()
 		case <-reports.C:
 			c.pollReports(ctx)
+		case now := <-limits.C:
+			c.d.sendRequestLimits(now)
 		case now := <-tick.C:
 			c.d.admission.controller.Tick(now)
 			c.d.crashTracker.BroadcastNew(now)
@@ -112,6 +121,15 @@
 	}()
 }
 
+// retainRequestLimits forgets the request limits of targets that are not listed.
+func (c *control) retainRequestLimits(listed []target.Target) {
+	hashes := make(map[uint64]bool, len(listed))
+	for _, t := range listed {
+		hashes[targetstats.TargetHash(t.Name)] = true
+	}
+	c.d.requestLimiter.Retain(func(hash uint64) bool { return hashes[hash] })
+}
+
 // observeList updates the peers to join and the target registry from the platform's list.
 func (c *control) observeList(listed []instancelist.Instance, now time.Time) {
 	var targets []target.Target
@@ -125,6 +143,7 @@
 	}
 	c.d.node.SetSeeds(append(peers, c.d.settings.Seeds...))
 	c.targetRegistry.UpdateListed(targets, now)
+	c.retainRequestLimits(targets)
 	c.listed.Store(true)
 	c.publish()
 }
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -36,6 +36,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/admission"
 	"github.com/cuminroute/cuminroute/pkg/decision/crashhistory"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/requestlimit"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/route"
 	"github.com/cuminroute/cuminroute/pkg/drain"
@@ -78,6 +79,7 @@
 	runner              *stream.Runner
 	services            *service.Client
 	node                *instance.Node
+	requestLimiter      *requestlimit.Limiter
 	control             *control
 	placementController *placementcontroller.Controller
 
@@ -192,6 +194,7 @@
 		quarantinesync.WithLogger(d.logger), quarantinesync.WithRegistry(d.registry))}
 	d.admission = &admissionController{controller: admission.NewController(admission.New(), time.Now)}
 	d.running = &drain.Counter{}
+	d.requestLimiter = requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now())
 	d.control = newControl(d)
 	if err := d.assembleNode(ctx); err != nil {
 		return err
@@ -218,7 +221,7 @@
 		Address: d.settings.Listen.Peers, Seeds: d.settings.Seeds,
 	},
 		instance.WithConfigApplier(d.configuration), instance.WithConfigSource(logSource{d.configuration}), instance.WithStateDump(fleet{d}.dump),
-		instance.WithCrashHandler(d.crashTracker),
+		instance.WithCrashHandler(d.crashTracker), instance.WithRequestLimitHandler(d.requestLimiter),
 		instance.WithLogger(d.logger), instance.WithMetrics(d.registry))
 	if err != nil {
 		return errListen.Wrap(err, "cannot listen on the peer address")
@@ -238,7 +241,7 @@
 	d.runner = stream.NewRunner(routes, stages, stream.WithCrashTracker(d.crashTracker), stream.WithRetryBudget(retryBudget),
 		stream.WithLogger(d.logger), stream.WithRegistry(d.registry))
 	d.services = service.New(d.serviceTargets, &claimAdapter{claimer: d.claimer}, service.WithRetryBudget(retryBudget),
-		service.WithDrainCounter(d.running), service.WithLogger(d.logger), service.WithRegistry(d.registry))
+		service.WithDrainCounter(d.running), service.WithRequestLimiter(d.requestLimiter), service.WithLogger(d.logger), service.WithRegistry(d.registry))
 }
 
 // broadcast sends quarantine items to all other instances.
@@ -255,6 +258,21 @@
 	}
 }
 
+// sendRequestLimits sends the request limits of targets to all other instances, or to a random sample of a large fleet.
+func (d *Daemon) sendRequestLimits(now time.Time) {
+	var others []netip.AddrPort
+	for _, m := range d.node.Members() {
+		if m.Address != d.node.Address() {
+			others = append(others, m.Address)
+		}
+	}
+	d.requestLimiter.ObserveInstances(len(others)+1, now)
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	if err := d.node.SendRequestLimits(others[:min(len(others), requestLimitFanout)], d.requestLimiter.Reports(now)); err != nil {
+		d.logger.Warn().Err(err).Msg("cannot send request limits to the other instances")
+	}
+}
+
 // sendProgress informs all other instances of contents with which requests of this instance have made progress.
 func (d *Daemon) sendProgress(contents []uint64) {
 	if err := d.node.SendProgress(contents); err != nil {
--- a/pkg/decision/requestlimit/limiter.go
+++ b/pkg/decision/requestlimit/limiter.go
@@ -16,7 +16,7 @@
 //
 // Usage:
 //
-//	limiter := requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+//	limiter := requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), now)
 //	changed := limiter.RecordLimit("w1", 13.7, now)
 //	limiter.AddReports("10.0.0.2:7340", reports, now)
 //	limiter.RecordDemand("w1", now)
@@ -28,6 +28,7 @@
 	"sync"
 	"time"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/fleetsize"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 )
 
@@ -74,19 +75,17 @@
 	random    *rand.Rand
 	limits    map[uint64]*limit // limits holds the limits by the target's hash.
 	remotes   map[string]remoteDemand
-	instances int
+	instances *fleetsize.Recent
 }
 
-// New returns a limiter without limits, for the only instance of a fleet.
-func New(random *rand.Rand) *Limiter {
-	return &Limiter{random: random, limits: make(map[uint64]*limit), remotes: make(map[string]remoteDemand), instances: 1}
+// New returns a limiter without limits, for an instance that has started now and knows no others.
+func New(random *rand.Rand, now time.Time) *Limiter {
+	return &Limiter{random: random, limits: make(map[uint64]*limit), remotes: make(map[string]remoteDemand), instances: fleetsize.New(now)}
 }
 
-// SetInstances sets the number of instances, this one included.
-func (l *Limiter) SetInstances(n int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.instances = max(n, 1)
+// ObserveInstances records the number of live instances, this one included.
+func (l *Limiter) ObserveInstances(n int, now time.Time) {
+	l.instances.Observe(n, now)
 }
 
 // RecordLimit records that a response of a target names a limit, in requests a second. It reports whether the limit is new
@@ -170,11 +169,11 @@
 			others += r.perSecond[hash]
 		}
 	}
+	instances := float64(max(l.instances.Highest(now), reports+1))
 	if reports == 0 {
-		return 1 / float64(l.instances)
+		return 1 / instances
 	}
-	others *= max(1, float64(l.instances-1)/float64(reports))
-	instances := float64(max(l.instances, reports+1))
+	others *= (instances - 1) / float64(reports)
 	return (known.reported + minDemand) / (known.reported + others + minDemand*instances)
 }
 
--- a/pkg/decision/requestlimit/limiter_test.go
+++ b/pkg/decision/requestlimit/limiter_test.go
@@ -28,7 +28,7 @@
 	f := &fleet{random: rand.New(rand.NewPCG(seed, 1)), now: time.Unix(1000, 0)}
 	sum := 0.0
 	for range instances {
-		f.limiters = append(f.limiters, New(f.random))
+		f.limiters = append(f.limiters, New(f.random, f.now))
 		f.weights = append(f.weights, 0.2+f.random.ExpFloat64())
 		sum += f.weights[len(f.weights)-1]
 	}
@@ -68,7 +68,7 @@
 }
 
 func (f *fleet) report(from int) {
-	f.limiters[from].SetInstances(len(f.limiters))
+	f.limiters[from].ObserveInstances(len(f.limiters), f.now)
 	reports := f.limiters[from].Reports(f.now)
 	if len(reports) == 0 {
 		return
--- a/pkg/decision/retryshare/share.go
+++ b/pkg/decision/retryshare/share.go
@@ -16,8 +16,9 @@
 package retryshare
 
 import (
-	"sync"
 	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/fleetsize"
 )
 
 const (
@@ -30,10 +31,6 @@
 	// settlingRate and settlingBurst are the limits during settleTime: retries per second, and retries at once.
 	settlingRate  = 0.1
 	settlingBurst = 1
-	// memory is how long a number of instances counts. Members that are lost by mistake are back within a few seconds.
-	memory = 30 * time.Second
-	// bucketTime is the resolution of the memory.
-	bucketTime = 5 * time.Second
 )
 
 // InitialRetries is the number of retries that an instance may make right after its start, when it knows no others. After
@@ -46,45 +43,18 @@
 	window    time.Duration
 	startedAt time.Time
 
-	mu      sync.Mutex
-	highest map[int64]int // highest holds the highest number of instances seen in each bucketTime.
+	instances *fleetsize.Recent
 }
 
 // New returns the share of an instance that has started now, of a fleet that may make the given number of retries in
 // each window.
 func New(retries float64, window time.Duration, now time.Time) *Share {
-	return &Share{retries: retries, window: window, startedAt: now, highest: make(map[int64]int)}
+	return &Share{retries: retries, window: window, startedAt: now, instances: fleetsize.New(now)}
 }
 
 // ObserveInstances records the number of live instances, this one included.
 func (s *Share) ObserveInstances(n int, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	bucket := s.bucket(now)
-	s.highest[bucket] = max(s.highest[bucket], n)
-	for b := range s.highest {
-		if b < bucket-int64(memory/bucketTime) {
-			delete(s.highest, b)
-		}
-	}
-}
-
-// bucket returns the number of the bucketTime that contains now.
-func (s *Share) bucket(now time.Time) int64 {
-	return int64(now.Sub(s.startedAt) / bucketTime)
-}
-
-// Instances returns the highest number of live instances that was recently observed, this one included.
-func (s *Share) Instances(now time.Time) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	instances := 1
-	for bucket, n := range s.highest {
-		if bucket >= s.bucket(now)-int64(memory/bucketTime) {
-			instances = max(instances, n)
-		}
-	}
-	return instances
+	s.instances.Observe(n, now)
 }
 
 // Limits returns the retries per second and the retries at once that this instance may make.
@@ -92,6 +62,6 @@
 	if now.Sub(s.startedAt) < settleTime || s.window <= 0 {
 		return settlingRate, settlingBurst
 	}
-	part := s.retries / float64(s.Instances(now))
+	part := s.retries / float64(s.instances.Highest(now))
 	return rateFraction * part / s.window.Seconds(), burstFraction * part
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -104,7 +104,7 @@
 func New(ctx context.Context, settings Settings, platform Platform, options ...Option) (*Gateway, error) {
 	g := &Gateway{
 		settings: settings, platform: platform, registry: metrics.NewRegistry(), output: os.Stdout,
-		targetStats: targetstats.New(), linkBudget: linkbudget.New(), requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))), done: make(chan struct{}), storeFailing: make(map[string]bool),
+		targetStats: targetstats.New(), linkBudget: linkbudget.New(), requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()), done: make(chan struct{}), storeFailing: make(map[string]bool),
 	}
 	for _, o := range options {
 		o(g)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -28,8 +28,6 @@
 	statusFanout = 24
 	// maxLoads bounds the number of target loads in one status update, so that the update fits a datagram.
 	maxLoads = 48
-	// maxLimits bounds the number of request limits in one status update, so that the update fits a datagram.
-	maxLimits = 28
 	// maxUpdateRows is the number of changed entries of the target list in one status update.
 	maxUpdateRows = 2
 	// maxUpdateRowBytes bounds the size of an entry in a status update. Longer entries are left out; instances read
@@ -75,7 +73,8 @@
 	settings := p.gateway.settings
 	node, err := instance.New(ctx, instance.Config{
 		Fleet: fleetName, Name: settings.Instance, DataCentre: settings.DataCentre, Address: settings.PeerAddress, Seeds: settings.Seeds,
-	}, instance.WithStatusHandler(p.receive), instance.WithCrashHandler(p.gateway.crashTracker), instance.WithSnapshotProvider(p.snapshot), instance.WithoutConfigSync(), instance.WithLogger(p.gateway.logger),
+	}, instance.WithStatusHandler(p.receive), instance.WithCrashHandler(p.gateway.crashTracker), instance.WithRequestLimitHandler(p.gateway.requestLimiter),
+		instance.WithSnapshotProvider(p.snapshot), instance.WithoutConfigSync(), instance.WithLogger(p.gateway.logger),
 		instance.WithMetrics(p.gateway.registry))
 	if err != nil {
 		return errListen.Wrap(err, "cannot listen on the peer address")
@@ -148,16 +147,15 @@
 	u.HasLoads = true
 	u.Loads = sampleLoads(p.gateway.targetStats.LocalLoads())
 	p.send(others, u)
-	p.sendLimits(others, now)
+	p.sendRequestLimits(others, now)
 }
 
-// sendLimits sends the request limits of targets to other instances, in an update of their own since they may be many. Without
-// limits it sends nothing.
-func (p *peers) sendLimits(others []netip.AddrPort, now time.Time) {
+// sendRequestLimits sends the request limits of targets to other instances.
+func (p *peers) sendRequestLimits(others []netip.AddrPort, now time.Time) {
 	limiter := p.gateway.requestLimiter
-	limiter.SetInstances(p.gateway.retryShare.Instances(now))
-	if limits := encodeLimits(limiter.Reports(now)); len(limits) > 0 {
-		p.send(others, &instancepb.StatusUpdate{Limits: limits, HasLimits: true})
+	limiter.ObserveInstances(len(p.others())+1, now)
+	if err := p.node.SendRequestLimits(others, limiter.Reports(now)); err != nil {
+		p.gateway.logger.Error().Err(err).Msg("failed to send request limits")
 	}
 }
 
--- a/pkg/gateway/receive.go
+++ b/pkg/gateway/receive.go
@@ -23,9 +23,6 @@
 		}
 		g.targetStats.SetRemoteLoads(from.String(), loads, now)
 	}
-	if u.GetHasLimits() {
-		g.requestLimiter.AddReports(from.String(), decodeLimits(u.GetLimits()), now)
-	}
 	p.receiveVerdicts(u)
 	p.receiveSuspects(u)
 	if rows := u.GetTargets(); len(rows) > 0 && g.targetsLoaded.Load() {
--- a/pkg/gateway/wire.go
+++ b/pkg/gateway/wire.go
@@ -5,9 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"time"
 
-	"github.com/cuminroute/cuminroute/pkg/decision/requestlimit"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
 	"github.com/cuminroute/cuminroute/pkg/revision"
@@ -29,29 +27,6 @@
 	return sample
 }
 
-// encodeLimits returns the request limits for a status update. If there are more than maxLimits, it returns a random sample.
-func encodeLimits(reports []requestlimit.Report) []*instancepb.RequestLimit {
-	rand.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
-	var limits []*instancepb.RequestLimit
-	for _, r := range reports[:min(len(reports), maxLimits)] {
-		limits = append(limits, &instancepb.RequestLimit{
-			Target: r.Target, PerSecond: r.PerSecond, Ended: r.Ended, AgeNs: int64(r.Age), Demand: float32(r.Demand),
-		})
-	}
-	return limits
-}
-
-// decodeLimits returns the request limits that another instance sent.
-func decodeLimits(limits []*instancepb.RequestLimit) []requestlimit.Report {
-	reports := make([]requestlimit.Report, len(limits))
-	for i, l := range limits {
-		reports[i] = requestlimit.Report{
-			Target: l.GetTarget(), PerSecond: l.GetPerSecond(), Ended: l.GetEnded(), Age: time.Duration(l.GetAgeNs()), Demand: float64(l.GetDemand()),
-		}
-	}
-	return reports
-}
-
 // encodeRow returns a row as it is sent to other instances.
 func encodeRow(r Row) *instancepb.Row {
 	return &instancepb.Row{Name: r.Name, Value: r.Value, Revision: r.Revision.Number, Era: encodeEra(r.Revision), Removed: r.Removed}
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -40,14 +40,15 @@
 // Node runs membership and configuration synchronization for one instance, and exchanges status updates with other
 // instances. It must be created by New. All methods are safe for concurrent use.
 type Node struct {
-	fleet        string
-	source       ConfigSource
-	applier      ConfigApplier
-	logger       *log.Logger
-	counters     counters
-	stateDump    func(context.Context) ([]byte, error)
-	crashHandler CrashHandler // crashHandler is nil if messages about crashes are ignored.
-	crashLimiter *rate.Limiter
+	fleet               string
+	source              ConfigSource
+	applier             ConfigApplier
+	logger              *log.Logger
+	counters            counters
+	stateDump           func(context.Context) ([]byte, error)
+	crashHandler        CrashHandler // crashHandler is nil if messages about crashes are ignored.
+	requestLimitHandler RequestLimitHandler
+	crashLimiter        *rate.Limiter
 	// statusHandler handles the status updates of other instances. It is nil if they are ignored.
 	statusHandler      func(netip.AddrPort, *instancepb.StatusUpdate)
 	snapshotProvider   func(context.Context) (ConfigSnapshot, error)
--- a/pkg/peer/instance/status.go
+++ b/pkg/peer/instance/status.go
@@ -44,6 +44,7 @@
 		return
 	}
 	n.receiveCrash(&update)
+	n.receiveRequestLimits(from, &update)
 	if n.statusHandler != nil {
 		n.statusHandler(from, &update)
 	}
--- a/pkg/peer/service/atmostonce.go
+++ b/pkg/peer/service/atmostonce.go
@@ -118,8 +118,11 @@
 	var excluded []string
 	var last error = c.noTargetError(req)
 	for {
-		t, ok := c.balancer.choose(all, excluded, c.now())
-		if !ok {
+		t, err := c.balancer.choose(all, excluded, c.now())
+		switch {
+		case errors.Is(err, errLimited):
+			return Response{}, c.limitedError(req)
+		case err != nil:
 			return Response{}, last
 		}
 		response, err := c.attemptTarget(ctx, t, req)
--- a/pkg/peer/service/balancer.go
+++ b/pkg/peer/service/balancer.go
@@ -1,6 +1,7 @@
 package service
 
 import (
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -13,6 +14,9 @@
 // balancer chooses the targets of requests. It counts the outstanding requests of each target, estimates the target's
 // latency, and ejects a target that failed, which means that the target gets no requests for ejectionTime.
 type balancer struct {
+	// acquire reports whether the target's request limit allows a request now, and counts the request if so.
+	acquire func(name string, now time.Time) bool
+
 	mu      sync.Mutex
 	targets map[string]*targetLoad
 }
@@ -31,14 +35,19 @@
 	ejectionTime = 5 * time.Second
 )
 
-func newBalancer() *balancer {
-	return &balancer{targets: map[string]*targetLoad{}}
+func newBalancer(acquire func(name string, now time.Time) bool) *balancer {
+	return &balancer{acquire: acquire, targets: map[string]*targetLoad{}}
 }
 
-// choose picks the less loaded of two random targets that accept requests and are not excluded, and counts an
-// outstanding request of the chosen target until finish is called. It picks an ejected target only if there are no
-// others.
-func (b *balancer) choose(all []target.Target, excluded []string, now time.Time) (target.Target, bool) {
+var (
+	errNoTarget = errors.New("no target accepts requests")
+	errLimited  = errors.New("the targets take no more requests now")
+)
+
+// choose picks the less loaded of two random targets that accept requests, are not excluded and whose request limit allows the
+// request, and counts an outstanding request of the chosen target until finish is called. It picks an ejected target only if
+// there are no others. Its error is errNoTarget, or errLimited if request limits are the only reason.
+func (b *balancer) choose(all []target.Target, excluded []string, now time.Time) (target.Target, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var available, ejected []target.Target
@@ -55,24 +64,35 @@
 		available = ejected
 	}
 	if len(available) == 0 {
-		return target.Target{}, false
+		return target.Target{}, errNoTarget
+	}
+	for len(available) > 0 {
+		i := b.lessLoaded(available)
+		if chosen := available[i]; b.acquire(chosen.Name, now) {
+			b.start(chosen.Name, now)
+			return chosen, nil
+		}
+		available = slices.Delete(available, i, i+1)
 	}
-	return b.chooseLessLoaded(available, now), true
+	return target.Target{}, errLimited
 }
 
-// chooseLessLoaded picks the less loaded of two random targets and counts an outstanding request of the chosen one. The
-// lock must be held.
-func (b *balancer) chooseLessLoaded(available []target.Target, now time.Time) target.Target {
-	chosen, other := available[rand.IntN(len(available))], available[rand.IntN(len(available))]
-	if b.load(other.Name).outstanding < b.load(chosen.Name).outstanding {
-		chosen = other
+// lessLoaded returns the index of the less loaded of two random targets. The lock must be held.
+func (b *balancer) lessLoaded(available []target.Target) int {
+	chosen, other := rand.IntN(len(available)), rand.IntN(len(available))
+	if b.load(available[other].Name).outstanding < b.load(available[chosen].Name).outstanding {
+		return other
 	}
-	l := b.load(chosen.Name)
+	return chosen
+}
+
+// start counts an outstanding request of a target. The lock must be held.
+func (b *balancer) start(name string, now time.Time) {
+	l := b.load(name)
 	l.outstanding++
 	if !l.retryAt.IsZero() {
 		l.retryAt = now.Add(ejectionTime) // Until the target responds, only this request is sent to it.
 	}
-	return chosen
 }
 
 // load returns the load of a target, and adds an empty one if there is none. The lock must be held.
--- a/pkg/peer/service/client.go
+++ b/pkg/peer/service/client.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/requestlimit"
 )
 
 const (
@@ -30,6 +33,8 @@
 	registry    metrics.Registry
 	counters    counters
 	balancer    *balancer
+	// requestLimiter keeps the request limits that targets name.
+	requestLimiter *requestlimit.Limiter
 	// unpooled opens a new connection for each request. A target may close a pooled connection at any
 	// time, and net/http then resends a request with an Idempotency-Key on its own.
 	unpooled *http.Client
@@ -50,6 +55,12 @@
 	return func(c *Client) { c.drain = d }
 }
 
+// WithRequestLimiter sets the limiter that keeps the request limits of targets. Without this option, this instance is taken for
+// the only one that sends requests to the targets.
+func WithRequestLimiter(l *requestlimit.Limiter) Option {
+	return func(c *Client) { c.requestLimiter = l }
+}
+
 // WithClock sets the clock.
 func WithClock(now func() time.Time) Option {
 	return func(c *Client) { c.now = now }
@@ -70,7 +81,7 @@
 func New(targets Targets, claimer Claimer, options ...Option) *Client {
 	c := &Client{
 		targets: targets, claimer: claimer, retryBudget: unlimitedRetries{}, drain: noDrain{}, now: time.Now,
-		logger: &log.DefaultLogger, balancer: newBalancer(), unpooled: newHTTPClient(true), pooled: newHTTPClient(false),
+		logger: &log.DefaultLogger, requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()), unpooled: newHTTPClient(true), pooled: newHTTPClient(false),
 	}
 	for _, option := range options {
 		option(c)
@@ -79,6 +90,7 @@
 		c.registry = metrics.NewRegistry()
 	}
 	c.counters = newCounters(c.registry)
+	c.balancer = newBalancer(c.acquire)
 	return c
 }
 
@@ -128,6 +140,7 @@
 	replayed   metrics.Counter
 	unknown    metrics.Counter
 	unstored   metrics.Counter
+	limited    metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -135,5 +148,6 @@
 	return counters{
 		requests: counter("requests"), retries: counter("retries"), dispatched: counter("dispatched_once"),
 		replayed: counter("replayed"), unknown: counter("outcome_unknown"), unstored: counter("answers_unstored"),
+		limited: counter("limited"),
 	}
 }
--- a/pkg/peer/service/dispatch.go
+++ b/pkg/peer/service/dispatch.go
@@ -41,7 +41,7 @@
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
 	})
-	response, err := roundTrip(traced, client, t, req)
+	response, err := c.roundTrip(traced, client, t, req)
 	if err == nil {
 		return response, nil
 	}
@@ -52,7 +52,7 @@
 	return Response{}, &dispatchError{target: t.Name, ran: ran, cause: err}
 }
 
-func roundTrip(ctx context.Context, client *http.Client, t target.Target, req Request) (Response, error) {
+func (c *Client) roundTrip(ctx context.Context, client *http.Client, t target.Target, req Request) (Response, error) {
 	request, err := newRequest(ctx, t, req)
 	if err != nil {
 		return Response{}, err
@@ -62,6 +62,7 @@
 		return Response{}, err
 	}
 	defer response.Body.Close()
+	c.recordRequestLimit(t.Name, response.Header)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return Response{}, err
--- a/pkg/peer/service/idempotent.go
+++ b/pkg/peer/service/idempotent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -38,14 +39,16 @@
 	tried     []string        // tried has the names of the targets of all attempts.
 	ran       outcome.Outcome // ran is NotRun until an attempt may have reached a target, and then Unknown.
 	response  Response
+	limited   bool // limited means that the targets that remain take no more requests now.
 	responded bool // responded means that response is set, to the last response of a target.
 	lastErr   error
 }
 
 // attempt sends the request to one target. It returns whether no further attempt is needed.
 func (c *idempotentCall) attempt(ctx context.Context, number int) bool {
-	chosen, ok := c.client.balancer.choose(c.targets, c.tried, c.client.now())
-	if !ok {
+	chosen, err := c.client.balancer.choose(c.targets, c.tried, c.client.now())
+	if err != nil {
+		c.limited = errors.Is(err, errLimited)
 		return false
 	}
 	c.tried = append(c.tried, chosen.Name)
@@ -109,6 +112,8 @@
 		return Response{}, refusal.New(http.StatusGatewayTimeout, "deadline_exceeded", c.ran,
 			"the request's timeout passed before the service %s answered", c.req.Service).
 			WithRetryAfter(failedRetryAfter).WithCause(c.lastErr)
+	case c.limited && c.ran == outcome.NotRun:
+		return Response{}, c.client.limitedError(c.req).WithCause(c.lastErr)
 	case c.lastErr == nil || c.ran == outcome.NotRun:
 		return Response{}, c.client.noTargetError(c.req).WithCause(c.lastErr)
 	default:
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -121,7 +121,7 @@
 func New(snapshots SnapshotSource, upstream Upstream, stats *targetstats.Tracker, options ...Option) *Server {
 	s := &Server{
 		snapshots: snapshots, upstream: upstream, stats: stats, retryBudget: retry.New(), linkBudget: linkbudget.New(), memoryLimit: memorylimit.New(),
-		requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))),
+		requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()),
 		crashTracker:   quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
 		stopping: func() bool { return false },
 		counters: newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
