--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -28,16 +28,29 @@
 
 // Pool keeps idle connections by target address. It is safe for concurrent use.
 type Pool struct {
-	dialer net.Dialer
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu        sync.Mutex
 	idle      map[netip.AddrPort][]*Conn
 	lastSweep time.Time
 }
 
+// Option configures a Pool.
+type Option func(*Pool)
+
+// WithDial sets the function that opens connections. Its connections must implement syscall.Conn, as those of package net do.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(p *Pool) { p.dial = dial }
+}
+
 // New returns an empty pool.
-func New() *Pool {
-	return &Pool{dialer: NewDialer(dialTimeout, unackedTimeout), idle: make(map[netip.AddrPort][]*Conn)}
+func New(options ...Option) *Pool {
+	dialer := NewDialer(dialTimeout, unackedTimeout)
+	p := &Pool{dial: dialer.DialContext, idle: make(map[netip.AddrPort][]*Conn)}
+	for _, o := range options {
+		o(p)
+	}
+	return p
 }
 
 // Get returns an idle connection that was last used less than maxIdleTime ago, or a new connection. Idle connections
@@ -47,7 +60,7 @@
 	for {
 		c := p.pop(address)
 		if c == nil {
-			return p.dial(ctx, address)
+			return p.open(ctx, address)
 		}
 		if now.Sub(c.lastUsed) < min(maxIdleTime, c.idleTimeout) && c.isReusable() {
 			c.reused = true
@@ -70,8 +83,8 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, address netip.AddrPort) (*Conn, error) {
-	netConn, err := p.dialer.DialContext(ctx, "tcp", address.String())
+func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*Conn, error) {
+	netConn, err := p.dial(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, NotSent.Wrap(err, "no connection to %s", address)
 	}
@@ -84,7 +97,7 @@
 // Probe opens a connection to the address and adds it to the pool. An error means that the address does not accept
 // connections.
 func (p *Pool) Probe(ctx context.Context, address netip.AddrPort) error {
-	c, err := p.dial(ctx, address)
+	c, err := p.open(ctx, address)
 	if err != nil {
 		return err
 	}
--- a/pkg/proxy/migration.go
+++ b/pkg/proxy/migration.go
@@ -16,8 +16,14 @@
 // received an event through the target within maxRefutingEventAge, since the reporting instance itself may be slow or
 // partitioned.
 func (s *Server) TargetDead(t target.Target, ended bool) {
-	if s.detector.aliveSince(t.Name, time.Now().Add(-maxRefutingEventAge)) {
+	refuted := s.detector.aliveSince(t.Name, time.Now().Add(-maxRefutingEventAge))
+	if refuted {
 		s.counters.reportsRefuted.Inc(1)
+	}
+	if refuted || !s.isDead(t.Name) { // A report is repeated while the target stays dead.
+		s.logger.Info().Str("Target", t.Name).Bool("Ended", ended).Bool("Refuted", refuted).Msg("target reported lost")
+	}
+	if refuted {
 		return
 	}
 	s.detector.markDead(t, ended)
