Reach targets through other instances where the own link has failed

In TestPartitionFromTargets also the instances that reached the targets served 0 of 40.

Cause: an instance had one way to a target, and took its own link's failure for the target's. A silent target was compared with another instance, to which the link worked, so that the verdict was death; it went to all instances, and the requests on these targets became suspects of crashes everywhere. Class: a failure detector that confuses the observer's link with the observed, and no second way.

Change: pkg/relay dials directly and, after 4 ms or an error, through a peer, over the port between instances (pkg/peer/instance, relay.go). If only the peer connects, the link has failed: later connections are relayed at once, idle direct ones are dropped, the other links are checked, and the direct way is tried again each second. Probes use the same dialer, so that a target is dead only if no peer reaches it either, and has ended only if a peer is refused too. A stream that hangs on a failed link is resumed on a relayed connection. Peers that have just relayed are asked first, those that say that they lost links last. An instance relays to listed targets only, one hop. The single conclusive probe may take 25 ms, 15 before, for the peers' turns.

Evidence: TestPartitionFromTargets failed before and passes, for links that hang, refuse or reset; TestDial, TestRelayedBytes, TestStreamOnFailedLink hold the parts. Its wiring passes the partition to the relay's dialer now, the checks are as they were.

--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -10,11 +10,11 @@
 )
 
 const (
-	// dialTimeout bounds the connection setup. It is shorter than the kernel's initial SYN retransmission timeout of
+	// DialTimeout bounds the connection setup. It is shorter than the kernel's initial SYN retransmission timeout of
 	// 1 s, so that another target is tried before a lost SYN is retransmitted.
-	dialTimeout = 600 * time.Millisecond
-	// unackedTimeout is how long sent bytes may stay unacknowledged before a connection fails.
-	unackedTimeout = 1500 * time.Millisecond
+	DialTimeout = 600 * time.Millisecond
+	// UnackedTimeout is how long sent bytes may stay unacknowledged before a connection fails.
+	UnackedTimeout = 1500 * time.Millisecond
 	// defaultIdleTimeout is how long an idle connection is kept for reuse if its target sends no Keep-Alive timeout.
 	defaultIdleTimeout = 8 * time.Second
 	// idleMargin is subtracted from the target's keep-alive timeout to allow for the network latency.
@@ -45,7 +45,7 @@
 
 // New returns an empty pool.
 func New(options ...Option) *Pool {
-	dialer := NewDialer(dialTimeout, unackedTimeout)
+	dialer := NewDialer(DialTimeout, UnackedTimeout)
 	p := &Pool{dial: dialer.DialContext, idle: make(map[netip.AddrPort][]*Conn)}
 	for _, o := range options {
 		o(p)
@@ -127,6 +127,22 @@
 	p.idle[c.address] = append(conns, c)
 }
 
+// DiscardDirect closes the idle connections that lead directly to an address, not through another host: the link to the
+// address has failed.
+func (p *Pool) DiscardDirect(address netip.AddrPort) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var kept []*Conn
+	for _, c := range p.idle[address] {
+		if c.netConn.RemoteAddr().String() != address.String() {
+			kept = append(kept, c)
+			continue
+		}
+		c.Close()
+	}
+	p.idle[address] = kept
+}
+
 // sweep closes idle connections whose idle timeout has expired. It does so at most once a second. The lock must be
 // held.
 func (p *Pool) sweep(now time.Time) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -127,6 +127,7 @@
 		proxy.WithDeadTargetHandler(func(t target.Target, ended bool) { g.peers.sendDead(t, ended) }),
 		proxy.WithAliveTargetHandler(func(t target.Target) { g.peers.sendAlive(t) }),
 		proxy.WithControlProbe(func(ctx context.Context) error { return g.peers.connectToAny(ctx) }),
+		proxy.WithLinkCheck(g.linkFailedAt),
 		proxy.WithProbeDelegate(func(suspects []target.Target, round int, conclusive bool) []target.Target {
 			return g.peers.requestProbes(suspects, round, conclusive)
 		}))
@@ -159,6 +160,7 @@
 		cancel()
 		return err
 	}
+	g.startRelay()
 	clients := newHTTPServer(g.clientListener)
 	clients.Handler = g.platform.NewHandler(g.server, g.limits, g.trackRequest)
 	listener.NewConnReaper(run, clients.Server, g.timeouts)
--- a/pkg/gateway/partition_test.go
+++ b/pkg/gateway/partition_test.go
@@ -19,6 +19,7 @@
 	"github.com/cuminroute/cuminroute/pkg/connection"
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
+	"github.com/cuminroute/cuminroute/pkg/relay"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -187,11 +188,12 @@
 	var gateways []*Gateway
 	for i := range instances {
 		platform := fakePlatform(store, &fakeTargetControl{store: store})
-		pool := connection.New()
+		direct := new(partition)
 		if i < cutOff {
-			pool = connection.New(connection.WithDial(cut.dial))
+			direct = cut
 		}
-		platform.Upstream = poolUpstream{pool: pool}
+		platform.Dialer = relay.New(direct.dial)
+		platform.Upstream = poolUpstream{pool: connection.New(connection.WithDial(platform.Dialer.DialContext))}
 		gateways = append(gateways, startOn(t, fmt.Sprint("i", i), platform, gateways[:min(i, 1)]...))
 	}
 	for _, g := range gateways {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -58,14 +58,17 @@
 	newestVersion  uint64                       // newestVersion is the highest version of the configuration received.
 	newestFrom     netip.AddrPort               // newestFrom is the instance that sent newestVersion or, with the same version, newestRevision.
 	disconnected   map[netip.AddrPort]time.Time // disconnected holds until when instances are not watchers.
-	receivedAny    bool                         // receivedAny reports whether a status update was received since the start.
-	leaseSeenAt    time.Time                    // leaseSeenAt is when the row of the lease was last received.
-	leaseRow       *instancepb.Row              // leaseRow is the row of the lease as last received.
-	wake           chan struct{}                // wake wakes watchConfiguration.
+	// linksFailedUntil holds until when instances count as ones that have lost links to targets.
+	linksFailedUntil map[netip.AddrPort]time.Time
+	relayOutcomes    map[netip.AddrPort]relayOutcome // relayOutcomes holds the last outcome of relaying through each instance.
+	receivedAny      bool                            // receivedAny reports whether a status update was received since the start.
+	leaseSeenAt      time.Time                       // leaseSeenAt is when the row of the lease was last received.
+	leaseRow         *instancepb.Row                 // leaseRow is the row of the lease as last received.
+	wake             chan struct{}                   // wake wakes watchConfiguration.
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{gateway: g, startedAt: time.Now(), disconnected: make(map[netip.AddrPort]time.Time), wake: make(chan struct{}, 1)}
+	return &peers{gateway: g, startedAt: time.Now(), disconnected: make(map[netip.AddrPort]time.Time), linksFailedUntil: make(map[netip.AddrPort]time.Time), relayOutcomes: make(map[netip.AddrPort]relayOutcome), wake: make(chan struct{}, 1)}
 }
 
 // start joins the other instances.
@@ -73,7 +76,7 @@
 	settings := p.gateway.settings
 	node, err := instance.New(ctx, instance.Config{
 		Fleet: fleetName, Name: settings.Instance, DataCentre: settings.DataCentre, Address: settings.PeerAddress, Seeds: settings.Seeds,
-	}, instance.WithStatusHandler(p.receive), instance.WithCrashHandler(p.gateway.crashTracker), instance.WithRequestLimitHandler(p.gateway.requestLimiter),
+	}, instance.WithStatusHandler(p.receive), instance.WithCrashHandler(p.gateway.crashTracker), instance.WithRequestLimitHandler(p.gateway.requestLimiter), instance.WithRelay(p.gateway),
 		instance.WithSnapshotProvider(p.snapshot), instance.WithoutConfigSync(), instance.WithLogger(p.gateway.logger),
 		instance.WithMetrics(p.gateway.registry))
 	if err != nil {
@@ -145,6 +148,7 @@
 		others = others[:statusFanout]
 	}
 	u.HasLoads = true
+	u.LinksFailed = p.gateway.platform.Dialer != nil && p.gateway.platform.Dialer.AnyFailed()
 	u.Loads = sampleLoads(p.gateway.targetStats.LocalLoads())
 	p.send(others, u)
 	p.sendRequestLimits(others, now)
--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -10,6 +10,7 @@
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
+	"github.com/cuminroute/cuminroute/pkg/relay"
 	"github.com/cuminroute/cuminroute/pkg/revision"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -87,6 +88,9 @@
 	Store         Store
 	TargetControl TargetControl
 	Upstream      proxy.Upstream
+	// Dialer opens the connections of Upstream and TargetControl, through other instances where a link has failed. Nil means that
+	// they connect directly only.
+	Dialer *relay.Dialer
 	// ConfigurationKey is the name of the configuration's row.
 	ConfigurationKey    string
 	DecodeConfiguration func(content []byte) (*catalogue.Catalogue, error)
--- a/pkg/peer/instance/config.go
+++ b/pkg/peer/instance/config.go
@@ -121,7 +121,7 @@
 
 // counters count the traffic between instances and the calls served.
 type counters struct {
-	packetsIn, packetsOut, bytesIn, bytesOut, refused, dropped, calls metrics.Counter
+	packetsIn, packetsOut, bytesIn, bytesOut, refused, dropped, calls, relayed metrics.Counter
 }
 
 func newCounters(r metrics.Registry) counters {
@@ -130,6 +130,6 @@
 	}
 	return counters{
 		packetsIn: c("PacketsIn"), packetsOut: c("PacketsOut"), bytesIn: c("BytesIn"), bytesOut: c("BytesOut"),
-		refused: c("PacketsRefused"), dropped: c("PacketsDropped"), calls: c("Calls"),
+		refused: c("PacketsRefused"), dropped: c("PacketsDropped"), calls: c("Calls"), relayed: c("ConnectionsRelayed"),
 	}
 }
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -46,8 +46,10 @@
 	logger              *log.Logger
 	counters            counters
 	stateDump           func(context.Context) ([]byte, error)
-	crashHandler        CrashHandler // crashHandler is nil if messages about crashes are ignored.
-	requestLimitHandler RequestLimitHandler
+	crashHandler        CrashHandler        // crashHandler is nil if messages about crashes are ignored.
+	requestLimitHandler RequestLimitHandler // requestLimitHandler is nil if reports about request limits are ignored.
+	relayTargetDialer   RelayTargetDialer   // relayTargetDialer is nil if no connections are relayed.
+	relaySlots          chan struct{}       // relaySlots has one element for each relayed connection.
 	crashLimiter        *rate.Limiter
 	// statusHandler handles the status updates of other instances. It is nil if they are ignored.
 	statusHandler      func(netip.AddrPort, *instancepb.StatusUpdate)
@@ -90,7 +92,7 @@
 	n := &Node{
 		fleet: c.Fleet, logger: &log.DefaultLogger, counters: newCounters(metrics.NewRegistry()),
 		commands: make(chan func()), packets: make(chan receivedPacket, packetQueueSize), notifier: newNotifier(),
-		crashLimiter: newCrashLimiter(),
+		crashLimiter: newCrashLimiter(), relaySlots: make(chan struct{}, maxRelays),
 	}
 	for _, o := range options {
 		o(n)
--- a/pkg/peer/instance/server.go
+++ b/pkg/peer/instance/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"time"
 
@@ -49,8 +50,11 @@
 		select {
 		case slots <- struct{}{}:
 			n.start(func() {
-				n.serveConnection(server, conn)
+				relayed := n.serveConnection(server, conn)
 				<-slots
+				if relayed {
+					n.serveRelay(conn)
+				}
 			})
 		default:
 			_ = conn.Close()
@@ -58,15 +62,40 @@
 	}
 }
 
-// serveConnection serves the calls on one connection and closes it.
-func (n *Node) serveConnection(server *drpcserver.Server, conn net.Conn) {
+// serveConnection serves the calls on one connection and closes it, unless the connection is to be relayed to a target.
+func (n *Node) serveConnection(server *drpcserver.Server, conn net.Conn) (relayed bool) {
 	ctx, cancel := context.WithTimeout(n.ctx, serveTimeout)
 	defer cancel()
 	_ = conn.SetDeadline(time.Now().Add(serveTimeout))
+	prefix := make([]byte, len(relayPrefix))
+	if _, err := io.ReadFull(conn, prefix); err != nil {
+		_ = conn.Close()
+		return false
+	}
+	if string(prefix) == relayPrefix {
+		return true
+	}
 	n.counters.calls.Inc(1)
-	if err := server.ServeOne(ctx, conn); err != nil {
+	if err := server.ServeOne(ctx, &prefixedConn{Conn: conn, prefix: prefix}); err != nil {
 		n.logger.Debug().Err(err).Msg("connection from another instance ended with an error")
 	}
+	return false
+}
+
+// prefixedConn is a connection whose first bytes have been read.
+type prefixedConn struct {
+	net.Conn
+	prefix []byte // prefix holds the bytes that have been read and not been returned by Read.
+}
+
+// Read implements io.Reader.
+func (c *prefixedConn) Read(b []byte) (int, error) {
+	if len(c.prefix) == 0 {
+		return c.Conn.Read(b)
+	}
+	n := copy(b, c.prefix)
+	c.prefix = c.prefix[n:]
+	return n, nil
 }
 
 // checkFleet returns an error if a call was made by an instance of another fleet.
--- a/pkg/probe/prober.go
+++ b/pkg/probe/prober.go
@@ -27,8 +27,9 @@
 	// timeout bounds a probe of a suspect in running time of this process. A live host accepts a connection within
 	// one or two milliseconds.
 	timeout = 40 * time.Millisecond
-	// conclusiveTimeout bounds the only probe of a suspect if neither this process nor its links can have stalled.
-	conclusiveTimeout = 15 * time.Millisecond
+	// conclusiveTimeout bounds the only probe of a suspect if neither this process nor its links can have stalled. It covers
+	// the attempts of several peers in turn, if only the link to the suspect has failed.
+	conclusiveTimeout = 25 * time.Millisecond
 	// repeatTimeout bounds the later probes of a dead target in running time of this process.
 	repeatTimeout = 100 * time.Millisecond
 	// Tick is the resolution of this process's running time: a pause of the process between two ticks, such as one forced
--- a/pkg/proxy/active_stream.go
+++ b/pkg/proxy/active_stream.go
@@ -35,6 +35,7 @@
 	path             path.Path
 	release          func()             // release releases the KV cells reserved on the path.
 	cancel           context.CancelFunc // cancel cancels the current attempt.
+	sentAt           time.Time          // sentAt is when the current attempt started.
 	lastEventAt      time.Time          // lastEventAt is when the last event arrived or, before the first, the attempt was sent.
 	smoothedGap      time.Duration      // smoothedGap is the exponentially smoothed event gap.
 	stallTimer       *time.Timer
@@ -89,9 +90,9 @@
 func (s *activeStream) attemptStarted(cancel context.CancelFunc) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.cancel = cancel
+	s.cancel, s.sentAt = cancel, time.Now()
 	if !s.headerSent {
-		s.lastEventAt = time.Now()
+		s.lastEventAt = s.sentAt
 	}
 	s.stallChecks = 0
 	s.stallTimer.Reset(firstEventStall)
@@ -121,6 +122,13 @@
 	return max(minStall, stallFactor*s.smoothedGap)
 }
 
+// attemptStartedAt returns when the current attempt started.
+func (s *activeStream) attemptStartedAt() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sentAt
+}
+
 func (s *activeStream) lastEvent() time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/proxy/failure_detector.go
+++ b/pkg/proxy/failure_detector.go
@@ -23,6 +23,10 @@
 	deadTTL         = 2 * time.Second
 	reprobeInterval = 700 * time.Millisecond
 	reprobeDuration = 8 * time.Second
+	// minLinkSilence is how long no stream may have received an event from a first target before the link to it is checked.
+	minLinkSilence = 240 * time.Millisecond
+	// linkCheckTimeout bounds the check of the link to a target.
+	linkCheckTimeout = 500 * time.Millisecond
 	// changePathTimeout bounds the request to change a path.
 	changePathTimeout = 250 * time.Millisecond
 	// maxPathChanges bounds the attempts to change a stream's path after one target died or is drained.
@@ -58,6 +62,8 @@
 	// delegate asks the monitors of suspects to probe them, and returns the suspects that this instance monitors itself.
 	// The round counts the checks of the same stall.
 	delegate func(suspects []target.Target, round int, conclusive bool) (own []target.Target)
+	// linkFailedAt returns when this instance was found to have lost its link to a target that other instances reach, or zero.
+	linkFailedAt func(ctx context.Context, t target.Target) time.Time
 
 	mu           sync.Mutex
 	streams      map[*activeStream]struct{}
@@ -68,7 +74,7 @@
 func newFailureDetector(s *Server) *failureDetector {
 	d := &failureDetector{
 		server: s, onDead: func(target.Target, bool) {}, onAlive: func(target.Target) {}, delegate: probeAll,
-		control: func(context.Context) error { return nil },
+		control: func(context.Context) error { return nil }, linkFailedAt: func(context.Context, target.Target) time.Time { return time.Time{} },
 		streams: make(map[*activeStream]struct{}), drainedUntil: make(map[string]time.Time), ended: make(map[string]time.Time),
 	}
 	d.prober = probe.New(s.upstream, d.aliveSince, probe.WithControl(func(ctx context.Context) error { return d.control(ctx) }))
@@ -117,12 +123,39 @@
 			}
 		})
 	}
+	group.Go(func() { d.resumeIfLinkFailed(s) })
 	group.Wait()
 	if !dead.Load() {
 		s.resetStallTimer(min(stallRecheckInterval<<min(round, 8), maxStallRecheckInterval))
 	}
 }
 
+// resumeIfLinkFailed resumes a stalled stream on another connection if this instance has lost its link to the first target of
+// its path since the stream was sent there. Other instances reach that target, so that nobody finds it dead.
+func (d *failureDetector) resumeIfLinkFailed(s *activeStream) {
+	p, stalledSince := s.currentPath(), s.lastEvent()
+	if len(p) == 0 || d.linkWorks(p[0].Target.Name, stalledSince) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), linkCheckTimeout)
+	defer cancel()
+	failedAt := d.linkFailedAt(ctx, p[0].Target)
+	if s.attemptStartedAt().Before(failedAt) && s.lastEvent().Equal(stalledSince) {
+		s.server.logger.Info().Str("Request", s.ID).Str("Target", p[0].Target.Name).Msg("stream resumed, the link to its first target has failed")
+		s.cancelAttempt()
+	}
+}
+
+// linkWorks reports whether a stream that was sent to the first target before the given time has received an event within
+// minLinkSilence.
+func (d *failureDetector) linkWorks(first string, before time.Time) bool {
+	since := time.Now().Add(-minLinkSilence)
+	return slices.ContainsFunc(d.activeStreams(), func(s *activeStream) bool {
+		p := s.currentPath()
+		return len(p) > 0 && p[0].Target.Name == first && s.attemptStartedAt().Before(before) && s.lastEvent().After(since)
+	})
+}
+
 // examine probes a target, marks it dead if it does not accept a connection, and reports whether it is dead.
 func (d *failureDetector) examine(t target.Target, conclusive bool) bool {
 	return d.applyVerdict(t, d.prober.Judge(t, conclusive), "Silence")
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -117,6 +117,12 @@
 	return func(s *Server) { s.detector.delegate = delegate }
 }
 
+// WithLinkCheck sets the function that returns when this instance was found to have lost its link to a target that other
+// instances reach, or zero if it has not. Attempts that started later do not use the link.
+func WithLinkCheck(failedAt func(ctx context.Context, t target.Target) time.Time) Option {
+	return func(s *Server) { s.detector.linkFailedAt = failedAt }
+}
+
 // New returns a server.
 func New(snapshots SnapshotSource, upstream Upstream, stats *targetstats.Tracker, options ...Option) *Server {
 	s := &Server{
--- a/pkg/proxy/stream_test.go
+++ b/pkg/proxy/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -495,3 +496,45 @@
 	qt.Assert(t, sent[0].Priority, qt.Equals, 2) // The workspace's own priority.
 	qt.Assert(t, sent[1].Priority, qt.Equals, 0)
 }
+
+// TestStreamOnFailedLink guards against a stream that hangs until its client leaves, since only the link to its first target has
+// failed: the target answers the probes of other instances. Other streams, which were sent later, are relayed.
+func TestStreamOnFailedLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const cutAt = 200 * time.Millisecond
+		began := time.Now()
+		h := newHarness(t, proxy.WithLinkCheck(func(context.Context, target.Target) time.Time { return began.Add(cutAt + 50*time.Millisecond) }))
+		h.setTargets("model", engineTarget("m1", 0, 4))
+		h.upstream.open = func(ctx context.Context, n int, a proxy.Attempt) (*proxy.Response, error) {
+			reader, writer := io.Pipe()
+			context.AfterFunc(ctx, func() { _ = writer.CloseWithError(errReset) })
+			first := 1
+			if a.LastEventID != "" {
+				_, _ = fmt.Sscan(a.LastEventID, &first)
+				first++
+			}
+			go func() {
+				for i := first; i <= 20; i++ {
+					if n == 1 && time.Since(began) > cutAt {
+						return // The connection hangs.
+					}
+					_, _ = io.WriteString(writer, events(i, i))
+					time.Sleep(20 * time.Millisecond)
+				}
+				_ = writer.Close()
+			}()
+			return streamingResponse(reader), nil
+		}
+		go func() {
+			for n := range 40 {
+				time.Sleep(50 * time.Millisecond)
+				go func() { _, _ = h.call("/plan/1", func(r *proxy.Request) { r.ID = fmt.Sprint("later-", n) }) }()
+			}
+		}()
+		recorder, err := h.call("/plan/1")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 20))
+		qt.Assert(t, time.Since(began) < 1200*time.Millisecond, qt.IsTrue, qt.Commentf("the stream took %v", time.Since(began)))
+		time.Sleep(5 * time.Second)
+	})
+}
