--- a/pkg/gateway/partition_test.go
+++ b/pkg/gateway/partition_test.go
@@ -4,13 +4,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -20,69 +18,10 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
 	"github.com/cuminroute/cuminroute/pkg/relay"
+	"github.com/cuminroute/cuminroute/pkg/standin/partition"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
-// partition cuts the links of an instance to all targets.
-type partition struct {
-	cut     atomic.Bool
-	refuses bool // refuses means that new connections are refused; otherwise they hang.
-	resets  bool // resets means that open connections are reset; otherwise they hang.
-	lives   bool // lives means that open connections go on.
-}
-
-// dial opens a connection, unless the links are cut.
-func (p *partition) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if p.cut.Load() {
-		if p.refuses {
-			return nil, syscall.ECONNREFUSED
-		}
-		<-ctx.Done()
-		return nil, ctx.Err()
-	}
-	var dialer net.Dialer
-	c, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &partitionedConn{TCPConn: c.(*net.TCPConn), partition: p}, nil
-}
-
-// partitionedConn is a connection over the links of a partition.
-type partitionedConn struct {
-	*net.TCPConn
-	partition *partition
-}
-
-func (c *partitionedConn) Read(b []byte) (int, error) {
-	n, err := c.TCPConn.Read(b)
-	if failed := c.fail(); failed != nil {
-		return 0, failed
-	}
-	return n, err
-}
-
-func (c *partitionedConn) Write(b []byte) (int, error) {
-	if err := c.fail(); err != nil {
-		return 0, err
-	}
-	return c.TCPConn.Write(b)
-}
-
-// fail returns nil if the connection works. A connection that hangs fails after the time that the kernel would take.
-func (c *partitionedConn) fail() error {
-	const unackedTimeout = 1500 * time.Millisecond
-	switch {
-	case !c.partition.cut.Load() || c.partition.lives:
-		return nil
-	case c.partition.resets:
-		return syscall.ECONNRESET
-	default:
-		time.Sleep(unackedTimeout)
-		return syscall.ETIMEDOUT
-	}
-}
-
 // poolUpstream sends requests on the connections of a pool.
 type poolUpstream struct {
 	pool *connection.Pool
@@ -122,12 +61,12 @@
 func TestPartitionFromTargets(t *testing.T) {
 	for _, test := range []struct {
 		name string
-		cut  *partition
+		cut  *partition.Links
 	}{
-		{"links hang", &partition{}},
-		{"links refuse", &partition{refuses: true, resets: true}},
-		{"open connections live on", &partition{refuses: true, lives: true}},
-		{"open connections are reset, new ones hang", &partition{resets: true}},
+		{"links hang", &partition.Links{}},
+		{"links refuse", &partition.Links{Refuse: true, Reset: true}},
+		{"open connections live on", &partition.Links{Refuse: true, Live: true}},
+		{"open connections are reset, new ones hang", &partition.Links{Reset: true}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -150,7 +89,7 @@
 			for _, g := range gateways { // Connections to the targets are open when the links are cut.
 				qt.Assert(t, sendDeskRequest(g, "first"), qt.IsNil)
 			}
-			test.cut.cut.Store(true)
+			test.cut.Cut()
 			began := time.Now()
 			var sent, served [instances]atomic.Int64
 			var group sync.WaitGroup
@@ -184,15 +123,15 @@
 }
 
 // startPartitionableFleet starts instances, of which the first ones reach the targets over the links of a partition.
-func startPartitionableFleet(t *testing.T, instances, cutOff int, store *fakeStore, cut *partition) []*Gateway {
+func startPartitionableFleet(t *testing.T, instances, cutOff int, store *fakeStore, cut *partition.Links) []*Gateway {
 	var gateways []*Gateway
 	for i := range instances {
 		platform := fakePlatform(store, &fakeTargetControl{store: store})
-		direct := new(partition)
+		direct := new(partition.Links)
 		if i < cutOff {
 			direct = cut
 		}
-		platform.Dialer = relay.New(direct.dial)
+		platform.Dialer = relay.New(direct.DialContext)
 		platform.Upstream = poolUpstream{pool: connection.New(connection.WithDial(platform.Dialer.DialContext))}
 		gateways = append(gateways, startOn(t, fmt.Sprint("i", i), platform, gateways[:min(i, 1)]...))
 	}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"slices"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
+	"github.com/cuminroute/cuminroute/pkg/relaypeers"
 	"github.com/cuminroute/cuminroute/pkg/revision"
 )
 
@@ -49,7 +51,8 @@
 	gateway   *Gateway
 	node      *instance.Node
 	startedAt time.Time
-	fetching  atomic.Bool // fetching is set while fetchInBackground fetches the configuration.
+	relays    *relaypeers.Peers // relays are the instances through which targets are reached where the own link has failed.
+	fetching  atomic.Bool       // fetching is set while fetchInBackground fetches the configuration.
 
 	mu             sync.Mutex
 	watcherSeenAt  time.Time                    // watcherSeenAt is when a digest of the target list was last received.
@@ -58,17 +61,18 @@
 	newestVersion  uint64                       // newestVersion is the highest version of the configuration received.
 	newestFrom     netip.AddrPort               // newestFrom is the instance that sent newestVersion or, with the same version, newestRevision.
 	disconnected   map[netip.AddrPort]time.Time // disconnected holds until when instances are not watchers.
-	// linksFailedUntil holds until when instances count as ones that have lost links to targets.
-	linksFailedUntil map[netip.AddrPort]time.Time
-	relayOutcomes    map[netip.AddrPort]relayOutcome // relayOutcomes holds the last outcome of relaying through each instance.
-	receivedAny      bool                            // receivedAny reports whether a status update was received since the start.
-	leaseSeenAt      time.Time                       // leaseSeenAt is when the row of the lease was last received.
-	leaseRow         *instancepb.Row                 // leaseRow is the row of the lease as last received.
-	wake             chan struct{}                   // wake wakes watchConfiguration.
+	receivedAny    bool                         // receivedAny reports whether a status update was received since the start.
+	leaseSeenAt    time.Time                    // leaseSeenAt is when the row of the lease was last received.
+	leaseRow       *instancepb.Row              // leaseRow is the row of the lease as last received.
+	wake           chan struct{}                // wake wakes watchConfiguration.
 }
 
 func newPeers(g *Gateway) *peers {
-	return &peers{gateway: g, startedAt: time.Now(), disconnected: make(map[netip.AddrPort]time.Time), linksFailedUntil: make(map[netip.AddrPort]time.Time), relayOutcomes: make(map[netip.AddrPort]relayOutcome), wake: make(chan struct{}, 1)}
+	p := &peers{gateway: g, startedAt: time.Now(), disconnected: make(map[netip.AddrPort]time.Time), wake: make(chan struct{}, 1)}
+	p.relays = relaypeers.New(g.settings.DataCentre, p.others, func(ctx context.Context, via, to netip.AddrPort) (net.Conn, error) {
+		return p.node.DialThrough(ctx, via, to)
+	})
+	return p
 }
 
 // start joins the other instances.
@@ -148,7 +152,7 @@
 		others = others[:statusFanout]
 	}
 	u.HasLoads = true
-	u.LinksFailed = p.gateway.platform.Dialer != nil && p.gateway.platform.Dialer.AnyFailed()
+	u.LinksFailed = p.gateway.hasLostLinks()
 	u.Loads = sampleLoads(p.gateway.targetStats.LocalLoads())
 	p.send(others, u)
 	p.sendRequestLimits(others, now)
--- a/pkg/gateway/receive.go
+++ b/pkg/gateway/receive.go
@@ -22,7 +22,7 @@
 			loads[l.GetTarget()] = targetstats.Load{KVCells: l.GetCells(), Streams: int(l.GetStreams())}
 		}
 		g.targetStats.SetRemoteLoads(from.String(), loads, now)
-		p.recordLinks(from, u.GetLinksFailed(), now)
+		p.relays.RecordLinks(from, u.GetLinksFailed(), now)
 	}
 	p.receiveVerdicts(u)
 	p.receiveSuspects(u)
