--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -80,6 +80,7 @@
 	services            *service.Client
 	node                *instance.Node
 	requestLimiter      *requestlimit.Limiter
+	targetDial          func(ctx context.Context, network, address string) (net.Conn, error)
 	control             *control
 	placementController *placementcontroller.Controller
 
@@ -104,6 +105,9 @@
 	PeerAddress     netip.AddrPort
 }
 
+// targetDialTimeout is far above the round-trip time within a region.
+const targetDialTimeout = time.Second
+
 // Option configures a daemon.
 type Option func(*Daemon)
 
@@ -117,6 +121,11 @@
 	return func(d *Daemon) { d.placementOptions = append(d.placementOptions, options...) }
 }
 
+// WithTargetDial sets the function that opens connections to targets.
+func WithTargetDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(d *Daemon) { d.targetDial = dial }
+}
+
 // WithoutCacheEvents ignores the engines' cache events.
 func WithoutCacheEvents() Option {
 	return func(d *Daemon) { d.ignoreEvents = true }
@@ -133,7 +142,10 @@
 // configuration and the platform's list and has polled enough of the listed engines for their layers to
 // serve requests. Stop, Kill and the end of ctx end the instance.
 func New(ctx context.Context, s settings.Settings, options ...Option) (*Daemon, error) {
-	d := &Daemon{settings: s, registry: metrics.NewRegistry(), done: make(chan struct{}), stopping: make(chan struct{})}
+	d := &Daemon{
+		settings: s, registry: metrics.NewRegistry(), done: make(chan struct{}), stopping: make(chan struct{}),
+		targetDial: (&net.Dialer{Timeout: targetDialTimeout}).DialContext,
+	}
 	for _, option := range options {
 		option(d)
 	}
@@ -233,7 +245,7 @@
 }
 
 func (d *Daemon) assembleTraffic(ctx context.Context) {
-	d.engines = engine.NewPool(engine.WithRegistry(d.registry))
+	d.engines = engine.NewPool(engine.WithRegistry(d.registry), engine.WithDial(d.targetDial))
 	retryBudget := retry.New()
 	routes := newRouter(d.picker, d.crashTracker, func() []target.Target { return *d.control.targets.Load() },
 		func(name string) { d.control.observeLeaving(ctx, name) })
@@ -241,7 +253,7 @@
 	d.runner = stream.NewRunner(routes, stages, stream.WithCrashTracker(d.crashTracker), stream.WithRetryBudget(retryBudget),
 		stream.WithLogger(d.logger), stream.WithRegistry(d.registry))
 	d.services = service.New(d.serviceTargets, &claimAdapter{claimer: d.claimer}, service.WithRetryBudget(retryBudget),
-		service.WithDrainCounter(d.running), service.WithRequestLimiter(d.requestLimiter), service.WithLogger(d.logger), service.WithRegistry(d.registry))
+		service.WithDrainCounter(d.running), service.WithRequestLimiter(d.requestLimiter), service.WithDial(d.targetDial), service.WithLogger(d.logger), service.WithRegistry(d.registry))
 }
 
 // broadcast sends quarantine items to all other instances.
--- a/pkg/peer/engine/client.go
+++ b/pkg/peer/engine/client.go
@@ -22,6 +22,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
@@ -43,6 +44,7 @@
 	inFlight int    // inFlight is the maximum number of calls in flight for each kind of step.
 	registry metrics.Registry
 	counters counters
+	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 
 	stepClient  *http.Client
 	unaryClient *http.Client
@@ -69,9 +71,15 @@
 	return func(c *Client) { c.registry = r }
 }
 
+// WithDial sets the function that opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
 // New returns a client of the engine at address. It opens no connection before the first call.
 func New(address netip.AddrPort, options ...Option) *Client {
 	c := &Client{address: address, base: "http://" + address.String(), inFlight: DefaultInFlight, pending: newPendingSteps()}
+	c.dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	for _, option := range options {
 		option(c)
 	}
@@ -80,8 +88,8 @@
 	}
 	c.counters = newCounters(c.registry)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
-	c.stepClient = newHTTPClient(2 * c.inFlight)
-	c.unaryClient = newHTTPClient(unaryConnections)
+	c.stepClient = newHTTPClient(c.dial, 2*c.inFlight)
+	c.unaryClient = newHTTPClient(c.dial, unaryConnections)
 	c.decodeQueue = newStepQueue(c.inFlight)
 	c.prefillQueue = newStepQueue(c.inFlight)
 	for _, q := range []*stepQueue{c.decodeQueue, c.prefillQueue} {
--- a/pkg/peer/engine/unary.go
+++ b/pkg/peer/engine/unary.go
@@ -26,11 +26,10 @@
 	maxUnaryBytes = 256 << 20
 )
 
-func newHTTPClient(connections int) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), connections int) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     time.Minute,
--- a/pkg/peer/service/client.go
+++ b/pkg/peer/service/client.go
@@ -33,6 +33,7 @@
 	registry    metrics.Registry
 	counters    counters
 	balancer    *balancer
+	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	// requestLimiter keeps the request limits that targets name.
 	requestLimiter *requestlimit.Limiter
 	// unpooled opens a new connection for each request. A target may close a pooled connection at any
@@ -55,6 +56,11 @@
 	return func(c *Client) { c.drain = d }
 }
 
+// WithDial sets the function that opens connections.
+func WithDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(c *Client) { c.dial = dial }
+}
+
 // WithRequestLimiter sets the limiter that keeps the request limits of targets. Without this option, this instance is taken for
 // the only one that sends requests to the targets.
 func WithRequestLimiter(l *requestlimit.Limiter) Option {
@@ -81,7 +87,7 @@
 func New(targets Targets, claimer Claimer, options ...Option) *Client {
 	c := &Client{
 		targets: targets, claimer: claimer, retryBudget: unlimitedRetries{}, drain: noDrain{}, now: time.Now,
-		logger: &log.DefaultLogger, requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()), unpooled: newHTTPClient(true), pooled: newHTTPClient(false),
+		logger: &log.DefaultLogger, requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()), dial: (&net.Dialer{Timeout: dialTimeout}).DialContext,
 	}
 	for _, option := range options {
 		option(c)
@@ -91,6 +97,7 @@
 	}
 	c.counters = newCounters(c.registry)
 	c.balancer = newBalancer(c.acquire)
+	c.unpooled, c.pooled = newHTTPClient(c.dial, true), newHTTPClient(c.dial, false)
 	return c
 }
 
@@ -109,11 +116,10 @@
 	c.pooled.CloseIdleConnections()
 }
 
-func newHTTPClient(disableKeepAlives bool) *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), disableKeepAlives bool) *http.Client {
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
--- a/pkg/proof/harness.go
+++ b/pkg/proof/harness.go
@@ -19,6 +19,7 @@
 	"sync"
 	"time"
 
+	"github.com/cuminroute/cuminroute/pkg/daemon"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/peer/operator"
@@ -27,6 +28,7 @@
 	"github.com/cuminroute/cuminroute/pkg/standin/engine"
 	"github.com/cuminroute/cuminroute/pkg/standin/fleet"
 	"github.com/cuminroute/cuminroute/pkg/standin/inprocess"
+	"github.com/cuminroute/cuminroute/pkg/standin/partition"
 )
 
 const (
@@ -41,7 +43,9 @@
 	Seed           uint64
 	Instances      int
 	EnginesPerHalf int // EnginesPerHalf is the number of engines for each half of the layers; 3 if it isn't set.
-	Slowdown       int // Slowdown multiplies the step time of the engines; defaultSlowdown if it isn't set.
+	// Links are the links of some instances, by name, to the engines and services. The others have links that cannot be cut.
+	Links    map[string]*partition.Links
+	Slowdown int // Slowdown multiplies the step time of the engines; defaultSlowdown if it isn't set.
 }
 
 // Harness is a small fleet with fault injection on the links between its instances and the platform.
@@ -49,14 +53,16 @@
 	*fleet.Fleet
 	Client *caller.Client
 
+	targetLinks map[string]*partition.Links // targetLinks are the links of instances to the engines and services.
+
 	mu    sync.Mutex
-	links map[string]*Link
+	links map[string]*Link // links are the links of instances to the platform.
 	log   logBuffer
 }
 
 // New starts a fleet and waits until its instances are ready.
 func New(ctx context.Context, o Options) (*Harness, error) {
-	h := &Harness{Client: caller.New(), links: map[string]*Link{}}
+	h := &Harness{Client: caller.New(), targetLinks: o.Links, links: map[string]*Link{}}
 	var err error
 	h.Fleet, err = fleet.New(ctx, fleet.Options{Seed: o.Seed, Instances: o.Instances, Recording: true, EngineSpecs: engineSpecs(o), Start: h.start})
 	if err != nil {
@@ -100,7 +106,13 @@
 	h.links[s.Name] = link
 	h.mu.Unlock()
 	s.Platform = link.URL()
-	return inprocess.StartLogging(&h.log)(ctx, s)
+	return inprocess.StartWith(func(fleet.InstanceSpec) []daemon.Option {
+		options := []daemon.Option{daemon.WithLogOutput(&h.log)}
+		if links := h.targetLinks[s.Name]; links != nil {
+			options = append(options, daemon.WithTargetDial(links.DialContext))
+		}
+		return options
+	})(ctx, s)
 }
 
 // Link returns the link between an instance and the platform.
