Reach targets through other instances from the own front end, too

Connections of these clients now fail after 1.5 s without acknowledgement, since a failed link sends no reset.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 	"github.com/cuminroute/cuminroute/pkg/claim"
 	"github.com/cuminroute/cuminroute/pkg/configlog"
 	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/connection"
 	"github.com/cuminroute/cuminroute/pkg/decision/admission"
 	"github.com/cuminroute/cuminroute/pkg/decision/crashhistory"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
@@ -50,6 +52,8 @@
 	"github.com/cuminroute/cuminroute/pkg/peer/table"
 	"github.com/cuminroute/cuminroute/pkg/placementcontroller"
 	"github.com/cuminroute/cuminroute/pkg/quarantinesync"
+	"github.com/cuminroute/cuminroute/pkg/relay"
+	"github.com/cuminroute/cuminroute/pkg/relaypeers"
 	"github.com/cuminroute/cuminroute/pkg/settings"
 	"github.com/cuminroute/cuminroute/pkg/stream"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -80,7 +84,8 @@
 	services            *service.Client
 	node                *instance.Node
 	requestLimiter      *requestlimit.Limiter
-	targetDial          func(ctx context.Context, network, address string) (net.Conn, error)
+	targetDial          relay.DialFunc
+	targetDialer        *relay.Dialer // targetDialer opens connections to targets, through other instances where a link has failed.
 	control             *control
 	placementController *placementcontroller.Controller
 
@@ -105,8 +110,13 @@
 	PeerAddress     netip.AddrPort
 }
 
-// targetDialTimeout is far above the round-trip time within a region.
-const targetDialTimeout = time.Second
+const (
+	// targetDialTimeout is far above the round-trip time within a region.
+	targetDialTimeout = time.Second
+	// targetUnackedTimeout is how long bytes to a target may stay unacknowledged before the connection fails. A link that has
+	// failed sends no reset.
+	targetUnackedTimeout = 1500 * time.Millisecond
+)
 
 // Option configures a daemon.
 type Option func(*Daemon)
@@ -121,8 +131,8 @@
 	return func(d *Daemon) { d.placementOptions = append(d.placementOptions, options...) }
 }
 
-// WithTargetDial sets the function that opens connections to targets.
-func WithTargetDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+// WithTargetDial sets the function that opens connections to targets directly.
+func WithTargetDial(dial relay.DialFunc) Option {
 	return func(d *Daemon) { d.targetDial = dial }
 }
 
@@ -144,8 +154,9 @@
 func New(ctx context.Context, s settings.Settings, options ...Option) (*Daemon, error) {
 	d := &Daemon{
 		settings: s, registry: metrics.NewRegistry(), done: make(chan struct{}), stopping: make(chan struct{}),
-		targetDial: (&net.Dialer{Timeout: targetDialTimeout}).DialContext,
 	}
+	direct := connection.NewDialer(targetDialTimeout, targetUnackedTimeout)
+	d.targetDial = direct.DialContext
 	for _, option := range options {
 		option(d)
 	}
@@ -207,6 +218,7 @@
 	d.admission = &admissionController{controller: admission.NewController(admission.New(), time.Now)}
 	d.running = &drain.Counter{}
 	d.requestLimiter = requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now())
+	d.targetDialer = relay.New(d.targetDial)
 	d.control = newControl(d)
 	if err := d.assembleNode(ctx); err != nil {
 		return err
@@ -233,19 +245,20 @@
 		Address: d.settings.Listen.Peers, Seeds: d.settings.Seeds,
 	},
 		instance.WithConfigApplier(d.configuration), instance.WithConfigSource(logSource{d.configuration}), instance.WithStateDump(fleet{d}.dump),
-		instance.WithCrashHandler(d.crashTracker), instance.WithRequestLimitHandler(d.requestLimiter),
+		instance.WithCrashHandler(d.crashTracker), instance.WithRequestLimitHandler(d.requestLimiter), instance.WithRelay(targetRelay{d}),
 		instance.WithLogger(d.logger), instance.WithMetrics(d.registry))
 	if err != nil {
 		return errListen.Wrap(err, "cannot listen on the peer address")
 	}
 	d.node = node
+	d.targetDialer.SetPeers(relaypeers.New(d.settings.DataCentre, d.otherMembers, node.DialThrough).Dial)
 	d.log.notifyVersion = node.NotifyVersion
 	node.OnItem(func(i membership.Item) { d.control.observeItem(ctx, i) })
 	return nil
 }
 
 func (d *Daemon) assembleTraffic(ctx context.Context) {
-	d.engines = engine.NewPool(engine.WithRegistry(d.registry), engine.WithDial(d.targetDial))
+	d.engines = engine.NewPool(engine.WithRegistry(d.registry), engine.WithDial(d.targetDialer.DialContext))
 	retryBudget := retry.New()
 	routes := newRouter(d.picker, d.crashTracker, func() []target.Target { return *d.control.targets.Load() },
 		func(name string) { d.control.observeLeaving(ctx, name) })
@@ -253,7 +266,7 @@
 	d.runner = stream.NewRunner(routes, stages, stream.WithCrashTracker(d.crashTracker), stream.WithRetryBudget(retryBudget),
 		stream.WithLogger(d.logger), stream.WithRegistry(d.registry))
 	d.services = service.New(d.serviceTargets, &claimAdapter{claimer: d.claimer}, service.WithRetryBudget(retryBudget),
-		service.WithDrainCounter(d.running), service.WithRequestLimiter(d.requestLimiter), service.WithDial(d.targetDial), service.WithLogger(d.logger), service.WithRegistry(d.registry))
+		service.WithDrainCounter(d.running), service.WithRequestLimiter(d.requestLimiter), service.WithDial(d.targetDialer.DialContext), service.WithLogger(d.logger), service.WithRegistry(d.registry))
 }
 
 // broadcast sends quarantine items to all other instances.
@@ -270,13 +283,16 @@
 	}
 }
 
+// otherMembers returns the live instances except this one.
+func (d *Daemon) otherMembers() []membership.Member {
+	return slices.DeleteFunc(slices.Clone(d.node.Members()), func(m membership.Member) bool { return m.Address == d.node.Address() })
+}
+
 // sendRequestLimits sends the request limits of targets to all other instances, or to a random sample of a large fleet.
 func (d *Daemon) sendRequestLimits(now time.Time) {
 	var others []netip.AddrPort
-	for _, m := range d.node.Members() {
-		if m.Address != d.node.Address() {
-			others = append(others, m.Address)
-		}
+	for _, m := range d.otherMembers() {
+		others = append(others, m.Address)
 	}
 	d.requestLimiter.ObserveInstances(len(others)+1, now)
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
--- a/pkg/daemon/stop.go
+++ b/pkg/daemon/stop.go
@@ -11,11 +11,16 @@
 
 // Ready reports whether the load balancer may send clients to this instance.
 func (d *Daemon) Ready() bool {
+	return !d.isStopping() && d.node.View().Ready() && d.control.listed.Load() && d.control.routesKnown.Load()
+}
+
+// isStopping reports whether a planned stop has begun.
+func (d *Daemon) isStopping() bool {
 	select {
 	case <-d.stopping:
-		return false
+		return true
 	default:
-		return d.node.View().Ready() && d.control.listed.Load() && d.control.routesKnown.Load()
+		return false
 	}
 }
 
--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/relay.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/netip"
 	"slices"
@@ -12,8 +11,6 @@
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
-var errLinkFailed = errors.New("this instance has lost its link to the target")
-
 // startRelay lets the platform's dialer connect through other instances.
 func (g *Gateway) startRelay() {
 	if g.platform.Dialer == nil {
@@ -44,8 +41,5 @@
 	if !listed || g.platform.Dialer == nil || g.stopping.Load() {
 		return nil, instance.ErrRelayDenied
 	}
-	if g.platform.Dialer.Failed(to) {
-		return nil, errLinkFailed
-	}
-	return g.platform.Dialer.DialDirect(ctx, to)
+	return g.platform.Dialer.DialForPeer(ctx, to)
 }
--- a/pkg/probe/prober.go
+++ b/pkg/probe/prober.go
@@ -29,7 +29,7 @@
 	timeout = 40 * time.Millisecond
 	// conclusiveTimeout bounds the only probe of a suspect if neither this process nor its links can have stalled. It covers
 	// the attempts of several peers in turn, if only the link to the suspect has failed.
-	conclusiveTimeout = 25 * time.Millisecond
+	conclusiveTimeout = 20 * time.Millisecond
 	// repeatTimeout bounds the later probes of a dead target in running time of this process.
 	repeatTimeout = 100 * time.Millisecond
 	// Tick is the resolution of this process's running time: a pause of the process between two ticks, such as one forced
--- a/pkg/relay/dialer.go
+++ b/pkg/relay/dialer.go
@@ -46,6 +46,9 @@
 // ErrNoPeer reports that there is no peer to connect through.
 var ErrNoPeer = errors.New("there is no peer to connect through")
 
+// errLinkFailed reports an address to which this instance has lost its link.
+var errLinkFailed = errors.New("the link to the address has failed here, too")
+
 // errSilent replaces the error of a direct connection that was refused, if peers could not confirm that.
 var errSilent = errors.New("the address refuses connections here, and no peer reaches it")
 
@@ -111,8 +114,11 @@
 	return d.race(ctx, to, peers)
 }
 
-// DialDirect opens a connection to an address directly.
-func (d *Dialer) DialDirect(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+// DialForPeer opens a connection to an address directly, for a peer.
+func (d *Dialer) DialForPeer(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+	if d.Failed(to) {
+		return nil, errLinkFailed
+	}
 	return d.direct(ctx, "tcp", to.String())
 }
 
