--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -28,7 +28,8 @@
 
 // Pool keeps idle connections by target address. It is safe for concurrent use.
 type Pool struct {
-	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	dial      func(ctx context.Context, network, address string) (net.Conn, error)
+	probeDial func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu        sync.Mutex
 	idle      map[netip.AddrPort][]*Conn
@@ -43,6 +44,11 @@
 	return func(p *Pool) { p.dial = dial }
 }
 
+// WithProbeDial sets the function that opens the connections of probes, if it is not that of WithDial.
+func WithProbeDial(dial func(ctx context.Context, network, address string) (net.Conn, error)) Option {
+	return func(p *Pool) { p.probeDial = dial }
+}
+
 // New returns an empty pool.
 func New(options ...Option) *Pool {
 	dialer := NewDialer(DialTimeout, UnackedTimeout)
@@ -50,6 +56,9 @@
 	for _, o := range options {
 		o(p)
 	}
+	if p.probeDial == nil {
+		p.probeDial = p.dial
+	}
 	return p
 }
 
@@ -60,7 +69,7 @@
 	for {
 		c := p.pop(address)
 		if c == nil {
-			return p.open(ctx, address)
+			return open(ctx, p.dial, address)
 		}
 		if now.Sub(c.lastUsed) < min(maxIdleTime, c.idleTimeout) && c.isReusable() {
 			c.reused = true
@@ -83,8 +92,9 @@
 	return c
 }
 
-func (p *Pool) open(ctx context.Context, address netip.AddrPort) (*Conn, error) {
-	netConn, err := p.dial(ctx, "tcp", address.String())
+// open opens a connection with a dial function.
+func open(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address netip.AddrPort) (*Conn, error) {
+	netConn, err := dial(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, NotSent.Wrap(err, "no connection to %s", address)
 	}
@@ -97,7 +107,7 @@
 // Probe opens a connection to the address and adds it to the pool. An error means that the address does not accept
 // connections.
 func (p *Pool) Probe(ctx context.Context, address netip.AddrPort) error {
-	c, err := p.open(ctx, address)
+	c, err := open(ctx, p.probeDial, address)
 	if err != nil {
 		return err
 	}
--- a/pkg/gateway/partition_test.go
+++ b/pkg/gateway/partition_test.go
@@ -132,7 +132,7 @@
 			direct = cut
 		}
 		platform.Dialer = relay.New(direct.DialContext)
-		platform.Upstream = poolUpstream{pool: connection.New(connection.WithDial(platform.Dialer.DialContext))}
+		platform.Upstream = poolUpstream{pool: connection.New(connection.WithDial(platform.Dialer.DialContext), connection.WithProbeDial(platform.Dialer.ProbeContext))}
 		gateways = append(gateways, startOn(t, fmt.Sprint("i", i), platform, gateways[:min(i, 1)]...))
 	}
 	for _, g := range gateways {
--- a/pkg/relay/dialer.go
+++ b/pkg/relay/dialer.go
@@ -28,8 +28,10 @@
 
 const (
 	// hedgeDelay is how long a direct connection may take before a peer is asked to connect as well. A live host accepts a
-	// connection within one or two milliseconds.
-	hedgeDelay = 4 * time.Millisecond
+	// connection within one or two milliseconds, a busy one later.
+	hedgeDelay = 15 * time.Millisecond
+	// probeHedgeDelay is the same for probes, which have less time.
+	probeHedgeDelay = 4 * time.Millisecond
 	// directTimeout bounds a direct connection that no peer opens either. It is shorter than the kernel's initial SYN
 	// retransmission timeout of 1 s.
 	directTimeout = 600 * time.Millisecond
@@ -100,6 +102,15 @@
 
 // DialContext opens a connection. It has the signature of net.Dialer.DialContext.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return d.dial(ctx, network, address, hedgeDelay)
+}
+
+// ProbeContext opens a connection as DialContext does, and asks a peer sooner.
+func (d *Dialer) ProbeContext(ctx context.Context, network, address string) (net.Conn, error) {
+	return d.dial(ctx, network, address, probeHedgeDelay)
+}
+
+func (d *Dialer) dial(ctx context.Context, network, address string, hedge time.Duration) (net.Conn, error) {
 	to, err := netip.ParseAddrPort(address)
 	peers := d.use(to)
 	if err != nil || peers == nil {
@@ -111,7 +122,7 @@
 			return c, err
 		}
 	}
-	return d.race(ctx, to, peers)
+	return d.race(ctx, to, peers, hedge)
 }
 
 // DialForPeer opens a connection to an address directly, for a peer.
@@ -285,11 +296,11 @@
 	}
 }
 
-// race connects directly and, after hedgeDelay or a failure, through a peer, and returns the connection that opens first.
-func (d *Dialer) race(ctx context.Context, to netip.AddrPort, peers PeerDialFunc) (net.Conn, error) {
+// race connects directly and, after the hedge delay or a failure, through a peer, and returns the connection that opens first.
+func (d *Dialer) race(ctx context.Context, to netip.AddrPort, peers PeerDialFunc, hedge time.Duration) (net.Conn, error) {
 	direct := d.startDirect(ctx, to)
-	hedge := time.NewTimer(hedgeDelay)
-	defer hedge.Stop()
+	timer := time.NewTimer(hedge)
+	defer timer.Stop()
 	var directErr error
 	select {
 	case r := <-direct:
@@ -297,7 +308,7 @@
 			return r.conn, nil
 		}
 		direct, directErr = nil, r.err
-	case <-hedge.C:
+	case <-timer.C:
 	}
 	relayed := start(func() (net.Conn, error) { return peers(ctx, to) })
 	var relayErr error
