Close connections without a data race with their exchange

Close may be called from another goroutine, when a client leaves, while RoundTrip closes the connection after an error of its own: both wrote a plain flag, and Put read it. A connection that was closed meanwhile could be put back, though not be used again, since its socket is checked first.

--- a/pkg/connection/conn.go
+++ b/pkg/connection/conn.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -87,7 +88,7 @@
 	lastUsed    time.Time     // lastUsed is when the last exchange ended.
 	idleTimeout time.Duration // idleTimeout is how long the connection may stay idle.
 	reused      bool          // reused means that the connection has carried an earlier exchange.
-	notReusable bool          // notReusable means that the connection must not be used for another exchange.
+	notReusable atomic.Bool   // notReusable means that the connection must not be used for another exchange.
 	bodyWritten chan error    // bodyWritten receives the result of a concurrent body write; nil if there is none.
 }
 
@@ -99,7 +100,7 @@
 
 // Close closes the connection immediately and prevents its reuse.
 func (c *Conn) Close() {
-	c.notReusable = true
+	c.notReusable.Store(true)
 	_ = c.netConn.Close()
 }
 
@@ -239,7 +240,7 @@
 // and Keep-Alive fields of the response.
 func (c *Conn) updateReuse(response *http.Response) {
 	if response.Close || response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
-		c.notReusable = true
+		c.notReusable.Store(true)
 	}
 	if timeout, ok := keepAliveTimeout(response.Header.Get("Keep-Alive")); ok {
 		c.idleTimeout = max(timeout-idleMargin, 0)
--- a/pkg/connection/connection_test.go
+++ b/pkg/connection/connection_test.go
@@ -252,3 +252,22 @@
 		}
 	}
 }
+
+// TestCloseDuringExchange guards against a data race between an exchange and a client that leaves, which closes the connection.
+// The race detector finds it.
+func TestCloseDuringExchange(t *testing.T) {
+	p := serve(t, respondWith()) // The target closes each connection after the request.
+	for i := range 100 {
+		c, err := connection.New().Get(context.Background(), p.address, time.Minute)
+		qt.Assert(t, err, qt.IsNil)
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			time.Sleep(time.Duration(i) * 5 * time.Microsecond)
+			c.Close()
+		}()
+		_, err = c.RoundTrip([]byte("GET / HTTP/1.1\r\n\r\n"), nil, &http.Request{Method: http.MethodGet}, nil)
+		qt.Assert(t, err, qt.IsNotNil)
+		<-closed
+	}
+}
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -119,7 +119,7 @@
 // Put returns a connection to the pool after a complete exchange. It closes a connection that must not be reused or has
 // received bytes after the response, or if its target already has maxIdlePerTarget idle connections.
 func (p *Pool) Put(c *Conn) {
-	if c.notReusable || c.reader.Buffered() > 0 {
+	if c.notReusable.Load() || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
