List the other instances in one place

The instances' node, the platform's front end and the own front end each filtered this instance out of the members: instance.Node.Others serves all three now. The number of instances is recorded for request limits where it is for retries, instead of from the members a second time. An address that cannot be parsed no longer gets an entry among the links of relay.Dialer.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -251,7 +250,7 @@
 		return errListen.Wrap(err, "cannot listen on the peer address")
 	}
 	d.node = node
-	d.targetDialer.SetPeers(relaypeers.New(d.settings.DataCentre, d.otherMembers, node.DialThrough).Dial)
+	d.targetDialer.SetPeers(relaypeers.New(d.settings.DataCentre, node.Others, node.DialThrough).Dial)
 	d.log.notifyVersion = node.NotifyVersion
 	node.OnItem(func(i membership.Item) { d.control.observeItem(ctx, i) })
 	return nil
@@ -283,15 +282,10 @@
 	}
 }
 
-// otherMembers returns the live instances except this one.
-func (d *Daemon) otherMembers() []membership.Member {
-	return slices.DeleteFunc(slices.Clone(d.node.Members()), func(m membership.Member) bool { return m.Address == d.node.Address() })
-}
-
 // sendRequestLimits sends the request limits of targets to all other instances, or to a random sample of a large fleet.
 func (d *Daemon) sendRequestLimits(now time.Time) {
 	var others []netip.AddrPort
-	for _, m := range d.otherMembers() {
+	for _, m := range d.node.Others() {
 		others = append(others, m.Address)
 	}
 	d.requestLimiter.ObserveInstances(len(others)+1, now)
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -115,17 +115,7 @@
 }
 
 // others returns the live instances except this one.
-func (p *peers) others() []membership.Member {
-	self := p.node.Address()
-	members := p.node.Members()
-	others := make([]membership.Member, 0, len(members))
-	for _, m := range members {
-		if m.Address != self {
-			others = append(others, m)
-		}
-	}
-	return others
-}
+func (p *peers) others() []membership.Member { return p.node.Others() }
 
 func addressesOf(members []membership.Member) []netip.AddrPort {
 	addresses := make([]netip.AddrPort, len(members))
@@ -143,6 +133,7 @@
 	p.gateway.targetStats.SetInstanceCount(len(others) + 1)
 	now := time.Now()
 	p.gateway.retryShare.ObserveInstances(len(others)+1, now)
+	p.gateway.requestLimiter.ObserveInstances(len(others)+1, now)
 	p.gateway.retryBudget.SetMinRate(p.gateway.retryShare.Limits(now))
 	p.gateway.linkBudget.SetInstances(p.instancesByDataCentre())
 	u := p.status()
@@ -160,9 +151,7 @@
 
 // sendRequestLimits sends the request limits of targets to other instances.
 func (p *peers) sendRequestLimits(others []netip.AddrPort, now time.Time) {
-	limiter := p.gateway.requestLimiter
-	limiter.ObserveInstances(len(p.others())+1, now)
-	if err := p.node.SendRequestLimits(others, limiter.Reports(now)); err != nil {
+	if err := p.node.SendRequestLimits(others, p.gateway.requestLimiter.Reports(now)); err != nil {
 		p.gateway.logger.Error().Err(err).Msg("failed to send request limits")
 	}
 }
--- a/pkg/peer/instance/crash.go
+++ b/pkg/peer/instance/crash.go
@@ -70,10 +70,8 @@
 		return nil
 	}
 	var others []netip.AddrPort
-	for _, m := range n.Members() {
-		if m.Address != n.Address() {
-			others = append(others, m.Address)
-		}
+	for _, m := range n.Others() {
+		others = append(others, m.Address)
 	}
 	return n.SendStatus(others, u)
 }
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -192,6 +192,12 @@
 	}
 }
 
+// Others returns the live instances except this one.
+func (n *Node) Others() []membership.Member {
+	self := n.Address()
+	return slices.DeleteFunc(slices.Clone(n.Members()), func(m membership.Member) bool { return m.Address == self })
+}
+
 // OnMembers adds a handler that is called after the live members or the items have changed. The calls of all
 // handlers are made by one goroutine.
 func (n *Node) OnMembers(f func([]membership.Member)) { n.notifier.addMemberHandler(f) }
--- a/pkg/relay/dialer.go
+++ b/pkg/relay/dialer.go
@@ -112,8 +112,11 @@
 
 func (d *Dialer) dial(ctx context.Context, network, address string, hedge time.Duration) (net.Conn, error) {
 	to, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return d.direct(ctx, network, address)
+	}
 	peers := d.use(to)
-	if err != nil || peers == nil {
+	if peers == nil {
 		return d.direct(ctx, network, address)
 	}
 	if d.Failed(to) {
