review: case 2, a planned stop cuts off orders that it has passed on

An instance that waits for a long stream takes orders on kept connections until 0.6 s before the end of the grace period, passes them on, and exits 0.2 s later.

Seen with review/2/run.sh, five of five runs: 5 or 6 of 24 orders ran at a worker and their clients got a closed connection. With TROUBLE=0 all 24 are answered.

--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -44,6 +44,7 @@
 // cases maps the names of the cases to what they run.
 var cases = map[string]func(f *fleet, trouble bool) (broken bool, err error){
 	"worker-crashes": runWorkerCrashes,
+	"planned-stop":   runPlannedStop,
 }
 
 func runCase(args []string) int {
