--- a/review/standins/store.go
+++ b/review/standins/store.go
@@ -99,7 +99,7 @@
 }
 
 // beat takes the entry of a worker. An empty body removes it.
-func (s *store) beat(w http.ResponseWriter, r *http.Request) {
+func (s *store) beat(_ http.ResponseWriter, r *http.Request) {
 	var value json.RawMessage
 	name := r.PathValue("name")
 	if err := json.NewDecoder(r.Body).Decode(&value); err != nil {
