review: give workers ports that the kernel gives to no other

A worker's address could be taken by an outgoing connection while the worker was down. Not seen, found by reading.

--- a/review/standins/crashes.go
+++ b/review/standins/crashes.go
@@ -59,7 +59,7 @@
 	for _, zone := range zones {
 		for range enginesInZone {
 			w := &engineWorker{zone: zone, flags: flags}
-			if w.address, err = freeAddress(); err != nil {
+			if w.address, err = f.freeAddress(); err != nil {
 				return nil, err
 			}
 			if w.process, err = f.startEngine(w); err != nil {
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -35,6 +35,9 @@
 	gracePeriod = 8 * time.Second
 	// recoveryTime is recovery_s of the settings.
 	recoveryTime = 12 * time.Second
+	// lowestPort and portRange bound the ports of workers and instances.
+	lowestPort = 20000
+	portRange  = 12000
 	// longestCase is how long a case may take.
 	longestCase = 115 * time.Second
 )
@@ -74,6 +77,7 @@
 	workers   int
 	// workerLines are the lines that workers wrote.
 	workerLines []string
+	usedPorts   map[int]bool
 }
 
 func newFleet(daemon, record string) (*fleet, error) {
@@ -89,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{daemon: absolute, dir: dir, record: out, store: newStore()}
+	f := &fleet{daemon: absolute, dir: dir, record: out, store: newStore(), usedPorts: make(map[int]bool)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -102,7 +106,7 @@
 // choosePorts finds ports that are free at the addresses of up to three instances.
 func (f *fleet) choosePorts() error {
 	for range 50 {
-		base := 20000 + rand.IntN(12000)
+		base := lowestPort + rand.IntN(portRange)
 		free := true
 		for port := base; port < base+8 && free; port++ {
 			for i := 1; i <= 3 && free; i++ {
@@ -224,14 +228,19 @@
 	return kept
 }
 
-// freeAddress returns a free loopback address.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// freeAddress returns a free loopback address that was not returned before. Its port is below those that the kernel gives
+// to outgoing connections, so that a worker gets it again after a crash.
+func (f *fleet) freeAddress() (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range 50 {
+		port := lowestPort + rand.IntN(portRange)
+		if !f.usedPorts[port] && isFree("127.0.0.1", port) {
+			f.usedPorts[port] = true
+			return fmt.Sprintf("127.0.0.1:%d", port), nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", fmt.Errorf("no free port")
 }
 
 // settings is the settings file of an instance, as DEPLOY.md shows it.
--- a/review/standins/stopcase.go
+++ b/review/standins/stopcase.go
@@ -81,14 +81,14 @@
 
 // startPair starts an engine and a plain worker in a zone.
 func (f *fleet) startPair(zone string) error {
-	address, err := freeAddress()
+	address, err := f.freeAddress()
 	if err != nil {
 		return err
 	}
 	if _, err := f.startWorker(engineService, zone, address, "-card", engineCard, "-gap", longStreamGap.String()); err != nil {
 		return err
 	}
-	if address, err = freeAddress(); err != nil {
+	if address, err = f.freeAddress(); err != nil {
 		return err
 	}
 	_, err = f.startWorker(plainService, zone, address, "-work", orderWork.String())
