--- a/review/standins/client.go
+++ b/review/standins/client.go
@@ -17,6 +17,7 @@
 // outcome is what a client saw of one attempt.
 type outcome struct {
 	attempt, via string
+	streamed     bool
 	sentAt       time.Time
 	endedAt      time.Time
 	status       int  // status is 0 if no response header came.
@@ -39,18 +40,22 @@
 
 func newAttempt() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
+// streamPatience is the longest gap, also before the first event, after which clients abandon a stream: two seconds, four
+// times the objective or eight times the longest pause, whichever is longest.
+const streamPatience = 2 * time.Second
+
 // clientRequest is what a client sends.
 type clientRequest struct {
-	attempt, path, body string
-	deadline            time.Duration
-	tokens              string // tokens is X-Token-Usage; empty for a request that is not streamed.
+	attempt, method, path, body string
+	deadline                    time.Duration
+	tokens                      string // tokens is X-Token-Usage; empty for a request that is not streamed.
 }
 
 // write sends the request on a connection.
 func (c clientRequest) write(conn net.Conn) error {
 	var b strings.Builder
-	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n", c.path, clientHost, headerAttempt,
-		c.attempt, headerDeadline, c.deadline.Milliseconds(), apiKey)
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\n", c.method, c.path, clientHost,
+		headerAttempt, c.attempt, headerDeadline, c.deadline.Milliseconds(), apiKey)
 	if c.tokens != "" {
 		fmt.Fprintf(&b, "X-Model: %s\r\n%s: %s\r\nX-Prefix-Hash: %s:800\r\n", modelName, headerTokens, c.tokens, c.attempt[:8])
 	}
@@ -65,7 +70,7 @@
 	started := time.Now()
 	conn, err := dialer.DialContext(ctx, "tcp", i.frontend)
 	if err != nil {
-		return outcome{attempt: c.attempt, via: i.name, sentAt: started, endedAt: time.Now(), err: err}
+		return outcome{attempt: c.attempt, via: i.name, streamed: c.tokens != "", sentAt: started, endedAt: time.Now(), err: err}
 	}
 	defer conn.Close()
 	return exchange(conn, i, c)
@@ -73,8 +78,9 @@
 
 // exchange sends a request on a connection and reads the response.
 func exchange(conn net.Conn, i *instance, c clientRequest) outcome {
-	o := outcome{attempt: c.attempt, via: i.name, sentAt: time.Now()}
+	o := outcome{attempt: c.attempt, via: i.name, streamed: c.tokens != "", sentAt: time.Now()}
 	_ = conn.SetDeadline(o.sentAt.Add(c.deadline))
+	o.waitForEvent(conn, c)
 	defer func() { _ = conn.SetDeadline(time.Time{}) }()
 	o.err = c.write(conn)
 	if o.err == nil {
@@ -84,9 +90,21 @@
 	return o
 }
 
+// waitForEvent sets when the client of a stream leaves if no further event comes.
+func (o *outcome) waitForEvent(conn net.Conn, c clientRequest) {
+	if c.tokens == "" {
+		return
+	}
+	at := time.Now().Add(streamPatience)
+	if end := o.sentAt.Add(c.deadline); at.After(end) {
+		at = end
+	}
+	_ = conn.SetReadDeadline(at)
+}
+
 // receive reads the response to a request.
 func (o *outcome) receive(conn net.Conn, c clientRequest) {
-	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: http.MethodPost})
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: c.method})
 	if err != nil {
 		o.err = err
 		return
@@ -104,11 +122,11 @@
 		}
 		return
 	}
-	o.readEvents(response.Body, c)
+	o.readEvents(conn, response.Body, c)
 }
 
 // readEvents reads a stream and checks that its events come in order.
-func (o *outcome) readEvents(body io.Reader, c clientRequest) {
+func (o *outcome) readEvents(conn net.Conn, body io.Reader, c clientRequest) {
 	reader := bufio.NewReader(body)
 	for {
 		id, err := reader.ReadString('\n')
@@ -126,5 +144,6 @@
 			return
 		}
 		o.events++
+		o.waitForEvent(conn, c)
 	}
 }
--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -28,13 +28,14 @@
 	clientHost    = "shop.example"
 	streamPrefix  = "/guide/"
 	orderPrefix   = "/order/"
+	lookupPrefix  = "/stock/"
 	apiKey        = "n2ctnfzs989anu6wsjnb"
 	tenant        = "hule930"
 	startTimeout  = 20 * time.Second
 	// gracePeriod is the time between SIGTERM and SIGKILL, grace_s of the settings.
 	gracePeriod = 8 * time.Second
-	// recoveryTime is recovery_s of the settings.
-	recoveryTime = 12 * time.Second
+	// contactTime is contact_ms of the settings.
+	contactTime = 3 * time.Second
 	// lowestPort and portRange bound the ports of workers and instances.
 	lowestPort = 20000
 	portRange  = 12000
@@ -63,8 +64,10 @@
 // fleet runs the store, the workers and the instances of a case.
 type fleet struct {
 	daemon string
-	dir    string // dir is a temporary folder for settings files and logs.
-	store  *store
+	// cores is the number of processors that an instance uses.
+	cores int
+	dir   string // dir is a temporary folder for settings files and logs.
+	store *store
 	// storeAddress is the address of the store, and ports are the ports of instances.
 	storeAddress                   string
 	peerPort, lastPort             int
@@ -93,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{daemon: absolute, dir: dir, record: out, store: newStore(), usedPorts: make(map[int]bool)}
+	f := &fleet{daemon: absolute, cores: runtime.NumCPU(), dir: dir, record: out, store: newStore(), usedPorts: make(map[int]bool)}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -315,7 +318,7 @@
 		frontend: fmt.Sprintf("%s:%d", ip, f.frontendPort), ready: fmt.Sprintf("http://%s:%d/cuminroute/readyz", ip, f.readyPort),
 	}
 	file := filepath.Join(f.dir, i.name+".toml")
-	content := fmt.Sprintf(settings, i.name, ip, zone, f.peerPort, f.lastPort, f.frontendPort, f.readyPort, f.cport, f.storeAddress, runtime.NumCPU())
+	content := fmt.Sprintf(settings, i.name, ip, zone, f.peerPort, f.lastPort, f.frontendPort, f.readyPort, f.cport, f.storeAddress, f.cores)
 	if err := os.WriteFile(file, []byte(content), 0o600); err != nil {
 		return nil, err
 	}
@@ -325,7 +328,7 @@
 			f.note("%s: %s", i.name, line)
 		}
 	}
-	p, err := f.start(i.name, append(environment(), "CUMINROUTE_BOOT="+file), keep, f.daemon, "platform")
+	p, err := f.start(i.name, f.instanceEnvironment(file), keep, f.daemon, "platform")
 	if err != nil {
 		return nil, err
 	}
@@ -347,6 +350,15 @@
 	return response.StatusCode == http.StatusOK
 }
 
+// instanceEnvironment returns the variables of an instance. GOMAXPROCS stands for a machine with fewer processors.
+func (f *fleet) instanceEnvironment(settingsFile string) []string {
+	variables := append(environment(), "CUMINROUTE_BOOT="+settingsFile)
+	if f.cores < runtime.NumCPU() {
+		variables = append(variables, fmt.Sprintf("GOMAXPROCS=%d", f.cores))
+	}
+	return variables
+}
+
 // awaitReady waits until all instances are ready.
 func (f *fleet) awaitReady() error {
 	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
@@ -364,13 +376,11 @@
 	return fmt.Errorf("the instances are not ready after %v", startTimeout)
 }
 
-// routeTimes are the times of the two routes of a configuration.
-type routeTimes struct {
-	streamTimeout, orderTimeout time.Duration
-}
+// streamTimeout is timeout_ms of the streaming route, and X-Deadline-Ms of its requests.
+const streamTimeout = 20 * time.Second
 
-// configure writes the routing configuration. The store's response would be the acknowledgement.
-func (f *fleet) configure(version int, times routeTimes) error {
+// configure writes the routing configuration, with the timeout of the routes that are not streamed. The store's response would be the acknowledgement.
+func (f *fleet) configure(version int, unaryTimeout time.Duration) error {
 	engine := map[string]any{
 		"slots": 192, "kv_capacity": 20000, "kv_token_bytes": 426000, "link_mbps": 480000.0, "stride": 1,
 		"models":  []map[string]any{{"name": modelName, "pace": 1.0, "load_s": 1.0, "warmup_s": 1.0}},
@@ -383,13 +393,17 @@
 		"version": version,
 		"routes": []map[string]any{
 			{
-				"name": "r-guide", "host": clientHost, "prefix": streamPrefix, "route_kind": "streaming", "timeout_ms": times.streamTimeout.Milliseconds(),
+				"name": "r-guide", "host": clientHost, "prefix": streamPrefix, "route_kind": "streaming", "timeout_ms": streamTimeout.Milliseconds(),
 				"goal_ms": 500, "priority": 1, "service": engineService, "max_attempts": 2, "public": false, "sticky": true, "resumable": true,
 				"gap_target_ms": 200,
 			},
 			{
-				"name": "r-order", "host": clientHost, "prefix": orderPrefix, "route_kind": "non_idempotent", "timeout_ms": times.orderTimeout.Milliseconds(),
-				"goal_ms": 500, "priority": 2, "service": plainService, "max_attempts": 1, "public": false,
+				"name": "r-order", "host": clientHost, "prefix": orderPrefix, "route_kind": "non_idempotent", "timeout_ms": unaryTimeout.Milliseconds(),
+				"goal_ms": 100, "priority": 2, "service": plainService, "max_attempts": 1, "public": false,
+			},
+			{
+				"name": "r-stock", "host": clientHost, "prefix": lookupPrefix, "route_kind": "idempotent", "timeout_ms": unaryTimeout.Milliseconds(),
+				"goal_ms": 100, "priority": 2, "service": plainService, "max_attempts": 2, "public": false,
 			},
 		},
 		"services": []map[string]any{
--- a/review/standins/stopcase.go
+++ b/review/standins/stopcase.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"syscall"
@@ -11,11 +12,11 @@
 )
 
 const (
-	// orderWork is how long a worker works on an order: half of orderTimeout, the timeout of the route.
-	orderWork    = 400 * time.Millisecond
-	orderTimeout = 800 * time.Millisecond
-	// orderDeadline is X-Deadline-Ms of orders.
-	orderDeadline = 1500 * time.Millisecond
+	// slowWork is how long a worker works on an order. The site's orders take 60 ms on average and 450 ms at most.
+	slowWork = 400 * time.Millisecond
+	// slowTimeout is timeout_ms of the route of orders, and slowDeadline X-Deadline-Ms of orders, as on that site.
+	slowTimeout  = 2 * time.Second
+	slowDeadline = 4 * time.Second
 	// keptConnections is the number of clients that keep a connection open, idle since just before the stop.
 	keptConnections = 24
 	// firstOrder and lastOrder are when the first and the last of these clients send an order, after the SIGTERM.
@@ -35,7 +36,7 @@
 // runPlannedStop stops one instance while clients keep connections to it, and checks that no order that was passed on to a
 // worker is left without an answer.
 func runPlannedStop(f *fleet, trouble bool) (broken bool, err error) {
-	if err := f.configure(7, routeTimes{streamTimeout: 20 * time.Second, orderTimeout: orderTimeout}); err != nil {
+	if err := f.configure(7, slowTimeout); err != nil {
 		return false, err
 	}
 	for n, zone := range []string{"za", "zb", "zc"} {
@@ -70,12 +71,12 @@
 	for n, c := range clients {
 		group.Go(func() {
 			time.Sleep(time.Until(stopped.Add(firstOrder + time.Duration(n)*step)))
-			c.order = exchange(c.conn, i, newOrder())
+			c.order = exchange(c.conn, i, newOrder(slowDeadline))
 			f.note("%s, sent %v after the stop", c.order, c.order.sentAt.Sub(stopped).Round(time.Millisecond))
 		})
 	}
 	group.Wait()
-	time.Sleep(orderWork) // The workers end what they run.
+	time.Sleep(slowWork) // The workers end what they run.
 	return f.judgeOrders(clients), nil
 }
 
@@ -91,7 +92,7 @@
 	if address, err = f.freeAddress(); err != nil {
 		return err
 	}
-	_, err = f.startWorker(plainService, zone, address, "-work", orderWork.String())
+	_, err = f.startWorker(plainService, zone, address, "-work", slowWork.String())
 	return err
 }
 
@@ -107,7 +108,7 @@
 		c := &keptClient{conn: conn}
 		clients = append(clients, c)
 		group.Go(func() {
-			c.order = exchange(conn, i, newOrder())
+			c.order = exchange(conn, i, newOrder(slowDeadline))
 			f.note("%s, before the stop", c.order)
 		})
 	}
@@ -120,8 +121,8 @@
 	return clients, nil
 }
 
-func newOrder() clientRequest {
-	return clientRequest{attempt: newAttempt(), path: orderPrefix + "kit", body: "mushroom", deadline: orderDeadline}
+func newOrder(deadline time.Duration) clientRequest {
+	return clientRequest{attempt: newAttempt(), method: http.MethodPost, path: orderPrefix + "kit", body: "mushroom", deadline: deadline}
 }
 
 // killAfterGrace waits until the instance has ended, and kills it after the grace period, as the platform does.
--- a/review/standins/worker.go
+++ b/review/standins/worker.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -45,11 +46,12 @@
 	id, service, address, zone, store, card string
 	startedAt                               time.Time
 	work, gap, load                         time.Duration
-	closeDelimited                          bool // closeDelimited means that streams have no length and end with the connection.
 	client                                  *http.Client
 
 	mu       sync.Mutex
 	out      *json.Encoder
+	lost     float64 // lost is the share of the answers that are lost after the request has run.
+	unframed float64 // unframed is the share of the streams that have no length and end with the connection.
 	sequence uint64
 	fence    uint64
 	busy     bool
@@ -69,7 +71,6 @@
 	flags.DurationVar(&w.work, "work", 20*time.Millisecond, "time of a request, or until the first event")
 	flags.DurationVar(&w.gap, "gap", 45*time.Millisecond, "time between events")
 	flags.DurationVar(&w.load, "load", 300*time.Millisecond, "time to load layers")
-	flags.BoolVar(&w.closeDelimited, "unframed", false, "send streams without a length")
 	if err := flags.Parse(args); err != nil {
 		return err
 	}
@@ -81,6 +82,7 @@
 	mux.HandleFunc("GET /healthz", w.health)
 	mux.HandleFunc("GET /cuminroute/report", w.report)
 	mux.HandleFunc("POST /cuminroute/order", w.order)
+	mux.HandleFunc("POST /disrupt", w.disrupt)
 	mux.HandleFunc("/", w.request)
 	go w.heartbeat()
 	go func() { _ = http.Serve(l, mux) }()
@@ -226,6 +228,22 @@
 	return path == fmt.Sprintf("%s=%d-%d", w.address, w.from, w.end) && w.end > w.from
 }
 
+// disrupt sets which share of the answers is disturbed from now on. Only the case calls it.
+func (w *worker) disrupt(_ http.ResponseWriter, r *http.Request) {
+	lost, _ := strconv.ParseFloat(r.URL.Query().Get("lost"), 64)
+	unframed, _ := strconv.ParseFloat(r.URL.Query().Get("unframed"), 64)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost, w.unframed = lost, unframed
+}
+
+// draw reports whether an answer is one of a share that is disturbed.
+func (w *worker) draw(share *float64) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return rand.Float64() < *share
+}
+
 // request runs a request of a client.
 func (w *worker) request(rw http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
@@ -261,6 +279,13 @@
 		w.log("ran, the caller has left", attempt, 0)
 		return
 	}
+	if w.draw(&w.lost) {
+		w.log("ran, the answer is lost", attempt, 0)
+		if conn, _, err := http.NewResponseController(rw).Hijack(); err == nil {
+			_ = conn.Close()
+		}
+		return
+	}
 	answer := "done " + attempt + " " + string(body)
 	rw.Header().Set("Content-Length", strconv.Itoa(len(answer)))
 	if _, err := io.WriteString(rw, answer); err != nil {
@@ -276,7 +301,8 @@
 	after, _ := strconv.Atoi(r.Header.Get(headerLast))
 	total := eventsOf(r.Header.Get(headerTokens))
 	rw.Header().Set("Content-Type", "text/event-stream")
-	if w.closeDelimited {
+	if w.draw(&w.unframed) {
+		w.log("has no length", attempt, after)
 		rw.Header().Set("Connection", "close")
 		rw.Header().Set("Transfer-Encoding", "identity")
 	}
