--- a/review/standins/crashes.go
+++ b/review/standins/crashes.go
@@ -24,6 +24,7 @@
 	lostShare     = 0.3
 	lossTime      = 6 * time.Second
 	lossRounds    = 4
+	lossPause     = time.Second
 )
 
 // runWorkerCrashes lets model workers crash while clients get streams, and then lets workers of the orders lose answers. It
@@ -50,20 +51,20 @@
 	l.add(lookupsPerSecond, newLookup)
 	time.Sleep(4 * time.Second)
 	for range crashRounds {
-		if trouble {
-			if err := f.crash(engines); err != nil {
-				return false, err
-			}
+		if !trouble {
+			time.Sleep(downTime)
+		} else if err := f.crash(engines); err != nil {
+			return false, err
 		}
 		time.Sleep(downTime)
 	}
-	f.note("the last crashed worker is back")
+	f.note("the last crash is over")
 	back := time.Now()
 	time.Sleep(contactTime + time.Second)
-	if trouble {
-		if err := f.loseAnswers(plain[:losingWorkers]); err != nil {
-			return false, err
-		}
+	if !trouble {
+		time.Sleep(lossRounds * (lossTime + lossPause))
+	} else if err := f.loseAnswers(plain[:losingWorkers]); err != nil {
+		return false, err
 	}
 	l.end()
 	return l.judgeTimeouts(back.Add(time.Second)), nil
@@ -83,7 +84,7 @@
 				time.Sleep(lossTime)
 			}
 		}
-		time.Sleep(time.Second)
+		time.Sleep(lossPause)
 	}
 	return nil
 }
