Log when the requests arrived that a stop cuts off

Three hypotheses: (1) orders are accepted that cannot end before the exit; (2) orders that came in good time are held back; (3) connections are closed before their order is read. The log named only the number of requests cut off, 13, so it could not tell (1) from (2).

"requests cut off at the end of the grace period" now says how many of these requests came after the signal, and how long after it the last one did.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -84,8 +84,12 @@
 	stopping      atomic.Bool
 	stoppingSince atomic.Int64 // stoppingSince is when the stop was requested, in Unix nanoseconds.
 	running       atomic.Int64 // running counts the requests in flight.
-	done          chan struct{}
-	err           error
+	// runningSinceStop counts those of them that were received after the stop was requested, and lastReceivedAt is when the last
+	// such request was received, in Unix nanoseconds.
+	runningSinceStop, lastReceivedAt atomic.Int64
+
+	done chan struct{}
+	err  error
 
 	mu           sync.Mutex
 	storeFailing map[string]bool // storeFailing holds whether the last call to the store failed, by purpose.
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -12,7 +12,15 @@
 // be closed after the response.
 func (g *Gateway) trackRequest() (end func(), closing bool) {
 	g.running.Add(1)
-	return func() { g.running.Add(-1) }, g.stopping.Load()
+	if !g.stopping.Load() {
+		return func() { g.running.Add(-1) }, false
+	}
+	g.runningSinceStop.Add(1)
+	g.lastReceivedAt.Store(time.Now().UnixNano())
+	return func() {
+		g.runningSinceStop.Add(-1)
+		g.running.Add(-1)
+	}, true
 }
 
 // stopsSoon reports whether a long request that starts now might not end before the kill.
@@ -33,7 +41,8 @@
 		waitFor(ctx, 20*time.Millisecond)
 	}
 	if n := g.running.Load(); n > 0 {
-		g.logger.Warn().Int64("Running", n).Msg("requests cut off at the end of the grace period")
+		g.logger.Warn().Int64("Running", n).Int64("ReceivedSinceStop", g.runningSinceStop.Load()).
+			Dur("LastReceivedAfter", time.Unix(0, g.lastReceivedAt.Load()).Sub(started)).Msg("requests cut off at the end of the grace period")
 	}
 	return nil
 }
