Accept late in a stop only requests that end before it

Cause: which requests a stopping instance accepts was decided by the kind of service. Requests to models were refused from 2.8 s on; all others were sent to targets until the wait for requests ended, 0.2 s before the exit. Their deadline was not compared with the time left. Ruled out: orders held back (none that came early was cut off), orders closed unread (all had run).

Change: from 2.8 s on, a request whose deadline is later than the end of the wait is refused as not run, whatever its service. A request that is accepted ends by its deadline, with an answer or a 504, and that answer has the closing time to leave. The same cause in a second place: between the check that nothing runs and the closing of connections, a request was still sent to a target; both are one step under one lock now (drain.Counter.DrainIfIdle), and the end of the wait refuses what comes later.

The own front end was looked through: its drain counter refuses and waits under one lock, without a bound.

TestStopping said that a stopping instance refuses requests to models and none to services; that was the fault. It now asks for both that those which may be cut off are refused as not run and that those which end in time are served.

--- a/pkg/drain/counter.go
+++ b/pkg/drain/counter.go
@@ -74,6 +74,19 @@
 	c.closeIfIdle()
 }
 
+// DrainIfIdle starts to refuse new requests if none runs, and reports whether it did. No request can enter between the check
+// and the start.
+func (c *Counter) DrainIfIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running > 0 {
+		return false
+	}
+	c.draining = true
+	c.closeIfIdle()
+	return true
+}
+
 func (c *Counter) closeIfIdle() {
 	if c.draining && c.running == 0 && c.idle != nil {
 		close(c.idle)
--- a/pkg/drain/counter_test.go
+++ b/pkg/drain/counter_test.go
@@ -52,6 +52,12 @@
 				counter.Drain()
 				draining = true
 			},
+			"drain if idle": func(t *rapid.T) {
+				if counter.DrainIfIdle() != (len(running) == 0) {
+					t.Fatalf("DrainIfIdle returned %t with %d running requests", len(running) > 0, len(running))
+				}
+				draining = draining || len(running) == 0
+			},
 			"": func(t *rapid.T) {
 				if counter.Running() != len(running) {
 					t.Fatalf("%d requests are counted, but %d are running", counter.Running(), len(running))
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -252,7 +252,7 @@
 func fakePlatform(s Store, c TargetControl) Platform {
 	return Platform{
 		Store: s, TargetControl: c, ConfigurationKey: "config", DecodeConfiguration: decodeCatalogue, DecodeTarget: decodeTarget,
-		NewHandler: func(*proxy.Server, func() catalogue.Limits, func() (func(), bool)) http.Handler {
+		NewHandler: func(*proxy.Server, func() catalogue.Limits, func() (func(), bool, error)) http.Handler {
 			return http.NotFoundHandler()
 		},
 		ReadyPath: "/ready", Reload: func() (Settings, error) { return Settings{}, nil },
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
 	"github.com/cuminroute/cuminroute/pkg/decision/retryshare"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
+	"github.com/cuminroute/cuminroute/pkg/drain"
 	"github.com/cuminroute/cuminroute/pkg/listener"
 	"github.com/cuminroute/cuminroute/pkg/logqueue"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
@@ -39,9 +40,11 @@
 	// unreadyDelay is how long a stopping instance at least continues to accept connections: the load balancer notices
 	// the stop after two readiness probes, one a second.
 	unreadyDelay = 3 * time.Second
-	// modelRequestCutoff is the time after the start of a stop from which requests to models are refused, since such
-	// requests might not end before the kill.
-	modelRequestCutoff = 2800 * time.Millisecond
+	// longRequestCutoff is the time after the start of a stop from which requests are refused that might not end before the
+	// stop. The load balancer sends requests for most of this time, and a retry would come back to this instance.
+	longRequestCutoff = 2800 * time.Millisecond
+	// idleCheckInterval is how often a stopping instance checks whether its requests have ended.
+	idleCheckInterval = 20 * time.Millisecond
 	// killMargin is how long before the kill a stopping instance stops waiting for its requests.
 	killMargin = 600 * time.Millisecond
 	// closeTimeout bounds the closing of connections after the wait for requests.
@@ -82,8 +85,8 @@
 	targetsReadAt atomic.Int64
 	storeFailedAt atomic.Int64 // storeFailedAt is when the last read of the configuration failed; 0 if it succeeded.
 	stopping      atomic.Bool
-	stoppingSince atomic.Int64 // stoppingSince is when the stop was requested, in Unix nanoseconds.
-	running       atomic.Int64 // running counts the requests in flight.
+	stoppingSince atomic.Int64  // stoppingSince is when the stop was requested, in Unix nanoseconds.
+	requests      drain.Counter // requests counts the requests in flight.
 	// runningSinceStop counts those of them that were received after the stop was requested, and lastReceivedAt is when the last
 	// such request was received, in Unix nanoseconds.
 	runningSinceStop, lastReceivedAt atomic.Int64
@@ -127,7 +130,7 @@
 	g.server = proxy.New(g.cache, platform.Upstream, g.targetStats, proxy.WithRetryBudget(g.retryBudget), proxy.WithLinkBudget(g.linkBudget),
 		proxy.WithRequestLimiter(g.requestLimiter),
 		proxy.WithDataCentre(settings.DataCentre), proxy.WithLogger(g.logger), proxy.WithRegistry(g.registry),
-		proxy.WithStopping(g.stopsSoon), proxy.WithCrashTracker(g.crashTracker),
+		proxy.WithStop(g.mustEndBy), proxy.WithCrashTracker(g.crashTracker),
 		proxy.WithDeadTargetHandler(func(t target.Target, ended bool) { g.peers.sendDead(t, ended) }),
 		proxy.WithAliveTargetHandler(func(t target.Target) { g.peers.sendAlive(t) }),
 		proxy.WithControlProbe(func(ctx context.Context) error { return g.peers.connectToAny(ctx) }),
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -207,10 +207,11 @@
 func TestStop(t *testing.T) {
 	store := newFilledStore()
 	p := fakePlatform(store, &fakeTargetControl{store: store})
-	p.NewHandler = func(_ *proxy.Server, _ func() catalogue.Limits, enter func() (func(), bool)) http.Handler {
+	p.NewHandler = func(_ *proxy.Server, _ func() catalogue.Limits, enter func() (func(), bool, error)) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			end, closing := enter()
+			end, closing, err := enter()
 			defer end()
+			qt.Check(t, err, qt.IsNil)
 			if closing {
 				w.Header().Set("Connection", "close")
 			}
@@ -235,7 +236,7 @@
 		}
 		slow <- err
 	}()
-	eventually(t, "the slow request", func() bool { return g.running.Load() == 1 })
+	eventually(t, "the slow request", func() bool { return g.requests.Running() == 1 })
 	stopped := time.Now()
 	go func() { _ = g.app.Stop() }()
 	eventually(t, "the stop", g.stopping.Load)
--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -97,8 +97,8 @@
 	DecodeTarget        func(name string, content []byte) (target.Target, error)
 	// NewHandler returns the handler of client requests. limits returns the limits of the active configuration. The
 	// handler calls enter when a request starts and end when it has ended; closing reports whether the request's
-	// connection must be closed after the response.
-	NewHandler func(server *proxy.Server, limits func() catalogue.Limits, enter func() (end func(), closing bool)) http.Handler
+	// connection must be closed after the response. After an error of enter, the handler must refuse the request with it.
+	NewHandler func(server *proxy.Server, limits func() catalogue.Limits, enter func() (end func(), closing bool, err error)) http.Handler
 	// ReadyPath is the path of the readiness probe.
 	ReadyPath string
 	// Reload reads the settings again.
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -6,42 +6,59 @@
 	"os/signal"
 	"syscall"
 	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/proxy"
 )
 
-// trackRequest counts a request as in flight until end is called. closing reports whether the request's connection must
-// be closed after the response.
-func (g *Gateway) trackRequest() (end func(), closing bool) {
-	g.running.Add(1)
+// trackRequest counts a request as in flight until end is called, or refuses it if the instance no longer waits for requests.
+// closing reports whether the request's connection must be closed after the response.
+func (g *Gateway) trackRequest() (end func(), closing bool, err error) {
+	leave, err := g.requests.Enter()
+	if err != nil {
+		return func() {}, true, proxy.StoppingError()
+	}
 	if !g.stopping.Load() {
-		return func() { g.running.Add(-1) }, false
+		return leave, false, nil
 	}
 	g.runningSinceStop.Add(1)
 	g.lastReceivedAt.Store(time.Now().UnixNano())
 	return func() {
 		g.runningSinceStop.Add(-1)
-		g.running.Add(-1)
-	}, true
+		leave()
+	}, true, nil
+}
+
+// mustEndBy returns when a request that is sent to a target now must have ended at the latest, or zero if there is no bound: a
+// later end would not reach the client before the process exits.
+func (g *Gateway) mustEndBy() time.Time {
+	stoppingSince := time.Unix(0, g.stoppingSince.Load())
+	if !g.stopping.Load() || time.Since(stoppingSince) <= longRequestCutoff {
+		return time.Time{}
+	}
+	return g.waitEnd(stoppingSince)
 }
 
-// stopsSoon reports whether a long request that starts now might not end before the kill.
-func (g *Gateway) stopsSoon() bool {
-	return g.stopping.Load() && time.Since(time.Unix(0, g.stoppingSince.Load())) > modelRequestCutoff
+// waitEnd returns when an instance that stops since the given time no longer waits for requests.
+func (g *Gateway) waitEnd(stoppingSince time.Time) time.Time {
+	return stoppingSince.Add(g.settings.GracePeriod - killMargin)
 }
 
 // stopGracefully makes the instance unready, waits for unreadyDelay, and then waits until the requests in flight have
-// ended or the grace period is nearly over. The listeners are closed only after it returns.
+// ended or the grace period is nearly over. From then on it refuses requests, so that none is sent to a target while the
+// connections are closed. The listeners are closed only after it returns.
 func (g *Gateway) stopGracefully(ctx context.Context) error {
 	started := time.Now()
 	g.stoppingSince.Store(started.UnixNano())
 	g.stopping.Store(true)
-	g.logger.Info().Int64("Running", g.running.Load()).Msg("stopping")
-	deadline := started.Add(g.settings.GracePeriod - killMargin)
+	g.logger.Info().Int("Running", g.requests.Running()).Msg("stopping")
+	deadline := g.waitEnd(started)
 	waitFor(ctx, unreadyDelay)
-	for g.running.Load() > 0 && time.Now().Before(deadline) && ctx.Err() == nil {
-		waitFor(ctx, 20*time.Millisecond)
+	for !g.requests.DrainIfIdle() && time.Now().Before(deadline) && ctx.Err() == nil {
+		waitFor(ctx, idleCheckInterval)
 	}
-	if n := g.running.Load(); n > 0 {
-		g.logger.Warn().Int64("Running", n).Int64("ReceivedSinceStop", g.runningSinceStop.Load()).
+	g.requests.Drain()
+	if n := g.requests.Running(); n > 0 {
+		g.logger.Warn().Int("Running", n).Int64("ReceivedSinceStop", g.runningSinceStop.Load()).
 			Dur("LastReceivedAfter", time.Unix(0, g.lastReceivedAt.Load()).Sub(started)).Msg("requests cut off at the end of the grace period")
 	}
 	return nil
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -18,7 +18,7 @@
 	DataCentre       string              `json:"DataCentre"`
 	Ready            bool                `json:"Ready"`
 	Stopping         bool                `json:"Stopping"`
-	Running          int64               `json:"Running"` // Running counts the requests in flight.
+	Running          int                 `json:"Running"` // Running counts the requests in flight.
 	Version          uint64              `json:"Version"` // Version is the version of the active configuration.
 	Revision         uint64              `json:"Revision"`
 	Era              uint64              `json:"Era"`      // Era is the store's era that Revision belongs to.
@@ -44,7 +44,7 @@
 	now := time.Now()
 	state := State{
 		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Ready: g.Ready(), Stopping: g.stopping.Load(),
-		Running: g.running.Load(), WatchesStore: g.peers.isWatcher(), HoldsLease: g.leader.holds(), Members: g.peers.node.Members(),
+		Running: g.requests.Running(), WatchesStore: g.peers.isWatcher(), HoldsLease: g.leader.holds(), Members: g.peers.node.Members(),
 	}
 	version, at := g.cache.configurationVersion()
 	state.Version, state.Revision, state.Era = version, at.Number, at.Era
--- /dev/null
+++ b/pkg/gateway/stop_test.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/catalogue"
+	"github.com/cuminroute/cuminroute/pkg/decision/path"
+	"github.com/cuminroute/cuminroute/pkg/proxy"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/target"
+)
+
+// workingUpstream works for some time on each request, and records the requests.
+type workingUpstream struct {
+	work time.Duration
+
+	mu  sync.Mutex
+	ran map[string]bool
+}
+
+func (u *workingUpstream) Open(ctx context.Context, a proxy.Attempt) (*proxy.Response, error) {
+	u.mu.Lock()
+	u.ran[a.Request.ID] = true
+	u.mu.Unlock()
+	select {
+	case <-time.After(u.work):
+	case <-ctx.Done():
+		return nil, &proxy.AttemptError{Sent: true, Cause: ctx.Err()}
+	}
+	return &proxy.Response{Status: http.StatusOK, Header: http.Header{}, Body: strings.NewReader("done"), ContentLength: 4, Release: func() {}, Abort: func() {}}, nil
+}
+
+func (u *workingUpstream) ChangePath(context.Context, string, path.Path) error { return nil }
+func (u *workingUpstream) Probe(context.Context, target.Target) error          { return nil }
+
+func (u *workingUpstream) hasRun(id string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.ran[id]
+}
+
+// newStopHandler returns a handler that serves requests like that of the platform, and holds requests for /long for longer than
+// any grace period.
+func newStopHandler(server *proxy.Server, _ func() catalogue.Limits, enter func() (func(), bool, error)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		end, closing, err := enter()
+		defer end()
+		if closing {
+			w.Header().Set("Connection", "close")
+		}
+		switch {
+		case err != nil:
+		case r.URL.Path == "/long":
+			<-r.Context().Done()
+		default:
+			request := &proxy.Request{
+				ID: r.Header.Get("X-Id"), Method: r.Method, URI: r.RequestURI, Path: r.URL.Path, Host: r.Host, ReceivedAt: time.Now(),
+			}
+			err = server.Serve(r.Context(), request, w)
+		}
+		var refused *refusal.Error
+		if errors.As(err, &refused) {
+			w.WriteHeader(refused.Status)
+		}
+	})
+}
+
+// TestStopWithKeptConnections guards against a planned stop that sends an order to a target and closes the connection before the
+// order is answered, and against one that refuses orders while there is time for them.
+func TestStopWithKeptConnections(t *testing.T) {
+	const (
+		orders      = 40
+		work        = 400 * time.Millisecond
+		gracePeriod = 6 * time.Second
+		firstOrder  = 3200 * time.Millisecond
+		lastOrder   = gracePeriod - 450*time.Millisecond // The connections are closed soon after.
+	)
+	store := newFilledStore()
+	store.put("targets", "d0", encode(target.Target{
+		Name: "d0", Address: loopback, Kind: target.Service, Service: "desk", State: target.Live, Slots: 100,
+	}))
+	upstream := &workingUpstream{work: work, ran: make(map[string]bool)}
+	p := fakePlatform(store, &fakeTargetControl{store: store})
+	p.Upstream, p.NewHandler = upstream, newStopHandler
+	g, err := New(context.Background(), Settings{
+		Instance: "i1", DataCentre: "dc", MemoryLimit: 1 << 30, GracePeriod: gracePeriod, MaxConfigurationAge: 5 * time.Second,
+		ClientAddress: loopback, ReadinessAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback,
+	}, p, WithLogOutput(discard{}))
+	qt.Assert(t, err, qt.IsNil)
+	eventually(t, "readiness", g.Ready)
+
+	var clients [orders + 1]*keptConnection
+	var opened sync.WaitGroup
+	for n := range clients {
+		opened.Go(func() { clients[n] = newKeptConnection(t, g.clientListener.Addr().String()) })
+	}
+	opened.Wait()
+	qt.Assert(t, t.Failed(), qt.IsFalse)
+	go func() { _, _ = clients[orders].send("/long", "long") }() // Keeps the instance up to the end of the grace period.
+	eventually(t, "the long request", func() bool { return g.requests.Running() == 1 })
+	stopped := time.Now()
+	go func() { _ = g.app.Stop() }()
+	var mu sync.Mutex
+	statuses := make(map[string]int) // statuses holds the statuses of the complete responses.
+	for n, c := range clients[:orders] {
+		go func() {
+			time.Sleep(time.Until(stopped.Add(firstOrder + (lastOrder-firstOrder)*time.Duration(n)/(orders-1))))
+			if status, err := c.send("/desk/1", orderID(n)); err == nil {
+				mu.Lock()
+				defer mu.Unlock()
+				statuses[orderID(n)] = status
+			}
+		}()
+	}
+	_ = g.Wait() // The long request is cut off. The process exits now, which closes all connections.
+	mu.Lock()
+	defer mu.Unlock()
+	for n := range orders {
+		status, answered := statuses[orderID(n)]
+		ran := upstream.hasRun(orderID(n))
+		qt.Check(t, ran && !answered, qt.IsFalse, qt.Commentf("%s ran and was not answered", orderID(n)))
+		qt.Check(t, ran && status == http.StatusServiceUnavailable, qt.IsFalse, qt.Commentf("%s ran and was refused", orderID(n)))
+	}
+	qt.Check(t, statuses[orderID(0)], qt.Equals, http.StatusOK, qt.Commentf("an order that ends long before the exit"))
+}
+
+func orderID(n int) string { return fmt.Sprint("order-", n) }
+
+// keptConnection is a client's connection that was used before and stays open.
+type keptConnection struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func newKeptConnection(t *testing.T, address string) *keptConnection {
+	conn, err := net.Dial("tcp", address)
+	if !qt.Check(t, err, qt.IsNil) {
+		return nil
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	c := &keptConnection{conn: conn, reader: bufio.NewReader(conn)}
+	status, err := c.send("/desk/1", "before the stop")
+	qt.Check(t, err, qt.IsNil)
+	qt.Check(t, status, qt.Equals, http.StatusOK)
+	return c
+}
+
+// send sends a request and returns the status of the complete response.
+func (c *keptConnection) send(path, id string) (status int, err error) {
+	if _, err := fmt.Fprintf(c.conn, "POST %s HTTP/1.1\r\nHost: shop.example\r\nX-Id: %s\r\nContent-Length: 0\r\n\r\n", path, id); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -56,16 +56,21 @@
 		return err
 	}
 	r.service = snapshot.Catalogue.Service(route.PickService(xxhash.Sum64String(r.ID)))
-	if r.service.Engine != nil && r.server.stopping() {
-		return refusal.New(http.StatusServiceUnavailable, "stopping", outcome.NotRun, "this instance stops soon").WithRetryAfter(stoppingRetryAfter)
-	}
 	r.deadline = r.ReceivedAt.Add(route.Timeout)
 	if !r.Deadline.IsZero() && r.Deadline.Before(r.deadline) {
 		r.deadline = r.Deadline
 	}
+	if end := r.server.mustEndBy(); !end.IsZero() && r.deadline.After(end) {
+		return StoppingError()
+	}
 	return nil
 }
 
+// StoppingError returns the refusal of a request that might not end before this instance stops.
+func StoppingError() error {
+	return refusal.New(http.StatusServiceUnavailable, "stopping", outcome.NotRun, "this instance stops soon").WithRetryAfter(stoppingRetryAfter)
+}
+
 // checkCrashes refuses a request whose content, or a part of whose prompt, is quarantined, since it crashes the targets
 // that run it, or whose content is held, since it may have crashed one.
 func (r *activeRequest) checkCrashes() error {
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -42,7 +42,7 @@
 	logger         *log.Logger
 	counters       counters
 	detector       *failureDetector
-	stopping       func() bool
+	mustEndBy      func() time.Time
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -86,10 +86,10 @@
 	return func(s *Server) { s.counters = newCounters(r) }
 }
 
-// WithStopping sets the function that reports whether this instance stops soon. The server then refuses requests to
-// models, which might not end before the stop.
-func WithStopping(stopping func() bool) Option {
-	return func(s *Server) { s.stopping = stopping }
+// WithStop sets the function that returns when the requests of a stopping instance must have ended at the latest, or zero if
+// there is no such bound. The server refuses requests whose deadline is later, since they might be cut off.
+func WithStop(mustEndBy func() time.Time) Option {
+	return func(s *Server) { s.mustEndBy = mustEndBy }
 }
 
 // WithDeadTargetHandler sets the function that is called for targets that this instance finds dead. ended means that
@@ -129,8 +129,8 @@
 		snapshots: snapshots, upstream: upstream, stats: stats, retryBudget: retry.New(), linkBudget: linkbudget.New(), memoryLimit: memorylimit.New(),
 		requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()),
 		crashTracker:   quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
-		stopping: func() bool { return false },
-		counters: newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		mustEndBy: func() time.Time { return time.Time{} },
+		counters:  newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.detector = newFailureDetector(s)
 	for _, o := range options {
--- a/pkg/proxy/stream_test.go
+++ b/pkg/proxy/stream_test.go
@@ -325,16 +325,20 @@
 	qt.Assert(t, time.Since(started) < time.Second, qt.IsTrue)
 }
 
-// TestStopping guards against starting a long response that a stopping instance would cut off.
+// TestStopping guards against starting a request that a stopping instance would cut off, and against refusing one that ends in
+// time.
 func TestStopping(t *testing.T) {
-	h := newHarness(t, proxy.WithStopping(func() bool { return true }))
+	h := newHarness(t, proxy.WithStop(func() time.Time { return time.Now().Add(2 * time.Second) }))
 	h.upstream.open = func(context.Context, int, proxy.Attempt) (*proxy.Response, error) {
-		return response(http.StatusOK, "done"), nil
+		return streamingResponse(strings.NewReader(events(1, 5))), nil
+	}
+	for _, path := range []string{"/plan/1", "/book/1"} {
+		_, err := h.call(path, func(r *proxy.Request) { r.Deadline = time.Now().Add(time.Minute) })
+		qt.Assert(t, status(err), qt.Equals, http.StatusServiceUnavailable)
+		qt.Assert(t, refusal.OutcomeOf(err), qt.Equals, outcome.NotRun)
+		_, err = h.call(path, func(r *proxy.Request) { r.Deadline = time.Now().Add(time.Second) })
+		qt.Assert(t, err, qt.IsNil)
 	}
-	_, err := h.call("/plan/1")
-	qt.Assert(t, status(err), qt.Equals, http.StatusServiceUnavailable)
-	_, err = h.call("/book/1")
-	qt.Assert(t, err, qt.IsNil)
 }
 
 // TestRefutedRemoteReport guards against migrating streams off a live target because a slow instance reports it dead.
