Serve the stacks of all goroutines to operators

On edge-za-1 996 goroutines wait in failureDetector.add and 67 in remove, for the detector's lock. Its holder waits for a stream's lock (lastEvent < aliveSince < TargetDead); the holder of that one waits for the detector's (hasEndedSince < targetLimitReached < findUnlimitedPath).

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -167,6 +168,18 @@
 	qt.Assert(t, state.Targets, qt.HasLen, 4)
 }
 
+// TestGoroutines guards against an instance that hangs without showing where.
+func TestGoroutines(t *testing.T) {
+	store := newFilledStore()
+	g := start(t, "i1", store, &fakeTargetControl{store: store})
+	response, err := http.Get("http://" + g.operatorListener.Addr().String() + "/goroutines")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	stacks, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(stacks), qt.Contains, "gateway.(*leader).run")
+}
+
 // TestWatcherDisconnected guards against instances that wait for a watcher that is disconnected from the store, while
 // the store serves them.
 func TestWatcherDisconnected(t *testing.T) {
--- a/pkg/gateway/listeners.go
+++ b/pkg/gateway/listeners.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"runtime/pprof"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -13,6 +14,9 @@
 	"github.com/cuminroute/cuminroute/pkg/metricspage"
 )
 
+// fullStacks makes the goroutine profile list each goroutine with its state.
+const fullStacks = 2
+
 func (g *Gateway) listen() error {
 	var err error
 	if g.clientListener, err = net.Listen("tcp4", g.settings.ClientAddress.String()); err != nil {
@@ -49,11 +53,12 @@
 	return mux
 }
 
-// operatorHandler serves metrics, state and readiness to operators.
+// operatorHandler serves metrics, state, goroutine stacks and readiness to operators.
 func (g *Gateway) operatorHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", metricspage.New(g.registry))
 	mux.HandleFunc("/state", g.serveState)
+	mux.HandleFunc("/goroutines", serveGoroutines)
 	mux.HandleFunc("/ready", g.serveReady)
 	return mux
 }
@@ -64,6 +69,12 @@
 		!g.peers.awaitsPeers(time.Now())
 }
 
+// serveGoroutines writes the stacks of all goroutines, which show where a process hangs. They hold no content of requests.
+func serveGoroutines(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	_ = pprof.Lookup("goroutine").WriteTo(w, fullStacks) // If the write fails, the operator has left.
+}
+
 func (g *Gateway) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
 		w.WriteHeader(http.StatusServiceUnavailable)
