Take no lock of a stream or of the failure detector while holding the other

What callers saw: after model workers had crashed, instances stayed ready and served no stream; no first event came until the client left.

Cause: failureDetector.aliveSince held the detector's lock and took that of each stream; activeStream.targetLimitReached held a stream's lock and took the detector's, in hasEndedSince. A crash makes streams search paths while reports of the loss arrive, so two threads each held what the other waited for, and every stream needs the detector's lock to begin and to end.

Change: both functions copy what they need and release their lock first, so that there is no order left to keep.

--- a/pkg/proxy/failure_detector.go
+++ b/pkg/proxy/failure_detector.go
@@ -240,14 +240,9 @@
 
 // aliveSince reports whether a stream through the target has received an event after the given time.
 func (d *failureDetector) aliveSince(name string, since time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for s := range d.streams {
-		if s.lastEvent().After(since) && s.currentPath().Contains(name) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(d.activeStreams(), func(s *activeStream) bool {
+		return s.lastEvent().After(since) && s.currentPath().Contains(name)
+	})
 }
 
 // targetDead marks a target dead and migrates all streams off it. If the target was not marked dead before, it is also
--- a/pkg/proxy/find_path.go
+++ b/pkg/proxy/find_path.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -72,9 +73,10 @@
 // target that only does not respond counts: it may be slow, and still run the stream.
 func (s *activeStream) targetLimitReached() bool {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	mayHaveRun := maps.Clone(s.mayHaveRun)
+	s.mu.Unlock()
 	running := 0
-	for name, at := range s.mayHaveRun {
+	for name, at := range mayHaveRun {
 		if !s.server.detector.hasEndedSince(name, at) {
 			running++
 		}
