--- a/pkg/decision/layout/layout_test.go
+++ b/pkg/decision/layout/layout_test.go
@@ -111,6 +111,22 @@
 	}
 }
 
+// TestLayersBeyondTheModel guards against a gap that stays open since an entry claims layers that the model does not have: no
+// path can use that target.
+func TestLayersBeyondTheModel(t *testing.T) {
+	odd := target.Target{Name: "odd", DataCentre: "a", Accelerator: "a100s", State: target.Live, Layers: layer.Range{First: 0, End: 200}}
+	placed := applyPlans(t, fleet(), nil)
+	for i := range placed {
+		if placed[i].DataCentre == "a" && placed[i].Layers.First == 0 {
+			placed[i].State = target.Leaving
+		}
+	}
+	qt.Assert(t, gaps(placed, "a"), qt.Not(qt.HasLen), 0)
+	placed = applyPlans(t, append(placed, odd), nil)
+	qt.Assert(t, gaps(placed[:len(placed)-1], "a"), qt.HasLen, 0)
+	qt.Assert(t, placed[len(placed)-1].Layers, qt.Equals, odd.Layers)
+}
+
 // TestTargetDead guards against gaps that stay open after any one target has died and does not return.
 func TestTargetDead(t *testing.T) {
 	assigned := applyPlans(t, fleet(), nil)
