Skip odd entries of the instance list one by one

It can happen here: the list was decoded as a whole, so that one entry with a port out of range, a number too large or nested more than 10,000 deep made every read fail. Instances went on with the last list: targets that left stayed in use, and new ones were never used. A response "null", or one with text after the list, was even taken for an empty or a whole list.

Change: the array is split without a limit on nesting, and each entry decoded by itself. Entries that no instance can have are left out, counted (list.skipped) and logged when their number changes. What is not one whole array is an error, so that the last list holds.

TestStores listed an instance without an address, which is left out now; it has one.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -16,12 +16,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-kratos/kratos/v2"
@@ -142,6 +144,7 @@
 
 type counters struct {
 	listFailures   metrics.Counter
+	listSkipped    metrics.Gauge // listSkipped is the number of entries of the last list that were left out.
 	reportFailures metrics.Counter
 	eventGaps      metrics.Counter
 	eventsSeen     metrics.Counter
@@ -163,6 +166,7 @@
 	d.logger = newLogger(s, d.output)
 	d.counters = counters{
 		listFailures:   metrics.GetOrRegisterCounter("list.failures", d.registry),
+		listSkipped:    metrics.GetOrRegisterGauge("list.skipped", d.registry),
 		reportFailures: metrics.GetOrRegisterCounter("reports.failures", d.registry),
 		eventGaps:      metrics.GetOrRegisterCounter("events.gaps", d.registry),
 		eventsSeen:     metrics.GetOrRegisterCounter("events.seen", d.registry),
@@ -229,7 +233,7 @@
 func (d *Daemon) assemblePlatform() {
 	d.table = table.New(d.settings.Platform.Table, table.WithMetrics(d.registry))
 	d.objects = objectstore.New(d.settings.Platform.ObjectStore)
-	d.list = instancelist.New(d.settings.Platform.InstanceList)
+	d.list = instancelist.New(d.settings.Platform.InstanceList, instancelist.WithSkipHandler(d.logSkippedEntries()))
 	d.log = newAcceptedLog(configlog.New(d.table, configlog.WithObjectStore(d.objects)))
 	d.configuration = newActiveConfiguration(d.log)
 	// Without the suffix, a restarted process with the same name would be taken for the holder of its
@@ -238,6 +242,19 @@
 	d.claimer = claim.New(d.table, holder, claim.WithMetrics(d.registry))
 }
 
+// logSkippedEntries returns a function that counts the entries of the instance list that were left out, and logs the first one's
+// fault when their number changes.
+func (d *Daemon) logSkippedEntries() func(skipped []error) {
+	var last atomic.Int64
+	return func(skipped []error) {
+		n := int64(len(skipped))
+		d.counters.listSkipped.Update(n)
+		if last.Swap(n) != n {
+			d.logger.Warn().Int64("Skipped", n).Err(errors.Join(skipped[:min(n, 1)]...)).Msg("entries of the instance list left out")
+		}
+	}
+}
+
 func (d *Daemon) assembleNode(ctx context.Context) error {
 	node, err := instance.New(ctx, instance.Config{
 		Fleet: d.settings.Fleet, Name: d.settings.Instance, DataCentre: d.settings.DataCentre,
--- a/pkg/peer/instancelist/client.go
+++ b/pkg/peer/instancelist/client.go
@@ -15,7 +15,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -63,6 +62,7 @@
 type Client struct {
 	baseURL string
 	timeout time.Duration
+	onSkip  func(skipped []error)
 	http    *http.Client
 
 	mu         sync.Mutex
@@ -78,16 +78,22 @@
 	return func(c *Client) { c.timeout = d }
 }
 
+// WithSkipHandler sets the function that is called with the entries of each list that were left out, since no instance can
+// have them.
+func WithSkipHandler(handle func(skipped []error)) Option {
+	return func(c *Client) { c.onSkip = handle }
+}
+
 // New returns a client of the instance list service at baseURL.
 func New(baseURL string, opts ...Option) *Client {
-	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), timeout: DefaultTimeout, http: &http.Client{Transport: &http.Transport{}}}
+	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), timeout: DefaultTimeout, onSkip: func([]error) {}, http: &http.Client{Transport: &http.Transport{}}}
 	for _, opt := range opts {
 		opt(c)
 	}
 	return c
 }
 
-// List returns the instances on the list. If the service sends an ETag, List caches the list, and the service does not
+// List returns the instances on the list, without entries that no instance can have. If the service sends an ETag, List caches the list, and the service does not
 // transfer it again while it is unchanged: polled every second, the list of the current fleet would otherwise take more
 // than 4 KB/s.
 func (c *Client) List(ctx context.Context) ([]Instance, error) {
@@ -112,10 +118,15 @@
 	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
 	}
-	var list []Instance
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxResponseBytes)).Decode(&list); err != nil {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
+	}
+	list, skipped, err := decode(body)
+	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
+	c.onSkip(skipped)
 	c.store(list, resp.Header.Get("ETag"))
 	return slices.Clone(list), nil
 }
--- a/pkg/standin/platform/server_test.go
+++ b/pkg/standin/platform/server_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -112,7 +113,7 @@
 	_, err = objects.Get(ctx, "a b/c")
 	qt.Assert(t, err, qt.ErrorIs, objectstore.ErrNotFound)
 
-	s.SetInstances([]instancelist.Instance{{Name: "e1", State: instancelist.Leaving}})
+	s.SetInstances([]instancelist.Instance{{Name: "e1", Address: netip.MustParseAddrPort("127.0.0.1:1"), State: instancelist.Leaving}})
 	got, err := list.List(ctx)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, got[0].State, qt.Equals, instancelist.Leaving)
