Send a refused request again only on another connection

Cause: a response is matched to its request by the ID, but a stream that was refused waits for room and is then sent again with the same ID, often to the same target on the same connection. A refusal that the target repeats there has the right ID and was taken for the response to the new transmission, while the target ran it. Ruled out: a repeated refusal of another request (its ID differs, TestStaleResponse), and one that arrives on an idle connection (unread bytes end its reuse, TestExtraBytes).

Change: a connection remembers up to 64 requests that were refused on it, and the pool gives another one, idle or new, for the same request.

--- a/pkg/connection/conn.go
+++ b/pkg/connection/conn.go
@@ -35,6 +35,8 @@
 	maxStaleBytes     = 1 << 20
 	// maxHeadBytes bounds the headers of a response in bytes, together with those of the interim responses before it.
 	maxHeadBytes = 64 << 10
+	// maxRefused bounds the requests that may be refused on a connection before it is closed.
+	maxRefused = 64
 	// headTimeout bounds the time from the first byte of a header to its end. A sound target sends a header at once.
 	headTimeout = 2 * time.Second
 )
@@ -89,12 +91,25 @@
 	idleTimeout time.Duration // idleTimeout is how long the connection may stay idle.
 	reused      bool          // reused means that the connection has carried an earlier exchange.
 	notReusable atomic.Bool   // notReusable means that the connection must not be used for another exchange.
-	bodyWritten chan error    // bodyWritten receives the result of a concurrent body write; nil if there is none.
+	// refused holds the IDs of the requests that the target refused on this connection. The target may repeat such a refusal late,
+	// and if the same request were sent again here, the ID would not tell that refusal from the response.
+	refused     []string
+	bodyWritten chan error // bodyWritten receives the result of a concurrent body write; nil if there is none.
 }
 
 // Reused reports whether the connection has carried an earlier exchange.
 func (c *Conn) Reused() bool { return c.reused }
 
+// RecordRefused records that the target refused the request with the ID without running it. Pool.GetFor does not return the
+// connection for the same request again.
+func (c *Conn) RecordRefused(id string) {
+	if len(c.refused) == maxRefused {
+		c.notReusable.Store(true)
+		return
+	}
+	c.refused = append(c.refused, id)
+}
+
 // Address returns the target's address.
 func (c *Conn) Address() netip.AddrPort { return c.address }
 
--- a/pkg/connection/connection_test.go
+++ b/pkg/connection/connection_test.go
@@ -271,3 +271,23 @@
 		<-closed
 	}
 }
+
+// TestRefusedOnConnection guards against sending a request again on the connection on which it was refused, where the target may
+// repeat the refusal, and against opening a new connection although another one is idle.
+func TestRefusedOnConnection(t *testing.T) {
+	p := serve(t, func(_ *peer, _ net.Conn, r *bufio.Reader) { _, _ = r.ReadByte() })
+	pool := connection.New()
+	get := func(id string) *connection.Conn {
+		c, err := pool.GetFor(context.Background(), p.address, time.Minute, id)
+		qt.Assert(t, err, qt.IsNil)
+		return c
+	}
+	other, refusing := get("1"), get("1")
+	refusing.RecordRefused("1")
+	pool.Put(other)
+	pool.Put(refusing)
+	qt.Assert(t, get("1"), qt.Equals, other)
+	fresh := get("1")
+	qt.Assert(t, fresh.Reused(), qt.IsFalse)
+	qt.Assert(t, get("2"), qt.Equals, refusing)
+}
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -65,9 +66,15 @@
 // Get returns an idle connection that was last used less than maxIdleTime ago, or a new connection. Idle connections
 // that are too old or were closed by the target are closed. An error means that no byte of a request was sent.
 func (p *Pool) Get(ctx context.Context, address netip.AddrPort, maxIdleTime time.Duration) (*Conn, error) {
+	return p.GetFor(ctx, address, maxIdleTime, "")
+}
+
+// GetFor returns a connection as Get does, for a request with an ID. It returns none on which the same request was refused; see
+// Conn.RecordRefused.
+func (p *Pool) GetFor(ctx context.Context, address netip.AddrPort, maxIdleTime time.Duration, id string) (*Conn, error) {
 	now := time.Now()
 	for {
-		c := p.pop(address)
+		c := p.pop(address, id)
 		if c == nil {
 			return open(ctx, p.dial, address)
 		}
@@ -79,17 +86,20 @@
 	}
 }
 
-// pop removes and returns the most recently used idle connection to a target, or returns nil.
-func (p *Pool) pop(address netip.AddrPort) *Conn {
+// pop removes and returns the most recently used idle connection to a target on which no request with the ID was refused, or
+// returns nil.
+func (p *Pool) pop(address netip.AddrPort, id string) *Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[address]
-	if len(conns) == 0 {
-		return nil
+	for i := len(conns) - 1; i >= 0; i-- {
+		c := conns[i]
+		if !slices.Contains(c.refused, id) {
+			p.idle[address] = slices.Delete(conns, i, i+1)
+			return c
+		}
 	}
-	c := conns[len(conns)-1]
-	p.idle[address] = conns[:len(conns)-1]
-	return c
+	return nil
 }
 
 // open opens a connection with a dial function.
