Match responses of services to their requests on kept connections

A target that wrote a response once more, late, gave the next caller another caller's response.

Change: a response that echoes another X-Request-Id is an error, and another target is tried. Only targets that echo the ID get kept connections; for others each request has a connection of its own. The stand-in echoes it. Requests that run at most once have always had connections of their own.

--- a/pkg/peer/service/client.go
+++ b/pkg/peer/service/client.go
@@ -39,8 +39,9 @@
 	// unpooled opens a new connection for each request. A target may close a pooled connection at any
 	// time, and net/http then resends a request with an Idempotency-Key on its own.
 	unpooled *http.Client
-	// pooled reuses connections. It is for idempotent requests.
-	pooled *http.Client
+	// pooled reuses connections. It is for idempotent requests to targets that echo the IDs of requests.
+	pooled  *http.Client
+	echoing *echoingTargets
 }
 
 // Option configures a Client.
@@ -97,7 +98,7 @@
 	}
 	c.counters = newCounters(c.registry)
 	c.balancer = newBalancer(c.acquire)
-	c.unpooled, c.pooled = newHTTPClient(c.dial, true), newHTTPClient(c.dial, false)
+	c.unpooled, c.pooled, c.echoing = newHTTPClient(c.dial, true), newHTTPClient(c.dial, false), newEchoingTargets()
 	return c
 }
 
--- a/pkg/peer/service/dispatch.go
+++ b/pkg/peer/service/dispatch.go
@@ -62,6 +62,9 @@
 		return Response{}, err
 	}
 	defer response.Body.Close()
+	if err := c.echoing.check(t.Address, req.ID, response.Header, client == c.pooled); err != nil {
+		return Response{}, err
+	}
 	c.recordRequestLimit(t.Name, response.Header)
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
@@ -81,7 +84,7 @@
 	}
 	for name, value := range map[string]string{
 		"Content-Type": req.ContentType, "Accept": req.Accept, "Idempotency-Key": req.IdempotencyKey,
-		"Cuminroute-Workspace": req.Workspace, "X-Request-Id": req.ID,
+		"Cuminroute-Workspace": req.Workspace, requestIDHeader: req.ID,
 	} {
 		if value != "" {
 			request.Header.Set(name, value)
--- a/pkg/peer/service/idempotent.go
+++ b/pkg/peer/service/idempotent.go
@@ -56,7 +56,11 @@
 	bounded, cancel := c.attemptContext(ctx, chosen.Name, number)
 	defer cancel()
 	start := c.client.now()
-	response, err := c.client.dispatch(bounded, c.client.pooled, chosen, c.req)
+	connections := c.client.unpooled
+	if c.client.echoing.contains(chosen.Address) {
+		connections = c.client.pooled
+	}
+	response, err := c.client.dispatch(bounded, connections, chosen, c.req)
 	c.client.balancer.finish(chosen.Name, start, c.client.now(), err == nil)
 	if err != nil {
 		c.recordFailure(err)
--- a/pkg/standin/service/server.go
+++ b/pkg/standin/service/server.go
@@ -27,6 +27,9 @@
 // KeyHeader names the header that identifies a request that may not be repeated.
 const KeyHeader = "Idempotency-Key"
 
+// requestIDHeader carries the ID of a request, which the response echoes.
+const requestIDHeader = "X-Request-Id"
+
 // RequestLimitHeader names the requests a second that the service takes from all instances together.
 const RequestLimitHeader = "Cuminroute-Request-Limit"
 
@@ -168,6 +171,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(requestIDHeader, r.Header.Get(requestIDHeader))
 	if limit := s.requestLimit(); limit > 0 {
 		w.Header().Set(RequestLimitHeader, strconv.FormatFloat(limit, 'f', -1, 64))
 	}
