Resume a stream only with a response that is its rest

An answer with another status was not forwarded, but ended the stream although another target could resume it.

Cause: whatever came with status 200 was taken for the rest of the stream. Now the rest must have the media type of the first response and begin with an event whose ID follows the last one (comments may come first). Any other answer is a failed attempt, after which the stream is resumed elsewhere within its retries; the target is not probed if it has answered. The test passes in all 16 cases.

--- a/pkg/proxy/broken_stream_test.go
+++ b/pkg/proxy/broken_stream_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -95,3 +97,53 @@
 		})
 	}
 }
+
+// TestResumeIsAnsweredWithAnotherResponse guards against the text of an error, or events that the client has already, in the middle of a
+// stream, and against a stream that ends since a single target does not resume it.
+func TestResumeIsAnsweredWithAnotherResponse(t *testing.T) {
+	sealedError := func(status int) func() *proxy.Response {
+		return func() *proxy.Response { return response(status, "the worker failed\n\n") }
+	}
+	for _, test := range []struct {
+		name   string
+		second func() *proxy.Response
+	}{
+		{"an error", sealedError(http.StatusInternalServerError)},
+		{"a bad request", sealedError(http.StatusBadRequest)},
+		{"a whole document with status 200", sealedError(http.StatusOK)},
+		{"no content", sealedError(http.StatusNoContent)},
+		{"the stream from its start", func() *proxy.Response { return streamingResponse(strings.NewReader(events(1, 5))) }},
+		{"the last event again", func() *proxy.Response { return streamingResponse(strings.NewReader(events(2, 5))) }},
+		{"nothing, without a length", func() *proxy.Response { return withoutLength(streamingResponse(strings.NewReader("")), nil) }},
+		{"bytes that are no events", func() *proxy.Response { return streamingResponse(strings.NewReader("<html>busy</html>\n\n")) }},
+	} {
+		for _, resumed := range []bool{true, false} {
+			name := test.name + ", another target resumes"
+			if !resumed {
+				name = test.name + ", no target resumes"
+			}
+			t.Run(name, func(t *testing.T) {
+				h := newHarness(t)
+				h.upstream.open = func(_ context.Context, n int, a proxy.Attempt) (*proxy.Response, error) {
+					switch {
+					case n == 1:
+						return streamingResponse(io.MultiReader(strings.NewReader(events(1, 2)), iotest.ErrReader(errReset))), nil
+					case n == 2 || !resumed:
+						return test.second(), nil
+					default:
+						qt.Check(t, a.LastEventID, qt.Equals, "2")
+						return streamingResponse(strings.NewReader(events(3, 5))), nil
+					}
+				}
+				recorder, err := h.call("/plan/1")
+				if resumed {
+					qt.Assert(t, err, qt.IsNil)
+					qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 5))
+					return
+				}
+				qt.Assert(t, err, qt.ErrorIs, http.ErrAbortHandler)
+				qt.Assert(t, recorder.Body.String(), qt.Equals, events(1, 2))
+			})
+		}
+	}
+}
--- a/pkg/proxy/event.go
+++ b/pkg/proxy/event.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"strconv"
 )
 
 var (
@@ -36,6 +37,39 @@
 	return "", false
 }
 
+// checkContinuation reports whether the events at the start of a response continue a stream after the event with the ID last.
+// known is false while only comments have come.
+func checkContinuation(events []byte, last string) (known, continues bool) {
+	for event := range bytes.SplitSeq(events, eventTerminator) {
+		if isComment(event) {
+			continue
+		}
+		id, ok := lastEventID(event)
+		return true, ok && follows(id, last)
+	}
+	return false, true
+}
+
+// isComment reports whether an event has no fields.
+func isComment(event []byte) bool {
+	for line := range bytes.SplitSeq(event, []byte("\n")) {
+		if len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
+// follows reports whether an event ID may come after another one. IDs that are numbers increase.
+func follows(id, last string) bool {
+	n, err := strconv.ParseUint(id, 10, 64)
+	before, lastErr := strconv.ParseUint(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != last
+	}
+	return n > before
+}
+
 // isBodyEnd reports whether a read error is the regular end of the body.
 func isBodyEnd(err error) bool {
 	return errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF)
--- a/pkg/proxy/relay.go
+++ b/pkg/proxy/relay.go
@@ -7,11 +7,12 @@
 )
 
 // relay forwards the complete events of a response to the client until the response ends. It returns errTruncatedEvent
-// if the response ends in the middle of an event or an event exceeds maxEventBytes, and errEmptyStream or the error of ConfirmEnd if
-// the end of a response without a length is not that of the stream.
+// if the response ends in the middle of an event or an event exceeds maxEventBytes, errNotContinued if the response does not
+// continue the stream after the last event, and errEmptyStream or the error of ConfirmEnd if the end of a response without a length
+// is not that of the stream.
 func (s *activeStream) relay(ctx context.Context, response *Response) error {
 	buffer := make([]byte, 0, eventBufferBytes)
-	before := s.eventCount.Load()
+	before, joined := s.eventCount.Load(), s.LastEventID == ""
 	for {
 		if len(buffer) == cap(buffer) {
 			if len(buffer) > maxEventBytes {
@@ -25,6 +26,12 @@
 		scanned := len(buffer)
 		buffer = buffer[:scanned+n]
 		if complete := completeEventsLen(buffer, scanned); complete > 0 {
+			if !joined {
+				var continues bool
+				if joined, continues = checkContinuation(buffer[:complete], s.LastEventID); !continues {
+					return errNotContinued
+				}
+			}
 			if err := s.forwardEvents(response, buffer[:complete]); err != nil {
 				return err
 			}
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -41,6 +42,12 @@
 // errDeadStage reports a stream without a length that ended while a target of its path was dead.
 var errDeadStage = errors.New("a target of the path is dead")
 
+// errNotResumed reports a response that is not a stream, where the rest of a stream is due.
+var errNotResumed = errors.New("the target did not resume the stream")
+
+// errNotContinued reports a stream that does not go on after the last event.
+var errNotContinued = errors.New("the stream does not continue after the last event")
+
 // errTooManyEvents reports a stream with more events than the tokens that the client asked for.
 var errTooManyEvents = errors.New("the stream has more events than tokens were requested")
 
@@ -53,10 +60,13 @@
 		if err != nil {
 			return s.fail(err)
 		}
-		if response.Status != http.StatusOK {
+		if !s.headerSent && response.Status != http.StatusOK {
 			return s.forwardResponse(ctx, response)
 		}
-		err = s.relay(ctx, response)
+		err = errNotResumed
+		if !s.headerSent || s.isRest(response) {
+			err = s.relay(ctx, response)
+		}
 		if err == nil {
 			response.Release()
 			s.server.crashTracker.RequestCompleted(s.fingerprint)
@@ -81,12 +91,19 @@
 	return http.ErrAbortHandler
 }
 
+// isRest reports whether a response can be the rest of a stream whose response header was sent.
+func (s *activeStream) isRest(response *Response) bool {
+	return response.Status == http.StatusOK && mediaType(response.Header.Get("Content-Type")) == mediaType(s.writer.Header().Get("Content-Type"))
+}
+
+// mediaType returns the media type of a Content-Type field without its parameters.
+func mediaType(contentType string) string {
+	name, _, _ := strings.Cut(contentType, ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // forwardResponse forwards a response that is not an event stream.
 func (s *activeStream) forwardResponse(ctx context.Context, response *Response) error {
-	if s.headerSent {
-		response.Abort()
-		return s.fail(errors.New("the target did not resume the stream"))
-	}
 	body, complete, err := readResponse(ctx, response)
 	if err != nil {
 		response.Abort()
@@ -214,7 +231,9 @@
 		// An attempt that was cancelled locally failed because of another target of the path, which is marked dead
 		// already.
 		broken := &AttemptError{Sent: true, Cause: cause}
-		s.server.detector.examineAfterBreak(failedTarget(broken, p), broken)
+		if !errors.Is(cause, errNotResumed) { // A target that responds has not ended.
+			s.server.detector.examineAfterBreak(failedTarget(broken, p), broken)
+		}
 		s.recordFailure(broken, p, time.Now())
 	}
 	if !s.route.Resumable || s.resumes > maxResumes || !s.takeRetry() && !s.waitForRetryBudget(ctx) {
