Wait in a stop for the requests that are relayed for other instances

An instance that has lost its links to targets reaches them through others. When such another one stopped, it waited for its own requests only and ended after 3 s; requests of the first that it relayed were cut off. Meanwhile new requests were sent over relayed connections that had been kept, since these are opened before the signal.

Change: a relayed connection carries one request and is not kept, so that the relaying instance knows what it has to wait for; it refuses new ones from the signal on, as before, and waits for the others like for its own requests, at latest until 0.6 s before the kill.

TestStopWaitsForRelayedRequests failed before the change in both respects and passes with it (the stop ends after 4.7 s, with the request of 4.5 s). TestPartitionFromTargets passes as before. A request through another instance costs a connection each now; not measured.

--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -127,9 +127,10 @@
 }
 
 // Put returns a connection to the pool after a complete exchange. It closes a connection that must not be reused or has
-// received bytes after the response, or if its target already has maxIdlePerTarget idle connections.
+// received bytes after the response, or if its target already has maxIdlePerTarget idle connections. A connection through another
+// host is closed as well: that host may stop, and can wait for the exchanges that it relays, not for idle connections.
 func (p *Pool) Put(c *Conn) {
-	if c.notReusable.Load() || c.reader.Buffered() > 0 {
+	if c.notReusable.Load() || !c.Direct() || c.reader.Buffered() > 0 {
 		c.Close()
 		return
 	}
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -53,17 +53,23 @@
 	g.logger.Info().Int("Running", g.requests.Running()).Msg("stopping")
 	deadline := g.waitEnd(started)
 	waitFor(ctx, unreadyDelay)
-	for !g.requests.DrainIfIdle() && time.Now().Before(deadline) && ctx.Err() == nil {
+	for !g.drainIfIdle() && time.Now().Before(deadline) && ctx.Err() == nil {
 		waitFor(ctx, idleCheckInterval)
 	}
 	g.requests.Drain()
-	if n := g.requests.Running(); n > 0 {
-		g.logger.Warn().Int("Running", n).Int64("ReceivedSinceStop", g.runningSinceStop.Load()).
+	if n := g.requests.Running(); n > 0 || g.peers.node.Relayed() > 0 {
+		g.logger.Warn().Int("Running", n).Int("Relayed", g.peers.node.Relayed()).Int64("ReceivedSinceStop", g.runningSinceStop.Load()).
 			Dur("LastReceivedAfter", time.Unix(0, g.lastReceivedAt.Load()).Sub(started)).Msg("requests cut off at the end of the grace period")
 	}
 	return nil
 }
 
+// drainIfIdle refuses requests from now on, and reports true, if nothing runs here: neither requests of clients nor those of other
+// instances, whose connections to their targets this instance relays.
+func (g *Gateway) drainIfIdle() bool {
+	return g.peers.node.Relayed() == 0 && g.requests.DrainIfIdle()
+}
+
 // reload reads the settings again on SIGHUP and applies the seeds. Other settings of a running process do not change.
 func (g *Gateway) reload(ctx context.Context) {
 	hangup := make(chan os.Signal, 1)
--- a/pkg/peer/instance/relay.go
+++ b/pkg/peer/instance/relay.go
@@ -136,6 +136,9 @@
 	forward(peer, target)
 }
 
+// Relayed returns the number of connections that are relayed for other instances.
+func (n *Node) Relayed() int { return len(n.relaySlots) }
+
 // dialForPeer reads a relay request and opens the connection to the target. The connection is nil unless the status is
 // connected.
 func (n *Node) dialForPeer(peer net.Conn) (net.Conn, instancepb.RelayStatus) {
