Accept responses of services that name IDs of their own

On a connection of its own a response is the target's, whatever it names, and such a target gets no kept connections. TestServiceWithIDsOfItsOwn failed before and passes now. The addresses that are remembered have a bound.

--- a/pkg/peer/service/echo.go
+++ b/pkg/peer/service/echo.go
@@ -11,6 +11,9 @@
 // a late second copy of an earlier response can be told from the response.
 const requestIDHeader = "X-Request-Id"
 
+// maxEchoing bounds the addresses that are remembered. When it is reached, all are forgotten.
+const maxEchoing = 4096
+
 var (
 	// errOtherRequest reports a response to another request.
 	errOtherRequest = errors.New("the target sent a response to another request")
@@ -34,24 +37,27 @@
 	return e.echoing[address]
 }
 
-// check records whether a response echoes the ID of its request. It returns an error for a response to another request, and for
-// one on a kept connection that names no request.
+// check records whether a response echoes the ID of its request. If it does not, the next request goes over a connection of its
+// own, and on a kept connection the response is an error: it may be that to an earlier request. On a connection of its own, it is the
+// target's response, whatever it names: services may have IDs of their own.
 func (e *echoingTargets) check(address netip.AddrPort, id string, response http.Header, kept bool) error {
 	echoed := response.Get(requestIDHeader)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	switch {
-	case echoed != "" && echoed != id:
-		delete(e.echoing, address) // The next request goes over a connection of its own.
-		return errOtherRequest
-	case echoed != "":
+	if echoed == id && id != "" {
+		if len(e.echoing) >= maxEchoing {
+			clear(e.echoing)
+		}
 		e.echoing[address] = true
 		return nil
-	default:
-		delete(e.echoing, address)
-		if kept {
-			return errNoEcho
-		}
+	}
+	delete(e.echoing, address)
+	switch {
+	case !kept:
 		return nil
+	case echoed == "":
+		return errNoEcho
+	default:
+		return errOtherRequest
 	}
 }
--- a/pkg/peer/service/late_response_test.go
+++ b/pkg/peer/service/late_response_test.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 
@@ -102,3 +104,21 @@
 	}
 	qt.Assert(t, s.connections.Load(), qt.Equals, int32(2))
 }
+
+// TestServiceWithIDsOfItsOwn guards against refusing the responses of a service that names an ID of its own in each of them.
+func TestServiceWithIDsOfItsOwn(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Request-Id", "its-own")
+		_, _ = io.WriteString(w, "done")
+	}))
+	defer server.Close()
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	client := newClient(newFakeClaimer(), []target.Target{newTarget(address, "orders-1")})
+	defer client.Close()
+	for n := range 3 {
+		_, err := client.Do(context.Background(), orderRequest(fmt.Sprint("key-", n), "two boxes"))
+		qt.Assert(t, err, qt.IsNil)
+		_, err = client.Do(context.Background(), lookupRequest())
+		qt.Assert(t, err, qt.IsNil)
+	}
+}
