--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -57,9 +57,12 @@
 		waitFor(ctx, idleCheckInterval)
 	}
 	g.requests.Drain()
-	if n := g.requests.Running(); n > 0 || g.peers.node.Relayed() > 0 {
-		g.logger.Warn().Int("Running", n).Int("Relayed", g.peers.node.Relayed()).Int64("ReceivedSinceStop", g.runningSinceStop.Load()).
-			Dur("LastReceivedAfter", time.Unix(0, g.lastReceivedAt.Load()).Sub(started)).Msg("requests cut off at the end of the grace period")
+	if n, relayed := g.requests.Running(), g.peers.node.Relayed(); n > 0 || relayed > 0 {
+		entry := g.logger.Warn().Int("Running", n).Int("Relayed", relayed).Int64("ReceivedSinceStop", g.runningSinceStop.Load())
+		if last := g.lastReceivedAt.Load(); last != 0 {
+			entry = entry.Dur("LastReceivedAfter", time.Unix(0, last).Sub(started))
+		}
+		entry.Msg("requests cut off at the end of the grace period")
 	}
 	return nil
 }
