Count a lost response in the soak's client as unknown, not as not run

Cause: the stand-in client, not the product. http.Transport sends a request with an Idempotency-Key again when its kept connection breaks, and returns only the error of the last transmission, here a refused dial; the client took that for "no connection was made". The product sends orders over new connections, which http.Transport never uses again.

--- a/pkg/standin/caller/client.go
+++ b/pkg/standin/caller/client.go
@@ -13,14 +13,14 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"io"
-	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -116,9 +116,16 @@
 	}
 	request.Header = header
 	request.Header.Set("Authorization", "Bearer "+key)
-	response, err := c.http.Do(request)
+	// The transport would send a request with an idempotency key again, and then return only the error of the last transmission.
+	request.GetBody = nil
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	response, err := c.http.Do(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		r.setTransportError(err)
+		r.Ended, r.Truncated, r.Err = time.Now(), true, err
+		if !connected.Load() {
+			r.Outcome = outcome.NotRun
+		}
 		return r
 	}
 	defer response.Body.Close()
@@ -135,14 +142,6 @@
 	return r
 }
 
-func (r *Response) setTransportError(err error) {
-	r.Ended, r.Truncated, r.Err = time.Now(), true, err
-	var operation *net.OpError
-	if errors.As(err, &operation) && operation.Op == "dial" {
-		r.Outcome = outcome.NotRun
-	}
-}
-
 // errorBody is the body or stream event of a refused or failed request.
 type errorBody struct {
 	Error *struct {
--- a/pkg/standin/caller/client_test.go
+++ b/pkg/standin/caller/client_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
@@ -48,3 +51,34 @@
 		})
 	}
 }
+
+// Guards against a client that reports a request as not run, although it was sent and run: its instance was killed, so that the
+// connection broke and could not be opened again.
+func TestLostResponse(t *testing.T) {
+	c := qt.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	var ran atomic.Int32
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if ran.Add(1) == 1 {
+			_, _ = io.WriteString(w, "done")
+			return
+		}
+		_ = listener.Close()
+		panic(http.ErrAbortHandler)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	defer func() { _ = server.Close() }()
+	client := New()
+	defer client.Close()
+	order := ServiceRequest{Address: netip.MustParseAddrPort(listener.Addr().String()), Method: http.MethodPost, Path: "shop/reorder", ID: "order-1"}
+	c.Assert(client.CallService(context.Background(), order).Outcome, qt.Equals, outcome.Done)
+	order.ID = "order-2"
+	response := client.CallService(context.Background(), order)
+	c.Assert(ran.Load(), qt.Equals, int32(2))
+	c.Assert(response.Outcome, qt.Equals, outcome.Unknown)
+	c.Assert(response.Truncated, qt.IsTrue)
+	order.ID = "order-3"
+	c.Assert(client.CallService(context.Background(), order).Outcome, qt.Equals, outcome.NotRun)
+}
