Let a request wait for a target that only seemed frozen

Change: such a request waits, as one that has reached a target does, if a target is excluded only since it seemed frozen; after the wait that target is tried again. One that has no route at first, or whose targets are dead, leaving or full, is still refused at once (TestRefusal, unchanged).

--- a/pkg/stream/retry.go
+++ b/pkg/stream/retry.go
@@ -45,9 +45,12 @@
 // excludedTarget is a target that failed during the response.
 type excludedTarget struct {
 	name string
-	dead bool
+	kind failureKind
 }
 
+// dead reports whether the target could not be reached or broke its connection.
+func (t excludedTarget) dead() bool { return t.kind == crashed || t.kind == unreachable }
+
 func (r *response) excludedNames() []string {
 	names := make([]string, 0, len(r.excluded))
 	for _, v := range r.excluded {
@@ -62,7 +65,7 @@
 	if len(r.excluded) == 0 {
 		return
 	}
-	alive := max(0, slices.IndexFunc(r.excluded, func(v excludedTarget) bool { return !v.dead }))
+	alive := max(0, slices.IndexFunc(r.excluded, func(v excludedTarget) bool { return !v.dead() }))
 	r.excluded = slices.Delete(r.excluded, alive, alive+1)
 }
 
@@ -70,7 +73,7 @@
 // and a leaving target to the router.
 func (r *response) handleFailure(f *stageFailure) {
 	r.excluded = slices.DeleteFunc(r.excluded, func(v excludedTarget) bool { return v.name == f.target })
-	r.excluded = append(r.excluded, excludedTarget{name: f.target, dead: f.kind == crashed || f.kind == unreachable})
+	r.excluded = append(r.excluded, excludedTarget{name: f.target, kind: f.kind})
 	r.failureCounter(f.kind).Inc(1)
 	switch f.kind {
 	case crashed:
@@ -169,14 +172,15 @@
 }
 
 // startGeneration finds a route and starts the next generation on it. If there is no route, a request that has not
-// reached a target is refused without a wait, and any other waits briefly for a replacement of the missing target.
+// reached a target is refused without a wait, unless a target that seemed frozen may still be live: its step waited in this process
+// only. Any other request waits briefly for a replacement of the missing target.
 func (r *response) startGeneration(ctx context.Context) (*generation, error) {
 	for {
 		route, err := r.pickRoute()
 		if err == nil {
 			return newGeneration(r, route), nil
 		}
-		if r.progress == notReached || r.awaitRoute(ctx) != nil {
+		if r.progress == notReached && !r.hasFrozen() || r.awaitRoute(ctx) != nil {
 			return nil, r.noRouteError(err)
 		}
 		if err := r.awaitVerdict(ctx); err != nil {
@@ -185,6 +189,11 @@
 	}
 }
 
+// hasFrozen reports whether a target that seemed frozen is excluded.
+func (r *response) hasFrozen() bool {
+	return slices.ContainsFunc(r.excluded, func(v excludedTarget) bool { return v.kind == frozen })
+}
+
 // awaitRoute waits for other suspects to release their targets, or for a replacement of a failed target. After the
 // latter wait, one excluded target is admitted again.
 func (r *response) awaitRoute(ctx context.Context) error {
--- a/pkg/stream/runner_test.go
+++ b/pkg/stream/runner_test.go
@@ -7,15 +7,18 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
 	"github.com/cuminroute/cuminroute/pkg/standin/engine"
 	"github.com/cuminroute/cuminroute/pkg/stream"
+	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
 // TestFaultMidResponse guards against responses that are cut off, or repeat or skip a token, when a stage fails in
@@ -275,3 +278,43 @@
 	}
 	c.Assert(f.router.outstanding, qt.Equals, 0.0)
 }
+
+// queuedStage is a target whose client does not send the first step before the watchdog ends it, as on a starved machine.
+type queuedStage struct {
+	stream.Stage
+	ended *atomic.Bool
+}
+
+// unsentError is the error of a step that was not sent.
+type unsentError struct{ error }
+
+// Ran returns the outcome.
+func (unsentError) Ran() outcome.Outcome { return outcome.NotRun }
+
+// Step implements stream.Stage.
+func (s queuedStage) Step(ctx context.Context, step *enginepb.Step) (*enginepb.StepResult, error) {
+	if s.ended.CompareAndSwap(false, true) {
+		<-ctx.Done()
+		return nil, unsentError{ctx.Err()}
+	}
+	return s.Stage.Step(ctx, step)
+}
+
+// TestUnsentStep guards against refusing a request that no target has seen, since its step waited in the own queue for so long that the
+// only live target was taken for frozen.
+func TestUnsentStep(t *testing.T) {
+	c := qt.New(t)
+	f := newTestCluster(c, 1)
+	var ended atomic.Bool
+	stages := func(t target.Target) stream.Stage {
+		return queuedStage{Stage: clientOf(c, f.engines[t.Name]), ended: &ended}
+	}
+	runner := stream.NewRunner(f.router, stages, stream.WithLogger(quiet))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	k := &collector{}
+	_, err := runner.Run(ctx, request("r", "how do I darn a heel", 4), k.emit)
+	c.Assert(err, qt.IsNil)
+	c.Assert(ended.Load(), qt.IsTrue)
+	c.Assert(k.texts, qt.DeepEquals, engine.ExpectedOutput(model, layers, "how do I darn a heel", 4))
+}
