Let resumed streams of TestStreamsEndWhileTargetsCrash go on after the last event

Cause: its target answered a resume with the stream from its start, which is refused since "Resume a stream only with a response that is its rest"; whether the last request is broken off depended on the parity of the attempts before it.

--- a/pkg/proxy/crash_load_test.go
+++ b/pkg/proxy/crash_load_test.go
@@ -26,10 +26,14 @@
 	)
 	h := newHarness(t, proxy.WithRetryBudget(retry.New(retry.WithMinRate(1e6))))
 	h.upstream.open = func(_ context.Context, n int, a proxy.Attempt) (*proxy.Response, error) {
-		if a.LastEventID == "" && n%2 == 0 { // The connection breaks after the first event.
+		switch {
+		case a.LastEventID != "":
+			return streamingResponse(strings.NewReader(events(2, 5))), nil
+		case n%2 == 0: // The connection breaks after the first event.
 			return streamingResponse(io.MultiReader(strings.NewReader(events(1, 1)), iotest.ErrReader(errReset))), nil
+		default:
+			return streamingResponse(strings.NewReader(events(1, 5))), nil
 		}
-		return streamingResponse(strings.NewReader(events(1, 5))), nil
 	}
 	models := h.models()
 	end := time.Now().Add(duration)
