Bound a stop by the steady clock

Found while reading the diff: the time of the signal was kept in Unix nanoseconds, so that the bounds of a stop followed the time of day.

The time of the signal is kept with the reading of the steady clock. TestStopFollowsTheSteadyClock failed before the change (the end of the wait had no such reading) and passes with it. Comments that had grown too long are wrapped.

--- a/pkg/decision/layout/layout.go
+++ b/pkg/decision/layout/layout.go
@@ -106,9 +106,8 @@
 
 // Plan returns the next assignments, or none if the targets already match the plan. The Layers of each target must be
 // those that the target holds or was last assigned. A target that names layers beyond the model's is left out, since no
-// path can use it. The map returning counts, by data centre, the dead targets that may
-// still restart. A data centre with such targets is not repartitioned, since a restarted target gets its former layers
-// back.
+// path can use it. The map returning counts, by data centre, the dead targets that may still restart. A data centre with
+// such targets is not repartitioned, since a restarted target gets its former layers back.
 func (p *Planner) Plan(targets []target.Target, returning map[string]int) []Assignment {
 	targets = slices.DeleteFunc(slices.Clone(targets), func(t target.Target) bool { return t.Layers.End > p.engine.Layers })
 	global := p.LayersPerTarget(targets)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -85,11 +85,12 @@
 	targetsReadAt atomic.Int64
 	storeFailedAt atomic.Int64 // storeFailedAt is when the last read of the configuration failed; 0 if it succeeded.
 	stopping      atomic.Bool
-	stoppingSince atomic.Int64  // stoppingSince is when the stop was requested, in Unix nanoseconds.
+	// stoppingSince is when the stop was requested, with the reading of the steady clock: the time of day may jump.
+	stoppingSince atomic.Pointer[time.Time]
 	requests      drain.Counter // requests counts the requests in flight.
-	// runningSinceStop counts those of them that were received after the stop was requested, and lastReceivedAt is when the last
-	// such request was received, in Unix nanoseconds.
-	runningSinceStop, lastReceivedAt atomic.Int64
+	// runningSinceStop counts those of them that were received after the stop was requested, and lastReceivedAfter is the time from
+	// then to the last such request, in nanoseconds.
+	runningSinceStop, lastReceivedAfter atomic.Int64
 
 	done chan struct{}
 	err  error
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -21,7 +21,7 @@
 		return leave, false, nil
 	}
 	g.runningSinceStop.Add(1)
-	g.lastReceivedAt.Store(time.Now().UnixNano())
+	g.lastReceivedAfter.Store(int64(time.Since(*g.stoppingSince.Load())))
 	return func() {
 		g.runningSinceStop.Add(-1)
 		leave()
@@ -31,11 +31,11 @@
 // mustEndBy returns when a request that is sent to a target now must have ended at the latest, or zero if there is no bound: a
 // later end would not reach the client before the process exits.
 func (g *Gateway) mustEndBy() time.Time {
-	stoppingSince := time.Unix(0, g.stoppingSince.Load())
-	if !g.stopping.Load() || time.Since(stoppingSince) <= longRequestCutoff {
+	since := g.stoppingSince.Load()
+	if since == nil || time.Since(*since) <= longRequestCutoff {
 		return time.Time{}
 	}
-	return g.waitEnd(stoppingSince)
+	return g.waitEnd(*since)
 }
 
 // waitEnd returns when an instance that stops since the given time no longer waits for requests.
@@ -48,7 +48,7 @@
 // connections are closed. The listeners are closed only after it returns.
 func (g *Gateway) stopGracefully(ctx context.Context) error {
 	started := time.Now()
-	g.stoppingSince.Store(started.UnixNano())
+	g.stoppingSince.Store(&started)
 	g.stopping.Store(true)
 	g.logger.Info().Int("Running", g.requests.Running()).Msg("stopping")
 	deadline := g.waitEnd(started)
@@ -59,8 +59,8 @@
 	g.requests.Drain()
 	if n, relayed := g.requests.Running(), g.peers.node.Relayed(); n > 0 || relayed > 0 {
 		entry := g.logger.Warn().Int("Running", n).Int("Relayed", relayed).Int64("ReceivedSinceStop", g.runningSinceStop.Load())
-		if last := g.lastReceivedAt.Load(); last != 0 {
-			entry = entry.Dur("LastReceivedAfter", time.Unix(0, last).Sub(started))
+		if after := g.lastReceivedAfter.Load(); after != 0 {
+			entry = entry.Dur("LastReceivedAfter", time.Duration(after))
 		}
 		entry.Msg("requests cut off at the end of the grace period")
 	}
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -138,6 +138,18 @@
 
 func orderID(n int) string { return fmt.Sprint("order-", n) }
 
+// TestStopFollowsTheSteadyClock guards against a stop that accepts requests until after its end, or refuses them at once, since the time
+// of day jumps.
+func TestStopFollowsTheSteadyClock(t *testing.T) {
+	g := &Gateway{settings: Settings{GracePeriod: time.Minute}}
+	qt.Assert(t, g.mustEndBy().IsZero(), qt.IsTrue)
+	started := time.Now().Add(-longRequestCutoff - time.Second)
+	g.stoppingSince.Store(&started)
+	end := g.mustEndBy()
+	qt.Assert(t, end.Sub(started), qt.Equals, time.Minute-killMargin)
+	qt.Assert(t, end.String(), qt.Contains, "m=", qt.Commentf("the end has no reading of the steady clock"))
+}
+
 // keptConnection is a client's connection that was used before and stays open.
 type keptConnection struct {
 	conn   net.Conn
--- a/pkg/peer/instancelist/client.go
+++ b/pkg/peer/instancelist/client.go
@@ -93,9 +93,9 @@
 	return c
 }
 
-// List returns the instances on the list, without entries that no instance can have. If the service sends an ETag, List caches the list, and the service does not
-// transfer it again while it is unchanged: polled every second, the list of the current fleet would otherwise take more
-// than 4 KB/s.
+// List returns the instances on the list, without entries that no instance can have. If the service sends an ETag, List
+// caches the list, and the service does not transfer it again while it is unchanged: polled every second, the list of the
+// current fleet would otherwise take more than 4 KB/s.
 func (c *Client) List(ctx context.Context) ([]Instance, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
--- a/pkg/peer/service/echo.go
+++ b/pkg/peer/service/echo.go
@@ -37,9 +37,9 @@
 	return e.echoing[address]
 }
 
-// check records whether a response echoes the ID of its request. If it does not, the next request goes over a connection of its
-// own, and on a kept connection the response is an error: it may be that to an earlier request. On a connection of its own, it is the
-// target's response, whatever it names: services may have IDs of their own.
+// check records whether a response echoes the ID of its request. If it does not, the next request goes over a connection
+// of its own, and a response on a kept connection is an error, since it may be that to an earlier request. On a connection
+// of its own, it is the target's response, whatever it names: services may have IDs of their own.
 func (e *echoingTargets) check(address netip.AddrPort, id string, response http.Header, kept bool) error {
 	echoed := response.Get(requestIDHeader)
 	e.mu.Lock()
