Serve a request that was read as its connection's timeout passed

Cause: ConnReaper closed each connection in state New or Idle that had waited too long. net/http reports the state Active only after it has read the whole header, so a request may be read, and be handled, while its connection is closed. Close also waits for the pending read of its connection, and meanwhile other connections' goroutines read requests and wait for the reaper's lock, with their own connections next in the list. A configuration with a shorter idle timeout makes many connections expire at the same tick.

Change: the reaper sets a read deadline in the past. The server's wait for a request ends, and the server closes the connection itself. A request whose last byte was read before needs no further read: it is served, and the hook for the state Active clears the deadline before the body is read. So a request is either not read whole or answered. The deadline is set again at each tick, since the server sets its own when it begins to read a header.

--- a/pkg/listener/reaper.go
+++ b/pkg/listener/reaper.go
@@ -21,8 +21,15 @@
 	Idle   time.Duration // Idle is the time between a response and the next request.
 }
 
+// expiredDeadline is a read deadline in the past.
+var expiredDeadline = time.Unix(1, 0)
+
 // ConnReaper closes the connections of slow and idle clients. Unlike the timeouts of http.Server, those of a ConnReaper
 // may change while the server runs.
+//
+// It ends the read in which the server waits for a request, upon which the server closes the connection. A request that was read
+// already is served: the server reports it only after it has read the whole header, so closing the connection itself would take
+// the answer from a request that is passed on.
 type ConnReaper struct {
 	timeouts func() Timeouts
 
@@ -30,14 +37,15 @@
 	waiting map[net.Conn]waitingConn
 }
 
-// waitingConn says since when a connection has been waiting for a request, and whether for its first one.
+// waitingConn says since when a connection has been waiting for a request, whether for its first one, and whether the read was ended.
 type waitingConn struct {
-	since time.Time
-	first bool
+	since   time.Time
+	first   bool
+	expired bool
 }
 
 // NewConnReaper sets the server's ConnState hook, so the server must not serve yet, and starts a reaper that runs until
-// ctx ends. The function timeouts returns the current timeouts.
+// ctx ends. The server must have no ReadTimeout. The function timeouts returns the current timeouts.
 func NewConnReaper(ctx context.Context, server *http.Server, timeouts func() Timeouts) *ConnReaper {
 	r := &ConnReaper{timeouts: timeouts, waiting: make(map[net.Conn]waitingConn)}
 	server.ConnState = r.trackState
@@ -49,7 +57,7 @@
 			case <-ctx.Done():
 				return
 			case now := <-ticker.C:
-				r.closeExpired(now)
+				r.endExpired(now)
 			}
 		}
 	}()
@@ -66,12 +74,16 @@
 	case http.StateIdle:
 		r.waiting[c] = waitingConn{since: time.Now()}
 	default:
+		if r.waiting[c].expired && state == http.StateActive {
+			_ = c.SetReadDeadline(time.Time{}) // The request was read before its read was ended.
+		}
 		delete(r.waiting, c)
 	}
 }
 
-// closeExpired closes the connections that have waited longer than their timeout.
-func (r *ConnReaper) closeExpired(now time.Time) {
+// endExpired ends the reads of the connections that have waited longer than their timeout. They are tracked until the server
+// reports their end, since the server may have set a later deadline meanwhile.
+func (r *ConnReaper) endExpired(now time.Time) {
 	timeouts := r.timeouts()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -81,8 +93,9 @@
 			timeout = timeouts.Header
 		}
 		if timeout > 0 && now.Sub(w.since) > timeout+reapGrace {
-			_ = c.Close() // The server's pending read fails and ends the connection.
-			delete(r.waiting, c)
+			_ = c.SetReadDeadline(expiredDeadline)
+			w.expired = true
+			r.waiting[c] = w
 		}
 	}
 }
