Log each stream that a stop cuts off

Each such stream is logged with the time from the stop to its receipt, its age, its events, the time since the last event and its path. No logic changes.

--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -63,6 +63,7 @@
 			entry = entry.Dur("LastReceivedAfter", time.Duration(after))
 		}
 		entry.Msg("requests cut off at the end of the grace period")
+		g.server.LogStreams(started, "stream still runs at the end of the grace period")
 	}
 	return nil
 }
--- a/pkg/proxy/active_stream.go
+++ b/pkg/proxy/active_stream.go
@@ -186,3 +186,11 @@
 		cancel()
 	}
 }
+
+// LogStreams logs each running stream with the time from the given moment to its receipt, negative if it was received before.
+func (s *Server) LogStreams(since time.Time, message string) {
+	for _, stream := range s.detector.activeStreams() {
+		s.logger.Warn().Str("Request", stream.ID).Dur("ReceivedAfter", stream.ReceivedAt.Sub(since)).Dur("Age", time.Since(stream.ReceivedAt)).
+			Dur("SinceLastEvent", time.Since(stream.lastEvent())).Int64("Events", stream.eventCount.Load()).Str("Targets", stream.currentPath().String()).Msg(message)
+	}
+}
