Time the store's failures and reads by the steady clock

Where the time of day jumps back after a failed read, the store counts as failed for as long as the jump, so that the target list and the lease are not read, unless a read of the configuration succeeds first; where it jumps forward, a failed store is asked at once again, and a watcher's list counts as not read.

The times keep the reading of the steady clock. TestStoreReadsFollowTheSteadyClock fails where a time is stored without it (tried with one of the two; the old fields were integers, on which the test does not compile).

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -80,14 +80,17 @@
 
 	app           *kratos.App
 	targetsLoaded atomic.Bool // targetsLoaded reports whether the target list was read at least once.
-	// targetsReadAt is when the target list was last read from the store, 0 if the last read failed or a watcher
-	// sends the list.
-	targetsReadAt atomic.Int64
-	storeFailedAt atomic.Int64 // storeFailedAt is when the last read of the configuration failed; 0 if it succeeded.
 	stopping      atomic.Bool
-	// stoppingSince is when the stop was requested, with the reading of the steady clock: the time of day may jump.
-	stoppingSince atomic.Pointer[time.Time]
-	requests      drain.Counter // requests counts the requests in flight.
+
+	// The following times keep the reading of the steady clock: the time of day may jump.
+
+	// targetsReadAt is when the target list was last read from the store, nil if the last read failed or a watcher
+	// sends the list.
+	targetsReadAt atomic.Pointer[time.Time]
+	storeFailedAt atomic.Pointer[time.Time] // storeFailedAt is when the last read of the configuration failed; nil if it succeeded.
+	stoppingSince atomic.Pointer[time.Time] // stoppingSince is when the stop was requested.
+
+	requests drain.Counter // requests counts the requests in flight.
 	// runningSinceStop counts those of them that were received after the stop was requested, and lastReceivedAfter is the time from
 	// then to the last such request, in nanoseconds.
 	runningSinceStop, lastReceivedAfter atomic.Int64
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -150,6 +150,19 @@
 	qt.Assert(t, end.String(), qt.Contains, "m=", qt.Commentf("the end has no reading of the steady clock"))
 }
 
+// TestStoreReadsFollowTheSteadyClock guards against a store that counts as failed for as long as the time of day has jumped back.
+func TestStoreReadsFollowTheSteadyClock(t *testing.T) {
+	store := newFilledStore()
+	g := start(t, "i1", store, &fakeTargetControl{store: store})
+	eventually(t, "a read of the targets", func() bool { return g.targetsReadAt.Load() != nil })
+	readAt := *g.targetsReadAt.Load()
+	store.setDown(true)
+	eventually(t, "a failed read", func() bool { return g.storeFailedAt.Load() != nil })
+	for _, at := range []time.Time{readAt, *g.storeFailedAt.Load()} {
+		qt.Check(t, at.String(), qt.Contains, "m=", qt.Commentf("no reading of the steady clock"))
+	}
+}
+
 // keptConnection is a client's connection that was used before and stays open.
 type keptConnection struct {
 	conn   net.Conn
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -82,12 +82,13 @@
 			continue
 		}
 		if err != nil {
-			g.storeFailedAt.Store(time.Now().UnixNano())
+			failedAt := time.Now()
+			g.storeFailedAt.Store(&failedAt)
 			g.peers.sendDisconnected()
 			g.awaitConfirmation(ctx, retry.next(g.longestBackoff()))
 			continue
 		}
-		g.storeFailedAt.Store(0)
+		g.storeFailedAt.Store(nil)
 		before, revisionBefore := g.cache.configurationVersion()
 		for _, row := range change.Rows {
 			if row.Name == g.platform.ConfigurationKey {
@@ -185,7 +186,7 @@
 		if g.targetsLoaded.Load() && g.peers.receivesTargetsFromWatcher(now) {
 			g.cache.expire(now)
 			after, failingSince = revision.Revision{}, time.Time{}
-			g.targetsReadAt.Store(0)
+			g.targetsReadAt.Store(nil)
 			waitFor(ctx, watcherCheckInterval)
 			continue
 		}
@@ -193,7 +194,7 @@
 			if failingSince.IsZero() {
 				failingSince = now
 			}
-			g.targetsReadAt.Store(0)
+			g.targetsReadAt.Store(nil)
 			waitFor(ctx, storeFailureTick)
 			continue
 		}
@@ -213,7 +214,7 @@
 			if failingSince.IsZero() {
 				failingSince = started
 			}
-			g.targetsReadAt.Store(0)
+			g.targetsReadAt.Store(nil)
 			g.peers.sendDisconnected()
 			retry.wait(ctx)
 			continue
@@ -225,7 +226,7 @@
 		}
 		g.cache.applyTargets(change, outage, now)
 		g.targetsLoaded.Store(true)
-		g.targetsReadAt.Store(now.UnixNano())
+		g.targetsReadAt.Store(&now)
 		failingSince, after = time.Time{}, change.Revision
 		waitFor(ctx, targetsInterval)
 	}
@@ -235,14 +236,14 @@
 // the configuration are repeated, since each call has a cost, also one without an answer.
 func (g *Gateway) storeFailed(now time.Time) bool {
 	at := g.storeFailedAt.Load()
-	return at > 0 && now.Sub(time.Unix(0, at)) < storeFailureTTL
+	return at != nil && now.Sub(*at) < storeFailureTTL
 }
 
 // readsTargetsFromStore reports whether this instance currently reads the target list from the store itself, not from a
 // watcher's updates.
 func (g *Gateway) readsTargetsFromStore(now time.Time) bool {
 	at := g.targetsReadAt.Load()
-	return at > 0 && now.Sub(time.Unix(0, at)) < targetsInterval+targetsWait+storeTimeout
+	return at != nil && now.Sub(*at) < targetsInterval+targetsWait+storeTimeout
 }
 
 func (g *Gateway) readTargets(ctx context.Context, after revision.Revision) (Change, error) {
