Tell no client that an order has not run because its target's own status says so

What callers saw: an order, or a stream that may run only once, was answered 429, 503 or 408 although a target may have run it (REFUSED). These statuses promise that it has not run, so its client sends it again, and it runs twice.

Cause: a response with a seal and without X-Not-Executed is the target's own result and may have run the request, but its status was passed on whatever it was. The status of a target's response and what the status promises a client were taken for the same thing.

Change: for a request that may run only once such a response ends as 502 with the outcome Unknown, without the target's header and body. Requests that may be repeated get the target's response as before.

TestTargetStatusThatPromisesNotRun failed before the change for the orders with 503, 429 and 408 and for the streams with 503 and 429, and passes with it.

--- a/pkg/proxy/failure.go
+++ b/pkg/proxy/failure.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -74,6 +75,26 @@
 	return r.attempts > 0 || len(r.mayHaveRun) > 0
 }
 
+// checkStatus returns the final error of a request that may run only once if the status of a target's own response would tell the
+// client that the request has not run: a target that has not run a request says so otherwise.
+func (r *activeRequest) checkStatus(status int) error {
+	if r.route.Retryable() || !meansNotRun(status) {
+		return nil
+	}
+	cause := fmt.Errorf("the target responded with status %d, and may have run the request", status)
+	return refusal.New(http.StatusBadGateway, "target_failed", outcome.Unknown, "the target gave no answer").WithCause(cause)
+}
+
+// meansNotRun reports whether a status tells clients that their request has not run and never will.
+func meansNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // recordFailure records the failure of an attempt for the target that caused it, the first one of the path by default,
 // and excludes this target from the request.
 func (r *activeRequest) recordFailure(attemptErr *AttemptError, p path.Path, now time.Time) {
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -109,7 +109,7 @@
 		response.Abort()
 		return refusal.New(http.StatusBadGateway, "target_failed", outcome.Unknown, "the target gave no answer").WithCause(err)
 	}
-	return writeResponse(ctx, s.writer, response, body, complete)
+	return s.forwardOwn(ctx, s.writer, response, body, complete)
 }
 
 // open finds paths and sends the request along them, until a target responds or the request may not be retried.
--- a/pkg/proxy/unary.go
+++ b/pkg/proxy/unary.go
@@ -145,7 +145,20 @@
 		s.stats.RecordSuccess(t.Name, time.Since(sent))
 		s.crashTracker.RequestCompleted(r.fingerprint)
 	}
-	return true, writeResponse(ctx, w, response, body, complete)
+	return true, r.forwardOwn(ctx, w, response, body, complete)
+}
+
+// forwardOwn forwards a target's own response, of whose body a part or all was read, unless its status must not reach the client.
+func (r *activeRequest) forwardOwn(ctx context.Context, w http.ResponseWriter, response *Response, body []byte, complete bool) error {
+	if err := r.checkStatus(response.Status); err != nil {
+		if complete {
+			response.Release()
+		} else {
+			response.Abort()
+		}
+		return err
+	}
+	return writeResponse(ctx, w, response, body, complete)
 }
 
 // readResponse reads the body up to maxBufferedResponse and reports whether the body ended there. It does not read a
--- a/pkg/proxy/unary_test.go
+++ b/pkg/proxy/unary_test.go
@@ -226,3 +226,40 @@
 		})
 	}
 }
+
+// TestTargetStatusThatPromisesNotRun guards against telling a client that a request that may run only once has not run, when a target
+// that may have run it gave such a status itself.
+func TestTargetStatusThatPromisesNotRun(t *testing.T) {
+	for _, test := range []struct {
+		name, path   string
+		status, want int
+	}{
+		{"order", "/book/1", http.StatusServiceUnavailable, http.StatusBadGateway},
+		{"order", "/book/1", http.StatusTooManyRequests, http.StatusBadGateway},
+		{"order", "/book/1", http.StatusRequestTimeout, http.StatusBadGateway},
+		{"order", "/book/1", http.StatusInternalServerError, http.StatusInternalServerError},
+		{"order", "/book/1", http.StatusGatewayTimeout, http.StatusGatewayTimeout},
+		{"order", "/book/1", http.StatusNotFound, http.StatusNotFound},
+		{"stream", "/chat/1", http.StatusServiceUnavailable, http.StatusBadGateway},
+		{"stream", "/chat/1", http.StatusTooManyRequests, http.StatusBadGateway},
+		{"stream", "/chat/1", http.StatusInternalServerError, http.StatusInternalServerError},
+		{"lookup", "/look/1", http.StatusServiceUnavailable, http.StatusServiceUnavailable},
+		{"stream that may be resumed", "/plan/1", http.StatusServiceUnavailable, http.StatusServiceUnavailable},
+	} {
+		t.Run(fmt.Sprintf("%s, %d", test.name, test.status), func(t *testing.T) {
+			h := newHarness(t, noRetries())
+			h.upstream.open = func(context.Context, int, proxy.Attempt) (*proxy.Response, error) {
+				return response(test.status, "failed"), nil
+			}
+			recorder, err := h.call(test.path)
+			got := recorder.Code
+			if err != nil {
+				got = status(err)
+				qt.Assert(t, refusal.OutcomeOf(err), qt.Equals, outcome.Unknown)
+				qt.Assert(t, recorder.Header(), qt.HasLen, 0)
+			}
+			qt.Assert(t, got, qt.Equals, test.want)
+			qt.Assert(t, h.upstream.sent(), qt.HasLen, 1)
+		})
+	}
+}
