Tell no client that its request has not run because the configuration became stale

What callers saw: a request whose first attempt may have run, and which was about to be sent once more, was answered 503 stale_configuration with the outcome NotRun if the configuration became stale in between. Only requests that may be repeated get there, so no order ran twice; their clients were told something false.

Cause: refuse asks whether an earlier attempt may have run; staleRefusal, which has another Retry-After, did not. It is the only such refusal: content that is held and an instance that stops are refused at admission, before anything is sent, and all others go through refuse, deadlineError or handleFailure.

Change: staleRefusal asks the same, and failures with the outcome Unknown are made in one place.

TestStaleConfigurationAfterLostAnswer failed before the change for a lookup and a stream whose response was lost, and passes with it.

--- a/pkg/proxy/admission.go
+++ b/pkg/proxy/admission.go
@@ -110,9 +110,14 @@
 	return r.staleRefusal()
 }
 
+// staleRefusal returns the refusal of a request while the configuration is stale. As with refuse, its outcome is Unknown if an
+// earlier attempt may have run.
 func (r *activeRequest) staleRefusal() error {
-	return refusal.New(http.StatusServiceUnavailable, "stale_configuration", outcome.NotRun,
-		"this instance cannot confirm its configuration").WithRetryAfter(staleRetryAfter)
+	const code, message = "stale_configuration", "this instance cannot confirm its configuration"
+	if r.mayHaveRunAnywhere() {
+		return unknownError(code, message, nil)
+	}
+	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, message).WithRetryAfter(staleRetryAfter)
 }
 
 // checkFresh refuses a request that needs a key if the configuration has become stale since the request was admitted.
--- a/pkg/proxy/failure.go
+++ b/pkg/proxy/failure.go
@@ -58,18 +58,23 @@
 	if r.mayRetry() {
 		return nil
 	}
-	return refusal.New(http.StatusBadGateway, "target_failed", outcome.Unknown, "the target gave no answer").WithCause(attemptErr)
+	return unknownError("target_failed", "the target gave no answer", attemptErr)
 }
 
 // refuse returns the refusal of a request that cannot be sent to a target now. Its outcome is Unknown if an earlier attempt
 // may have run, also if the client may repeat the request: the client must not be told that it has not run.
 func (r *activeRequest) refuse(code, message string, cause error) error {
 	if r.mayHaveRunAnywhere() {
-		return refusal.New(http.StatusBadGateway, code, outcome.Unknown, "%s", message).WithCause(cause)
+		return unknownError(code, message, cause)
 	}
 	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, "%s", message).WithCause(cause).WithRetryAfter(r.server.retryAfter(r.service))
 }
 
+// unknownError returns the final error of a request that a target may have run.
+func unknownError(code, message string, cause error) error {
+	return refusal.New(http.StatusBadGateway, code, outcome.Unknown, "%s", message).WithCause(cause)
+}
+
 // mayHaveRunAnywhere reports whether a target may have run the request.
 func (r *activeRequest) mayHaveRunAnywhere() bool {
 	return r.attempts > 0 || len(r.mayHaveRun) > 0
@@ -82,7 +87,7 @@
 		return nil
 	}
 	cause := fmt.Errorf("the target responded with status %d, and may have run the request", status)
-	return refusal.New(http.StatusBadGateway, "target_failed", outcome.Unknown, "the target gave no answer").WithCause(cause)
+	return unknownError("target_failed", "the target gave no answer", cause)
 }
 
 // meansNotRun reports whether a status tells clients that their request has not run and never will.
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -10,8 +10,6 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
-	"github.com/cuminroute/cuminroute/pkg/outcome"
-	"github.com/cuminroute/cuminroute/pkg/refusal"
 	"github.com/cuminroute/cuminroute/pkg/sleep"
 )
 
@@ -107,7 +105,7 @@
 	body, complete, err := readResponse(ctx, response)
 	if err != nil {
 		response.Abort()
-		return refusal.New(http.StatusBadGateway, "target_failed", outcome.Unknown, "the target gave no answer").WithCause(err)
+		return unknownError("target_failed", "the target gave no answer", err)
 	}
 	return s.forwardOwn(ctx, s.writer, response, body, complete)
 }
@@ -237,7 +235,7 @@
 		s.recordFailure(broken, p, time.Now())
 	}
 	if !s.route.Resumable || s.resumes > maxResumes || !s.takeRetry() && !s.waitForRetryBudget(ctx) {
-		return refusal.New(http.StatusBadGateway, "stream_lost", outcome.Unknown, "the stream was interrupted").WithCause(cause)
+		return unknownError("stream_lost", "the stream was interrupted", cause)
 	}
 	s.server.counters.resumed.Inc(1)
 	s.refreshSnapshot()
--- a/pkg/proxy/unary_test.go
+++ b/pkg/proxy/unary_test.go
@@ -263,3 +263,32 @@
 		})
 	}
 }
+
+// TestStaleConfigurationAfterLostAnswer guards against telling a client that a request has not run, when the configuration became
+// stale after a target may have run the request.
+func TestStaleConfigurationAfterLostAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name, path string
+		first      error
+		want       int
+		outcome    outcome.Outcome
+	}{
+		{"lookup, response lost", "/look/1", errLost, http.StatusBadGateway, outcome.Unknown},
+		{"stream, response lost", "/plan/1", errLost, http.StatusBadGateway, outcome.Unknown},
+		{"lookup, refused", "/look/1", errRefused, http.StatusServiceUnavailable, outcome.NotRun},
+		{"order, refused", "/book/1", errRefused, http.StatusServiceUnavailable, outcome.NotRun},
+		{"stream, refused", "/chat/1", errRefused, http.StatusServiceUnavailable, outcome.NotRun},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h := newHarness(t)
+			h.upstream.open = func(context.Context, int, proxy.Attempt) (*proxy.Response, error) {
+				h.snapshots.stale = true
+				return nil, test.first
+			}
+			_, err := h.call(test.path)
+			qt.Assert(t, status(err), qt.Equals, test.want, qt.Commentf("%v", err))
+			qt.Assert(t, refusal.OutcomeOf(err), qt.Equals, test.outcome)
+			qt.Assert(t, h.upstream.sent(), qt.HasLen, 1)
+		})
+	}
+}
