Do not take the end of a relayed response without a length for its end in the own front end

Cause: the client of the services confirmed the end of a body without a length by a connection to the target. If the connection of the request went through another instance, that instance may have ended instead: the target accepts connections, and half a response looked whole. Callers of orders got a 200 with a short body and a length, and the short response was stored under their key.

Change: the end counts only on a connection whose remote address is that of the target. A request that may not be repeated ends as unknown, others are sent to another target.

--- a/pkg/peer/service/dispatch.go
+++ b/pkg/peer/service/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -37,22 +38,27 @@
 
 // dispatch sends a request to one target, without retries. The error is a *dispatchError.
 func (c *Client) dispatch(ctx context.Context, client *http.Client, t target.Target, req Request) (Response, error) {
-	var connected atomic.Bool
+	var peer atomic.Value // peer is the remote address of the request's connection; unset if there was none.
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) { peer.Store(info.Conn.RemoteAddr().String()) },
 	})
-	response, err := c.roundTrip(traced, client, t, req)
+	direct := func() bool { return peer.Load() == t.Address.String() }
+	response, err := c.roundTrip(traced, client, t, req, direct)
 	if err == nil {
 		return response, nil
 	}
 	ran := outcome.NotRun
-	if connected.Load() {
+	if peer.Load() != nil {
 		ran = outcome.Unknown
 	}
 	return Response{}, &dispatchError{target: t.Name, ran: ran, cause: err}
 }
 
-func (c *Client) roundTrip(ctx context.Context, client *http.Client, t target.Target, req Request) (Response, error) {
+// errRelayedEnd reports the end of a body without a length on a connection through another instance, which may have ended itself.
+var errRelayedEnd = errors.New("the end of the response may be that of the relaying instance")
+
+// roundTrip sends a request and reads the response. direct reports whether the request's connection leads directly to the target.
+func (c *Client) roundTrip(ctx context.Context, client *http.Client, t target.Target, req Request, direct func() bool) (Response, error) {
 	request, err := newRequest(ctx, t, req)
 	if err != nil {
 		return Response{}, err
@@ -73,18 +79,22 @@
 	if len(body) > maxResponseBytes {
 		return Response{}, fmt.Errorf("response body exceeds %d bytes", maxResponseBytes)
 	}
-	if err := c.confirmEnd(ctx, response, t); err != nil {
+	if err := c.confirmEnd(ctx, response, t, direct); err != nil {
 		return Response{}, err
 	}
 	return Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
 // confirmEnd returns an error if a body, which was read to its end, may have ended before its last byte: it has no length, and
-// the target no longer accepts connections. The connections of a process that is killed end in order.
-func (c *Client) confirmEnd(ctx context.Context, response *http.Response, t target.Target) error {
+// the target no longer accepts connections, or the instance that relayed it may have ended. The connections of a process that is
+// killed end in order.
+func (c *Client) confirmEnd(ctx context.Context, response *http.Response, t target.Target, direct func() bool) error {
 	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
 		return nil
 	}
+	if !direct() {
+		return errRelayedEnd
+	}
 	conn, err := c.dial(ctx, "tcp", t.Address.String())
 	if err != nil {
 		return fmt.Errorf("the response has no length, and the target may have ended: %w", err)
