Keep a SIGHUP that arrives during the start

Cause: the handler of SIGHUP was registered in a goroutine of the running instance. Before that the default action applied: the process ended, with the clients that had just connected. In the own front end it applied all the time, and cut off all requests that ran.

Other instances ignore the signal. A SIGHUP within the first milliseconds, before the program's main function runs, still ends the process.

--- a/cmd/cuminrouted/main.go
+++ b/cmd/cuminrouted/main.go
@@ -9,7 +9,8 @@
 // that the platform provides.
 //
 // It exits with status 0 after a planned stop (SIGTERM or SIGINT), 1 if it cannot start or
-// fails, and 2 if the command line or the settings are not valid.
+// fails, and 2 if the command line or the settings are not valid. On SIGHUP, an instance on the platform reads its
+// settings file again; other instances ignore the signal.
 package main
 
 import (
@@ -18,8 +19,11 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cuminroute/cuminroute/pkg/daemon"
+	"github.com/cuminroute/cuminroute/pkg/gateway"
 	"github.com/cuminroute/cuminroute/pkg/settings"
 	"github.com/cuminroute/cuminroute/platform"
 )
@@ -37,8 +41,11 @@
 }
 
 func run(args []string) int {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP) // Before all else, since the default action ends the process.
+	defer signal.Stop(hangup)
 	if len(args) == 1 && args[0] == platformCommand {
-		return runPlatform()
+		return runPlatform(hangup)
 	}
 	s, err := settings.Load(args)
 	if errors.Is(err, flag.ErrHelp) {
@@ -56,8 +63,8 @@
 	return exitStatus(d.Wait)
 }
 
-func runPlatform() int {
-	g, err := platform.Start(context.Background())
+func runPlatform(hangup <-chan os.Signal) int {
+	g, err := platform.Start(context.Background(), gateway.WithReloadSignal(hangup))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailure
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -78,6 +78,7 @@
 
 	clientListener, readinessListener, operatorListener net.Listener
 
+	reloadSignal  <-chan os.Signal // reloadSignal receives the signals to read the settings again; nil if there are none.
 	app           *kratos.App
 	targetsLoaded atomic.Bool // targetsLoaded reports whether the target list was read at least once.
 	stopping      atomic.Bool
@@ -110,6 +111,12 @@
 	return func(g *Gateway) { g.output = w }
 }
 
+// WithReloadSignal sets the channel that receives the signals to read the settings again. The caller registers the channel, so that
+// a signal that arrives during the start is kept.
+func WithReloadSignal(c <-chan os.Signal) Option {
+	return func(g *Gateway) { g.reloadSignal = c }
+}
+
 // New starts an instance. The instance listens immediately, and is ready when it has received a configuration that is
 // not stale and the target list.
 func New(ctx context.Context, settings Settings, platform Platform, options ...Option) (*Gateway, error) {
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/proxy"
@@ -74,16 +71,13 @@
 	return g.peers.node.Relayed() == 0 && g.requests.DrainIfIdle()
 }
 
-// reload reads the settings again on SIGHUP and applies the seeds. Other settings of a running process do not change.
+// reload reads the settings again on each reload signal and applies the seeds. Other settings of a running process do not change.
 func (g *Gateway) reload(ctx context.Context) {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-hangup:
+		case <-g.reloadSignal:
 		}
 		settings, err := g.platform.Reload()
 		if err == nil {
