End a stop within a short grace period

Cause: a stop waited at least 3 s for the load balancer, and took requests of any length for 2.8 s, whatever the grace period is. With grace_s under 3.6 the instance was killed while it still took requests, which ended without an answer.

Evidence: TestStopWithinShortGracePeriod, a grace period of 2 s: the stop took 3.0 s before the change, and there was no bound on the deadlines of requests.

Change: both times are bounded by the wait for requests, which ends 0.6 s before the kill; the bound on deadlines applies from half of that wait.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -37,11 +37,12 @@
 	// memoryFraction is the fraction of the memory limit that the Go runtime may use. The rest covers memory that the
 	// runtime does not count: socket buffers and unread bytes.
 	memoryFraction = 0.6
-	// unreadyDelay is how long a stopping instance at least continues to accept connections: the load balancer notices
-	// the stop after two readiness probes, one a second.
+	// unreadyDelay is how long a stopping instance at least continues to accept connections, within the grace period: the load
+	// balancer notices the stop after two readiness probes, one a second.
 	unreadyDelay = 3 * time.Second
 	// longRequestCutoff is the time after the start of a stop from which requests are refused that might not end before the
-	// stop. The load balancer sends requests for most of this time, and a retry would come back to this instance.
+	// stop. The load balancer sends requests for most of this time, and a retry would come back to this instance. In a short
+	// grace period it is half of the wait for requests.
 	longRequestCutoff = 2800 * time.Millisecond
 	// idleCheckInterval is how often a stopping instance checks whether its requests have ended.
 	idleCheckInterval = 20 * time.Millisecond
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -29,7 +29,7 @@
 // later end would not reach the client before the process exits.
 func (g *Gateway) mustEndBy() time.Time {
 	since := g.stoppingSince.Load()
-	if since == nil || time.Since(*since) <= longRequestCutoff {
+	if since == nil || time.Since(*since) <= min(longRequestCutoff, g.waitDuration()/2) {
 		return time.Time{}
 	}
 	return g.waitEnd(*since)
@@ -37,9 +37,12 @@
 
 // waitEnd returns when an instance that stops since the given time no longer waits for requests.
 func (g *Gateway) waitEnd(stoppingSince time.Time) time.Time {
-	return stoppingSince.Add(g.settings.GracePeriod - killMargin)
+	return stoppingSince.Add(g.waitDuration())
 }
 
+// waitDuration is how long a stopping instance waits for its requests at most.
+func (g *Gateway) waitDuration() time.Duration { return max(g.settings.GracePeriod-killMargin, 0) }
+
 // stopGracefully makes the instance unready, waits for unreadyDelay, and then waits until the requests in flight have
 // ended or the grace period is nearly over. From then on it refuses requests, so that none is sent to a target while the
 // connections are closed. The listeners are closed only after it returns.
@@ -49,7 +52,7 @@
 	g.stopping.Store(true)
 	g.logger.Info().Int("Running", g.requests.Running()).Msg("stopping")
 	deadline := g.waitEnd(started)
-	waitFor(ctx, unreadyDelay)
+	waitFor(ctx, min(unreadyDelay, g.waitDuration()))
 	for !g.drainIfIdle() && time.Now().Before(deadline) && ctx.Err() == nil {
 		waitFor(ctx, idleCheckInterval)
 	}
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -194,3 +194,22 @@
 	_, err = io.Copy(io.Discard, response.Body)
 	return response.StatusCode, err
 }
+
+// TestStopWithinShortGracePeriod guards against a stop that outlasts a short grace period and is killed while it takes requests.
+func TestStopWithinShortGracePeriod(t *testing.T) {
+	const gracePeriod = 2 * time.Second
+	store := newFilledStore()
+	g, err := New(context.Background(), Settings{
+		Instance: "i1", DataCentre: "dc", MemoryLimit: 1 << 30, GracePeriod: gracePeriod, MaxConfigurationAge: 5 * time.Second,
+		ClientAddress: loopback, ReadinessAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback,
+	}, fakePlatform(store, &fakeTargetControl{store: store}), WithLogOutput(discard{}))
+	qt.Assert(t, err, qt.IsNil)
+	stopped := time.Now()
+	go func() { _ = g.app.Stop() }()
+	_ = g.Wait()
+	took := time.Since(stopped)
+	qt.Check(t, took < gracePeriod, qt.IsTrue, qt.Commentf("the stop took %v", took))
+	stopped = time.Now().Add(-gracePeriod / 2)
+	g.stoppingSince.Store(&stopped)
+	qt.Check(t, g.mustEndBy().Sub(stopped), qt.Equals, gracePeriod-killMargin, qt.Commentf("requests of any length are taken until the end"))
+}
