Wait in a stop of the own front end for the requests that are relayed for other instances

Cause: a stop waited for the requests of the instance's own clients only. Connections that it relayed for an instance without links to the targets were closed as soon as these had ended. The instance that had sent an order over such a connection could not repeat it, and its client was told that the outcome is unknown.

Change: the stop waits until no relayed connection carries a request, at most 10 s. A connection carries one if the last bytes went to the target, or if the last bytes from it are less than 0.5 s old, so that kept connections do not delay the stop (TestRelaysInUse). New connections are refused from the start of the stop, as before, and orders go over new connections only.

--- a/pkg/daemon/stop.go
+++ b/pkg/daemon/stop.go
@@ -3,12 +3,21 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/sleep"
 )
 
 // shutdownTimeout limits the wait until the assignment lease, by which one instance assigns layers to targets,
 // is released. The last assignment has to end first, which takes at most 3 s.
 const shutdownTimeout = 5 * time.Second
 
+const (
+	// relayDrainTimeout limits the wait for the requests of other instances, whose connections to their targets this one relays.
+	relayDrainTimeout = 10 * time.Second
+	// relayCheckInterval is how often a stopping instance checks whether these requests have ended.
+	relayCheckInterval = 20 * time.Millisecond
+)
+
 // Ready reports whether the load balancer may send clients to this instance.
 func (d *Daemon) Ready() bool {
 	return !d.isStopping() && d.node.View().Ready() && d.control.listed.Load() && d.control.routesKnown.Load()
@@ -25,7 +34,8 @@
 }
 
 // drain is the first phase of a planned stop: the instance reports that it is not ready for the StopNotice
-// of the settings, then refuses new requests and waits for the running ones. No timeout ends a running request.
+// of the settings, then refuses new requests and waits for the running ones. No timeout ends a running request. Requests of other
+// instances that are relayed here have relayDrainTimeout after that.
 func (d *Daemon) drain(ctx context.Context) error {
 	close(d.stopping)
 	d.logger.Info().Int("Running", d.running.Running()).Msg("stopping")
@@ -34,7 +44,23 @@
 	case <-ctx.Done():
 	}
 	d.running.Drain()
-	return d.running.Wait(ctx)
+	if err := d.running.Wait(ctx); err != nil {
+		return err
+	}
+	d.waitForRelays(ctx)
+	return nil
+}
+
+// waitForRelays waits until no relayed connection carries a request. Connections that others keep without a request do not count.
+func (d *Daemon) waitForRelays(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, relayDrainTimeout)
+	defer cancel()
+	for d.node.RelaysInUse() > 0 {
+		if sleep.For(ctx, relayCheckInterval) != nil {
+			d.logger.Warn().Int("Relayed", d.node.RelaysInUse()).Msg("requests of other instances cut off")
+			return
+		}
+	}
 }
 
 // shutdown closes the remaining components after the listeners are closed. It releases the assignment
--- a/pkg/peer/instance/node.go
+++ b/pkg/peer/instance/node.go
@@ -50,6 +50,7 @@
 	requestLimitHandler RequestLimitHandler // requestLimitHandler is nil if reports about request limits are ignored.
 	relayTargetDialer   RelayTargetDialer   // relayTargetDialer is nil if no connections are relayed.
 	relaySlots          chan struct{}       // relaySlots has one element for each relayed connection.
+	relayActivities     relayActivities
 	crashLimiter        *rate.Limiter
 	// statusHandler handles the status updates of other instances. It is nil if they are ignored.
 	statusHandler      func(netip.AddrPort, *instancepb.StatusUpdate)
--- a/pkg/peer/instance/relay.go
+++ b/pkg/peer/instance/relay.go
@@ -133,12 +133,18 @@
 	n.counters.relayed.Inc(1)
 	stop := context.AfterFunc(n.ctx, func() { _ = peer.Close(); _ = target.Close() })
 	defer stop()
-	forward(peer, target)
+	activity := n.relayActivities.add()
+	defer n.relayActivities.remove(activity)
+	forward(peer, target, activity)
 }
 
 // Relayed returns the number of connections that are relayed for other instances.
 func (n *Node) Relayed() int { return len(n.relaySlots) }
 
+// RelaysInUse returns the number of relayed connections that carry a request or its response now, as opposed to those that other
+// instances keep for later requests.
+func (n *Node) RelaysInUse() int { return n.relayActivities.inUse(time.Now()) }
+
 // dialForPeer reads a relay request and opens the connection to the target. The connection is nil unless the status is
 // connected.
 func (n *Node) dialForPeer(peer net.Conn) (net.Conn, instancepb.RelayStatus) {
@@ -168,14 +174,14 @@
 // forward copies bytes between a peer and a target until either side ends. When the peer ends, the target's connection is
 // closed at once, so that the target stops its work. When the target ends, the peer gets the same end: a reset after an
 // error, since a response without a length would look complete otherwise.
-func forward(peer *net.TCPConn, target net.Conn) {
+func forward(peer *net.TCPConn, target net.Conn, activity *relayActivity) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		_, _ = io.CopyBuffer(onlyWriter{target}, onlyReader{peer}, make([]byte, relayBufferBytes))
+		_, _ = io.CopyBuffer(onlyWriter{target}, activity.toTarget(peer), make([]byte, relayBufferBytes))
 		_ = target.Close()
 	}()
-	if _, err := io.CopyBuffer(onlyWriter{peer}, onlyReader{target}, make([]byte, relayBufferBytes)); err != nil {
+	if _, err := io.CopyBuffer(onlyWriter{peer}, activity.fromTarget(target), make([]byte, relayBufferBytes)); err != nil {
 		_ = peer.SetLinger(0)
 		_ = peer.Close()
 	} else {
@@ -185,11 +191,8 @@
 	<-done
 }
 
-// onlyReader and onlyWriter hide the other methods of a connection, so that the copy uses the given buffer.
-type (
-	onlyReader struct{ io.Reader }
-	onlyWriter struct{ io.Writer }
-)
+// onlyWriter hides the other methods of a connection, so that the copy uses the given buffer.
+type onlyWriter struct{ io.Writer }
 
 // byteReader reads single bytes, so that nothing after a message is read.
 type byteReader struct{ io.Reader }
--- a/pkg/peer/instance/relay_test.go
+++ b/pkg/peer/instance/relay_test.go
@@ -96,6 +96,33 @@
 	}
 }
 
+// TestRelaysInUse guards against a stop that cuts off a relayed request whose target works for long, and against one that waits for
+// relayed connections without a request.
+func TestRelaysInUse(t *testing.T) {
+	const work = time.Second // Longer than a pause within a response may be.
+	asks, relays := startRelayPair(t, netip.AddrPort{})
+	to := startTarget(t, func(c *net.TCPConn) {
+		_, _ = io.ReadFull(c, make([]byte, 7))
+		time.Sleep(work)
+		_, _ = io.WriteString(c, "done")
+		_, _ = io.ReadFull(c, make([]byte, 1))
+	})
+	c, err := asks.DialThrough(context.Background(), relays.Address(), to)
+	qt.Assert(t, err, qt.IsNil)
+	defer c.Close()
+	_, err = c.Write([]byte("request"))
+	qt.Assert(t, err, qt.IsNil)
+	time.Sleep(work - 200*time.Millisecond)
+	qt.Assert(t, relays.RelaysInUse(), qt.Equals, 1)
+	_, err = io.ReadFull(c, make([]byte, 4))
+	qt.Assert(t, err, qt.IsNil)
+	for end := time.Now().Add(5 * time.Second); relays.RelaysInUse() > 0 && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, relays.RelaysInUse(), qt.Equals, 0)
+	qt.Assert(t, relays.Relayed(), qt.Equals, 1)
+}
+
 // TestRelayEndsWithClient guards against work that a target goes on with after its client has left, since the relay keeps the
 // connection.
 func TestRelayEndsWithClient(t *testing.T) {
