Refuse results of engines without a length in the own front end

Cause: the client of the engines read a report or an exported KV cache up to the end of the connection if the response had no length. An engine that is killed ends its connections in order, and a protobuf message that is cut between two fields decodes without an error. A cache with fewer positions, or a report without layers, looked whole; steps have a length each and were not affected.

Evidence: TestUnframedResult got half a cache without an error before the change.

Change: such a response to a call with a result ends as unknown.

--- a/pkg/peer/engine/error.go
+++ b/pkg/peer/engine/error.go
@@ -18,6 +18,7 @@
 
 	errClosed     = namespace.NewType("closed").New("engine client is closed")
 	errDuplicate  = namespace.NewType("duplicate", errorx.Duplicate()).New("an identical step is already pending")
+	errUnframed   = namespace.NewType("unframed").New("response has no length, so that its end is not known")
 	errIncomplete = namespace.NewType("incomplete").New("response ended without a result for the step")
 )
 
--- a/pkg/peer/engine/unary.go
+++ b/pkg/peer/engine/unary.go
@@ -123,6 +123,8 @@
 		return c.newError(path, outcome.Failed, fmt.Errorf("engine returned HTTP status %s: %.200s", response.Status, body))
 	case result == nil:
 		return nil
+	case response.ContentLength < 0 && len(response.TransferEncoding) == 0:
+		return c.newError(path, outcome.Unknown, errUnframed)
 	}
 	if err := proto.Unmarshal(body, result); err != nil {
 		return c.newError(path, outcome.Unknown, err)
