Answer the requests that a stop cuts off

What callers saw: a request that still ran at the end of the grace period, an order among others, read the end of its connection instead of a response, also where its target no longer worked on it (it had not yet answered over a bad link, or the request waited for another attempt).

Cause: a stop waited for its requests, closed the connections and exited; nothing told the requests that still ran to end. Class: work that outlives the bound on its time without being told of it.

Change: 120 ms after the end of the wait, the contexts of the requests that still run end. A request whose response has not started ends with 502 or 504, which promise nothing, and 80 ms remain to write that. A response that comes in the 120 ms is passed on as before. Streams that have started are broken off then, 80 ms before the exit would do so.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -50,6 +50,9 @@
 	killMargin = 600 * time.Millisecond
 	// closeTimeout bounds the closing of connections after the wait for requests.
 	closeTimeout = 200 * time.Millisecond
+	// lastResponseWait is the part of closeTimeout in which requests may still get their response. The rest is for telling the other
+	// clients that they get none.
+	lastResponseWait = 120 * time.Millisecond
 	// flushTimeout bounds the writing of the last log lines.
 	flushTimeout = 100 * time.Millisecond
 	// ratioFraction is the fraction of RetryBudget.Ratio that is used, since requests and their retries may fall into
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -64,6 +64,7 @@
 		}
 		entry.Msg("requests cut off at the end of the grace period")
 		g.server.LogStreams(started, "stream still runs at the end of the grace period")
+		time.AfterFunc(lastResponseWait, g.server.EndRequests)
 	}
 	return nil
 }
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -213,3 +213,42 @@
 	g.stoppingSince.Store(&stopped)
 	qt.Check(t, g.mustEndBy().Sub(stopped), qt.Equals, gracePeriod-killMargin, qt.Commentf("requests of any length are taken until the end"))
 }
+
+// TestStopAnswersRequestsThatAreCutOff guards against a stop that closes a client's connection without telling that the order it has sent
+// to a target gets no response.
+func TestStopAnswersRequestsThatAreCutOff(t *testing.T) {
+	const gracePeriod = 800 * time.Millisecond // The route's timeout is later than the exit.
+	store := newFilledStore()
+	store.put("targets", "d0", encode(target.Target{
+		Name: "d0", Address: loopback, Kind: target.Service, Service: "desk", State: target.Live, Slots: 100,
+	}))
+	upstream := &workingUpstream{ran: make(map[string]bool)}
+	p := fakePlatform(store, &fakeTargetControl{store: store})
+	p.Upstream, p.NewHandler = upstream, newStopHandler
+	g, err := New(context.Background(), Settings{
+		Instance: "i1", DataCentre: "dc", MemoryLimit: 1 << 30, GracePeriod: gracePeriod, MaxConfigurationAge: 5 * time.Second,
+		ClientAddress: loopback, ReadinessAddress: loopback, OperatorAddress: loopback, PeerAddress: loopback,
+	}, p, WithLogOutput(discard{}))
+	qt.Assert(t, err, qt.IsNil)
+	eventually(t, "readiness", g.Ready)
+	c := newKeptConnection(t, g.clientListener.Addr().String())
+	qt.Assert(t, t.Failed(), qt.IsFalse)
+	upstream.work = time.Minute
+
+	type result struct {
+		status int
+		err    error
+	}
+	results := make(chan result, 1)
+	go func() {
+		status, err := c.send("/desk/1", "order")
+		results <- result{status, err}
+	}()
+	eventually(t, "the order", func() bool { return upstream.hasRun("order") })
+	go func() { _ = g.app.Stop() }()
+	_ = g.Wait()
+	_ = c.conn.SetReadDeadline(time.Now()) // The process exits now, which closes all connections.
+	got := <-results
+	qt.Assert(t, got.err, qt.IsNil)
+	qt.Assert(t, got.status, qt.Equals, http.StatusBadGateway)
+}
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -43,6 +43,8 @@
 	counters       counters
 	detector       *failureDetector
 	mustEndBy      func() time.Time
+	running        context.Context    // running ends when all requests must end.
+	endRequests    context.CancelFunc // endRequests ends running.
 
 	mu     sync.Mutex
 	random *rand.Rand
@@ -132,6 +134,7 @@
 		mustEndBy: func() time.Time { return time.Time{} },
 		counters:  newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
+	s.running, s.endRequests = context.WithCancel(context.Background())
 	s.detector = newFailureDetector(s)
 	for _, o := range options {
 		o(s)
@@ -146,18 +149,23 @@
 	err := active.admit()
 	if err == nil {
 		deadlineCtx, cancel := context.WithDeadline(ctx, active.deadline)
+		stop := context.AfterFunc(s.running, cancel)
 		s.retryBudget.RecordRequest(active.service.Name, request.ReceivedAt)
 		if active.service.Engine != nil {
 			err = active.serveStream(deadlineCtx, w)
 		} else {
 			err = active.serveUnary(deadlineCtx, w)
 		}
+		stop()
 		cancel()
 	}
 	active.logResult(ctx, err)
 	return err
 }
 
+// EndRequests ends all requests. Those whose response has not started end with an error response, the others are broken off.
+func (s *Server) EndRequests() { s.endRequests() }
+
 // isDead reports whether a target is marked dead.
 func (s *Server) isDead(name string) bool {
 	return s.stats.IsDead(name, time.Now())
