Test the body of a request that was read as its connection's timeout passed

The reaper sets a read deadline in the past, and the hook for the state Active clears it. TestRequestReadAtTimeout passes without the clearing, since net/http sets the deadline itself after the header; it does not where the deadline is set between that and the report of the state.

--- a/pkg/listener/timeout_test.go
+++ b/pkg/listener/timeout_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -111,3 +112,22 @@
 	}
 	return err
 }
+
+// TestBodyAfterTimeout guards against a read deadline that stays on a connection whose request was read as its timeout passed.
+func TestBodyAfterTimeout(t *testing.T) {
+	client, served := net.Pipe()
+	defer func() { _ = client.Close() }()
+	defer func() { _ = served.Close() }()
+	server := &http.Server{ReadHeaderTimeout: time.Second}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	listener.NewConnReaper(ctx, server, func() listener.Timeouts { return listener.Timeouts{Idle: time.Millisecond} })
+
+	server.ConnState(served, http.StateIdle)
+	_, err := served.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.ErrorIs, os.ErrDeadlineExceeded)
+	server.ConnState(served, http.StateActive)
+	go func() { _, _ = io.WriteString(client, "b") }()
+	_, err = served.Read(make([]byte, 1))
+	qt.Assert(t, err, qt.IsNil)
+}
