Log the panics of handlers in the instance's log

No such panic is known.

TestPanicIsLogged failed before the change (no line within 15 s) and passes with it. The operations page names the line, and the one for streams that a stop cuts off.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -185,6 +185,7 @@
 	g.startRelay()
 	clients := newHTTPServer(g.clientListener)
 	clients.Handler = g.platform.NewHandler(g.server, g.limits, g.trackRequest)
+	clients.ErrorLog = g.logger.Std("", 0)
 	listener.NewConnReaper(run, clients.Server, g.timeouts)
 	ready := newHTTPServer(g.readinessListener)
 	ready.Handler = g.readinessHandler()
