service: Give a slow target up only once another takes the lookup

What callers saw: a lookup whose target took longer than usual ended as Unknown, "the service shop did not answer", while the other targets took no more requests because of their request limits. The target would have answered a little later.

Cause: an attempt that was not the last possible one had a timeout of the target's usual latency (at most 2 s). When it passed, the attempt was cancelled first, and only then was another target looked for. If the request limits of all others were used up, nothing was left of the request.

Change: when the usual latency passes, the target is ejected, as before, and the retry is taken from the budgets (once for each further attempt). Then another target is looked for, each time the usual latency passes again. Only once one takes the request is the running attempt cancelled. Otherwise it has all the time that remains for the request. A target that was chosen and isn't needed, since the response came at that moment, is released without counting as responded or failed. Where the retry budget denies the retry, the attempt is given up as before.

The request runs in a goroutine of its own, and the caller's goroutine waits for it and chooses targets, so the fields of the call are used by one goroutine only.

--- a/pkg/peer/service/balancer.go
+++ b/pkg/peer/service/balancer.go
@@ -132,7 +132,26 @@
 	}
 }
 
-// attemptTimeout returns the time to wait for a target's response before another target is tried.
+// eject ejects a target that has not responded to a request within its usual latency. The request still counts as outstanding.
+func (b *balancer) eject(name string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.load(name).retryAt = now.Add(ejectionTime)
+}
+
+// release ends a request that choose counted and that was not sent. An ejected target may get its next request at once, since
+// choose put it off.
+func (b *balancer) release(name string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	l := b.load(name)
+	l.outstanding--
+	if !l.retryAt.IsZero() {
+		l.retryAt = now
+	}
+}
+
+// attemptTimeout returns the time to wait for a target's response before another target is looked for.
 func (b *balancer) attemptTimeout(name string) time.Duration {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/peer/service/idempotent.go
+++ b/pkg/peer/service/idempotent.go
@@ -14,19 +14,14 @@
 // maxAttempts limits the number of targets that an idempotent request is sent to.
 const maxAttempts = 3
 
-// doIdempotent sends an idempotent request and retries the request on another target if a target fails. While further
-// attempts remain, a target that does not respond within its usual latency counts as failed.
+// doIdempotent sends an idempotent request and retries the request on another target if a target fails. A target that does not
+// respond within its usual latency counts as failed once another target takes the request.
 func (c *Client) doIdempotent(ctx context.Context, req Request) (Response, error) {
 	all := c.targets(req.Service)
 	c.retryBudget.RecordRequest("workspace/"+req.Workspace, c.now())
 	call := &idempotentCall{client: c, req: req, targets: all, ran: outcome.NotRun}
-	for attempt := 1; attempt <= maxAttempts; attempt++ {
-		if attempt > 1 && !call.takeRetry(ctx) {
-			break
-		}
-		if call.attempt(ctx, attempt) {
-			return call.response, nil
-		}
+	for more := call.choose(); more; {
+		more = call.attempt(ctx) && call.chooseRetry(ctx)
 	}
 	return call.result(ctx)
 }
@@ -36,7 +31,10 @@
 	client    *Client
 	req       Request
 	targets   []target.Target
+	chosen    *target.Target  // chosen is the target of the next attempt, or nil if none is chosen yet.
 	tried     []string        // tried has the names of the targets of all attempts.
+	asked     bool            // asked means that the retry budgets were asked for the next attempt.
+	paid      bool            // paid means that they allowed it.
 	ran       outcome.Outcome // ran is NotRun until an attempt may have reached a target, and then Unknown.
 	response  Response
 	limited   bool // limited means that the targets that remain take no more requests now.
@@ -44,39 +42,118 @@
 	lastErr   error
 }
 
-// attempt sends the request to one target. It returns whether no further attempt is needed.
-func (c *idempotentCall) attempt(ctx context.Context, number int) bool {
+// choose chooses the target of the next attempt. It reports whether a target takes the request.
+func (c *idempotentCall) choose() bool {
 	chosen, err := c.client.balancer.choose(c.targets, c.tried, c.client.now())
+	c.limited = errors.Is(err, errLimited)
 	if err != nil {
-		c.limited = errors.Is(err, errLimited)
 		return false
 	}
-	c.tried = append(c.tried, chosen.Name)
+	c.chosen = &chosen
+	return true
+}
+
+// chooseRetry chooses the target of a further attempt, unless that is done. It reports whether there is one.
+func (c *idempotentCall) chooseRetry(ctx context.Context) bool {
+	if c.chosen != nil {
+		return true
+	}
+	if !c.mayRetry() || !c.takeRetry(ctx) || !c.choose() {
+		return false
+	}
+	c.asked = false
+	c.client.counters.retries.Inc(1)
+	return true
+}
+
+// mayRetry reports whether a further attempt is possible, disregarding the retry budgets and the request limits of targets.
+func (c *idempotentCall) mayRetry() bool {
+	return len(c.tried) < maxAttempts && len(c.tried) < len(c.targets)
+}
+
+// attempt sends the request to the chosen target. It reports whether the request needs a further attempt, whose target may be
+// chosen already.
+func (c *idempotentCall) attempt(ctx context.Context) bool {
+	chosen := *c.chosen
+	c.chosen, c.tried = nil, append(c.tried, chosen.Name)
 	c.client.retryBudget.RecordRequest("target/"+chosen.Name, c.client.now())
-	bounded, cancel := c.attemptContext(ctx, chosen.Name, number)
-	defer cancel()
 	start := c.client.now()
-	connections := c.client.unpooled
-	if c.client.echoing.contains(chosen.Address) {
-		connections = c.client.pooled
-	}
-	response, err := c.client.dispatch(bounded, connections, chosen, c.req)
+	response, err := c.dispatch(ctx, chosen)
 	c.client.balancer.finish(chosen.Name, start, c.client.now(), err == nil)
 	if err != nil {
 		c.recordFailure(err)
-		return false
+		return true
 	}
 	c.response, c.responded, c.ran = response, true, outcome.Unknown
-	return !isTransient(response.Status)
+	if isTransient(response.Status) {
+		return true
+	}
+	c.releaseChosen()
+	return false
 }
 
-// attemptContext returns the context of an attempt with the attempt's timeout. The last possible attempt has no timeout
-// of its own, so that it gets all the time that remains for the request.
-func (c *idempotentCall) attemptContext(ctx context.Context, name string, number int) (context.Context, context.CancelFunc) {
-	if number == maxAttempts || len(c.tried) >= len(c.targets) {
-		return context.WithCancel(ctx)
+// dispatch sends the request to a target. If the target does not respond within its usual latency, another target is looked for
+// until one takes the request, and only then is the attempt given up: its target may have run the request and may still respond.
+// Without a retry budget, the attempt is given up at once.
+func (c *idempotentCall) dispatch(ctx context.Context, t target.Target) (Response, error) {
+	if !c.mayRetry() {
+		return c.send(ctx, t)
+	}
+	bounded, cancel := context.WithCancel(ctx)
+	defer cancel()
+	sent := make(chan sentResult, 1)
+	go func() {
+		response, err := c.send(bounded, t)
+		sent <- sentResult{response, err}
+	}()
+	result, done := c.await(ctx, t.Name, sent)
+	if !done {
+		cancel()
+		result = <-sent
+	}
+	return result.response, result.err
+}
+
+// await waits for the result of the request to a target. It reports false if the attempt is to be given up.
+func (c *idempotentCall) await(ctx context.Context, name string, sent <-chan sentResult) (sentResult, bool) {
+	ticker := time.NewTicker(c.client.balancer.attemptTimeout(name))
+	defer ticker.Stop()
+	for ejected := false; ; ejected = true {
+		select {
+		case result := <-sent:
+			return result, true
+		case <-ticker.C:
+		}
+		if !ejected {
+			c.client.balancer.eject(name, c.client.now())
+		}
+		if c.chooseRetry(ctx) || !c.paid {
+			return sentResult{}, false
+		}
+	}
+}
+
+// sentResult is the result of a request to one target.
+type sentResult struct {
+	response Response
+	err      error
+}
+
+// send sends the request to a target and waits for the response. It changes no field of the call.
+func (c *idempotentCall) send(ctx context.Context, t target.Target) (Response, error) {
+	connections := c.client.unpooled
+	if c.client.echoing.contains(t.Address) {
+		connections = c.client.pooled
+	}
+	return c.client.dispatch(ctx, connections, t, c.req)
+}
+
+// releaseChosen ends the request that is counted for the target of a further attempt, which is not needed.
+func (c *idempotentCall) releaseChosen() {
+	if c.chosen != nil {
+		c.client.balancer.release(c.chosen.Name, c.client.now())
+		c.chosen = nil
 	}
-	return context.WithTimeout(ctx, c.client.balancer.attemptTimeout(name))
 }
 
 func (c *idempotentCall) recordFailure(err error) {
@@ -87,19 +164,20 @@
 	c.client.logger.Warn().Str("Request", c.req.ID).Str("Workspace", c.req.Workspace).Err(err).Msg("service target failed")
 }
 
-// takeRetry reports whether the retry budgets of the workspace and of the last target allow a retry, and if so takes and
-// counts the retry. If only the workspace's budget allows it, the retry is still taken from that budget.
+// takeRetry reports whether the retry budgets of the workspace and of the last target allow a retry, and if so takes the retry.
+// The budgets are asked once for each further attempt, so a retry that found no target is kept. If only the workspace's budget
+// allows it, the retry is still taken from that budget.
 func (c *idempotentCall) takeRetry(ctx context.Context) bool {
-	now := c.client.now()
-	failed := c.tried
-	if ctx.Err() != nil || len(failed) == 0 || !c.client.retryBudget.Allow("workspace/"+c.req.Workspace, now) {
+	if ctx.Err() != nil {
 		return false
 	}
-	if !c.client.retryBudget.Allow("target/"+failed[len(failed)-1], now) {
-		return false
+	if !c.asked {
+		now := c.client.now()
+		c.asked = true
+		c.paid = c.client.retryBudget.Allow("workspace/"+c.req.Workspace, now) &&
+			c.client.retryBudget.Allow("target/"+c.tried[len(c.tried)-1], now)
 	}
-	c.client.counters.retries.Inc(1)
-	return true
+	return c.paid
 }
 
 // isTransient reports whether a response status is of an error that another target may not have.
