Bound what clients hold of an instance's memory and descriptors

What callers saw: a crowd of clients that send bodies of legal size and stop just short of their end made an instance run out of memory; a crowd of silent clients, or of heads without an end, used up its descriptors. The platform ends such a process, and with it the requests of all others.

Cause: each client was bounded, their sum was not. Bodies were read whole, without a time limit; connections were accepted without a bound; a client that does not read held its connection for ever.

Change: one budget for all bodies (pkg/decision/bytebudget), a fifth of the process's memory, counted as the buffers grow (pkg/requestbody). At the limit the incomplete body with the most byte-seconds is refused as not run. At most as many connections as memory and descriptors allow: beyond, the one that has waited longest for a request is closed (pkg/listener). Responses are written until 5 s after their deadline. The own front end reads bodies with a budget of 256 MiB.

Conclusion: the fault is mended where clients connect. Bodies of responses that clients do not read, and the addresses of operators and of other instances, are not covered.

--- /dev/null
+++ b/pkg/gateway/clients.go
@@ -0,0 +1,81 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/bytebudget"
+	"github.com/cuminroute/cuminroute/pkg/listener"
+	"github.com/cuminroute/cuminroute/pkg/requestbody"
+)
+
+const (
+	// bodyFraction is the fraction of the process's memory that the bodies of requests may take up.
+	bodyFraction = 0.2
+	// connectionFraction is the fraction of the process's memory that the connections of clients may take up.
+	connectionFraction = 0.4
+	// connectionBytes is the memory of a connection whose client sends a header of the largest size that the server reads.
+	connectionBytes = 96 << 10
+	// reservedDescriptors is the number of descriptors that are not available to connections.
+	reservedDescriptors = 200
+	// descriptorFraction is the fraction of the other descriptors that the connections of clients may use. The rest is for
+	// connections to targets, instances and the store.
+	descriptorFraction = 0.75
+	// closingFraction is the number of connections that may be in the course of being closed, as a fraction of those that may be open.
+	closingFraction = 0.25
+	// clientReportInterval is how often it is logged that clients had to give way.
+	clientReportInterval = time.Second
+)
+
+// clientLimits returns how many bytes of bodies and how many connections of clients the instance holds at most. A number of 0
+// connections means any number.
+func clientLimits(s Settings) (bodyBytes int64, connections int) {
+	bodyBytes = int64(bodyFraction * float64(s.MemoryLimit))
+	connections = max(int(connectionFraction*float64(s.MemoryLimit)/connectionBytes), 1)
+	if s.DescriptorLimit > 0 {
+		connections = min(connections, max(int(descriptorFraction*float64(s.DescriptorLimit-reservedDescriptors)), 1))
+	}
+	return bodyBytes, connections
+}
+
+// newClientServer returns the server of client requests, with the limits on what clients hold of the instance's memory and descriptors.
+func (g *Gateway) newClientServer(ctx context.Context) *khttp.Server {
+	bodyBytes, connections := clientLimits(g.settings)
+	budget := bytebudget.New(bodyBytes)
+	limited := listener.NewLimitedListener(g.clientListener, connections+max(int(closingFraction*float64(connections)), 1))
+	server := newHTTPServer(limited)
+	server.Handler = g.platform.NewHandler(g.server, g.limits, g.trackRequest, requestbody.New(budget))
+	server.ErrorLog = g.logger.Std("", 0)
+	reaper := listener.NewConnReaper(ctx, server.Server, g.timeouts,
+		listener.WithMaxConns(limited, connections, func() bool { return budget.EvictWorst(time.Now()) }))
+	gauge := func(name string, value func() int64) {
+		_ = g.registry.Register("Clients."+name, metrics.NewFunctionalGauge(value))
+	}
+	gauge("BodyBytes", func() int64 { return budget.Usage().Used })
+	gauge("BodiesEvicted", func() int64 { return budget.Usage().Evicted })
+	gauge("BodiesDenied", func() int64 { return budget.Usage().Denied })
+	gauge("Connections", func() int64 { open, _ := reaper.Counts(); return int64(open) })
+	gauge("ConnectionsClosed", func() int64 { _, closed := reaper.Counts(); return closed })
+	go g.reportClients(ctx, budget, reaper)
+	return server
+}
+
+// reportClients logs when clients had to give way, until ctx ends.
+func (g *Gateway) reportClients(ctx context.Context, budget *bytebudget.Budget, reaper *listener.ConnReaper) {
+	var last bytebudget.Usage
+	lastClosed := int64(0)
+	for ctx.Err() == nil {
+		waitFor(ctx, clientReportInterval)
+		usage := budget.Usage()
+		open, closed := reaper.Counts()
+		if usage.Evicted != last.Evicted || usage.Denied != last.Denied || closed != lastClosed {
+			g.logger.Warn().Int64("BodyBytes", usage.Used).Int64("BodyLimit", usage.Limit).Int("Incomplete", usage.Incomplete).
+				Int64("Evicted", usage.Evicted-last.Evicted).Int64("Denied", usage.Denied-last.Denied).
+				Int("Connections", open).Int64("Closed", closed-lastClosed).Msg("clients had to give way")
+		}
+		last, lastClosed = usage, closed
+	}
+}
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
+	"github.com/cuminroute/cuminroute/pkg/requestbody"
 	"github.com/cuminroute/cuminroute/pkg/revision"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -252,7 +253,7 @@
 func fakePlatform(s Store, c TargetControl) Platform {
 	return Platform{
 		Store: s, TargetControl: c, ConfigurationKey: "config", DecodeConfiguration: decodeCatalogue, DecodeTarget: decodeTarget,
-		NewHandler: func(*proxy.Server, func() catalogue.Limits, func() (func(), bool, error)) http.Handler {
+		NewHandler: func(*proxy.Server, func() catalogue.Limits, func() (func(), bool, error), *requestbody.Reader) http.Handler {
 			return http.NotFoundHandler()
 		},
 		ReadyPath: "/ready", Reload: func() (Settings, error) { return Settings{}, nil },
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -26,7 +26,6 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/retryshare"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 	"github.com/cuminroute/cuminroute/pkg/drain"
-	"github.com/cuminroute/cuminroute/pkg/listener"
 	"github.com/cuminroute/cuminroute/pkg/logqueue"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
 	"github.com/cuminroute/cuminroute/pkg/quarantinesync"
@@ -183,10 +182,7 @@
 		return err
 	}
 	g.startRelay()
-	clients := newHTTPServer(g.clientListener)
-	clients.Handler = g.platform.NewHandler(g.server, g.limits, g.trackRequest)
-	clients.ErrorLog = g.logger.Std("", 0)
-	listener.NewConnReaper(run, clients.Server, g.timeouts)
+	clients := g.newClientServer(run)
 	ready := newHTTPServer(g.readinessListener)
 	ready.Handler = g.readinessHandler()
 	operators := newHTTPServer(g.operatorListener)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
+	"github.com/cuminroute/cuminroute/pkg/requestbody"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -220,7 +221,7 @@
 func TestStop(t *testing.T) {
 	store := newFilledStore()
 	p := fakePlatform(store, &fakeTargetControl{store: store})
-	p.NewHandler = func(_ *proxy.Server, _ func() catalogue.Limits, enter func() (func(), bool, error)) http.Handler {
+	p.NewHandler = func(_ *proxy.Server, _ func() catalogue.Limits, enter func() (func(), bool, error), _ *requestbody.Reader) http.Handler {
 		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			end, closing, err := enter()
 			defer end()
--- a/pkg/gateway/panic_test.go
+++ b/pkg/gateway/panic_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
+	"github.com/cuminroute/cuminroute/pkg/requestbody"
 )
 
 // logRecorder records a log that several goroutines write.
@@ -35,7 +36,7 @@
 func TestPanicIsLogged(t *testing.T) {
 	store := newFilledStore()
 	p := fakePlatform(store, &fakeTargetControl{store: store})
-	p.NewHandler = func(*proxy.Server, func() catalogue.Limits, func() (func(), bool, error)) http.Handler {
+	p.NewHandler = func(*proxy.Server, func() catalogue.Limits, func() (func(), bool, error), *requestbody.Reader) http.Handler {
 		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic("a fault in the handler") })
 	}
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/gateway/platform.go
+++ b/pkg/gateway/platform.go
@@ -11,6 +11,7 @@
 	"github.com/cuminroute/cuminroute/pkg/layer"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
 	"github.com/cuminroute/cuminroute/pkg/relay"
+	"github.com/cuminroute/cuminroute/pkg/requestbody"
 	"github.com/cuminroute/cuminroute/pkg/revision"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -97,8 +98,9 @@
 	DecodeTarget        func(name string, content []byte) (target.Target, error)
 	// NewHandler returns the handler of client requests. limits returns the limits of the active configuration. The
 	// handler calls enter when a request starts and end when it has ended; closing reports whether the request's
-	// connection must be closed after the response. After an error of enter, the handler must refuse the request with it.
-	NewHandler func(server *proxy.Server, limits func() catalogue.Limits, enter func() (end func(), closing bool, err error)) http.Handler
+	// connection must be closed after the response. After an error of enter, the handler must refuse the request with it. It
+	// reads the bodies of requests with bodies.
+	NewHandler func(server *proxy.Server, limits func() catalogue.Limits, enter func() (end func(), closing bool, err error), bodies *requestbody.Reader) http.Handler
 	// ReadyPath is the path of the readiness probe.
 	ReadyPath string
 	// Reload reads the settings again.
--- a/pkg/gateway/settings.go
+++ b/pkg/gateway/settings.go
@@ -16,6 +16,7 @@
 	Seeds            []netip.AddrPort // Seeds are the peer addresses through which the instance joins the others.
 	StoreAddress     netip.AddrPort
 	MemoryLimit      int64         // MemoryLimit is the limit of the process in bytes.
+	DescriptorLimit  int           // DescriptorLimit is the number of descriptors that the process may have open; 0 means that it is unknown.
 	GracePeriod      time.Duration // GracePeriod is the time between the signal to stop and the kill.
 	// MaxConfigurationAge bounds the time since the configuration was last confirmed as the newest, beyond which
 	// requests with an API key are refused; 0 means no bound.
--- a/pkg/gateway/stop_test.go
+++ b/pkg/gateway/stop_test.go
@@ -19,6 +19,7 @@
 	"github.com/cuminroute/cuminroute/pkg/decision/path"
 	"github.com/cuminroute/cuminroute/pkg/proxy"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/requestbody"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -53,7 +54,7 @@
 
 // newStopHandler returns a handler that serves requests like that of the platform, and holds requests for /long for longer than
 // any grace period.
-func newStopHandler(server *proxy.Server, _ func() catalogue.Limits, enter func() (func(), bool, error)) http.Handler {
+func newStopHandler(server *proxy.Server, _ func() catalogue.Limits, enter func() (func(), bool, error), _ *requestbody.Reader) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		end, closing, err := enter()
 		defer end()
--- a/pkg/listener/reaper.go
+++ b/pkg/listener/reaper.go
@@ -24,7 +24,7 @@
 // expiredDeadline is a read deadline in the past.
 var expiredDeadline = time.Unix(1, 0)
 
-// ConnReaper closes the connections of slow and idle clients. Unlike the timeouts of http.Server, those of a ConnReaper
+// ConnReaper closes the connections of slow and idle clients, and those that are too many. Unlike the timeouts of http.Server, those of a ConnReaper
 // may change while the server runs.
 //
 // It ends the read in which the server waits for a request, upon which the server closes the connection. A request that was read
@@ -32,11 +32,27 @@
 // the answer from a request that is passed on.
 type ConnReaper struct {
 	timeouts func() Timeouts
+	maxConns int // maxConns is the number of connections that may be open; 0 means any number.
+	// endOther ends a connection that does not wait for a request, and reports whether there was one that it may end.
+	endOther func() bool
+	limited  *LimitedListener // limited is the server's listener, or nil if the number of connections has no limit.
 
 	mu      sync.Mutex
+	open    int // open is the number of open connections.
+	closed  int64
 	waiting map[net.Conn]waitingConn
 }
 
+// ReaperOption configures a ConnReaper.
+type ReaperOption func(*ConnReaper)
+
+// WithMaxConns closes a connection whenever more than n are open: the one that has waited longest for a request. If only the newest
+// one waits, the function endOther may end another one; otherwise the newest is closed. The server must accept its connections from l,
+// whose limit should be higher than n, since closing a connection takes some time.
+func WithMaxConns(l *LimitedListener, n int, endOther func() bool) ReaperOption {
+	return func(r *ConnReaper) { r.limited, r.maxConns, r.endOther = l, n, endOther }
+}
+
 // waitingConn says since when a connection has been waiting for a request, whether for its first one, and whether the read was ended.
 type waitingConn struct {
 	since   time.Time
@@ -46,8 +62,11 @@
 
 // NewConnReaper sets the server's ConnState hook, so the server must not serve yet, and starts a reaper that runs until
 // ctx ends. The server must have no ReadTimeout. The function timeouts returns the current timeouts.
-func NewConnReaper(ctx context.Context, server *http.Server, timeouts func() Timeouts) *ConnReaper {
-	r := &ConnReaper{timeouts: timeouts, waiting: make(map[net.Conn]waitingConn)}
+func NewConnReaper(ctx context.Context, server *http.Server, timeouts func() Timeouts, options ...ReaperOption) *ConnReaper {
+	r := &ConnReaper{timeouts: timeouts, endOther: func() bool { return false }, waiting: make(map[net.Conn]waitingConn)}
+	for _, o := range options {
+		o(r)
+	}
 	server.ConnState = r.trackState
 	go func() {
 		ticker := time.NewTicker(reapInterval)
@@ -71,6 +90,16 @@
 	switch state {
 	case http.StateNew:
 		r.waiting[c] = waitingConn{since: time.Now(), first: true}
+		r.open++
+		if r.maxConns > 0 && r.open > r.maxConns {
+			r.closeOne(c)
+		}
+	case http.StateClosed, http.StateHijacked:
+		r.open--
+		delete(r.waiting, c)
+		if r.limited != nil {
+			r.limited.connClosed()
+		}
 	case http.StateIdle:
 		r.waiting[c] = waitingConn{since: time.Now()}
 	default:
@@ -81,6 +110,39 @@
 	}
 }
 
+// closeOne makes room for the newest connection. The lock must be held.
+func (r *ConnReaper) closeOne(newest net.Conn) {
+	var longest net.Conn
+	for c, w := range r.waiting {
+		if c != newest && !w.expired && (longest == nil || w.since.Before(r.waiting[longest].since)) {
+			longest = c
+		}
+	}
+	if longest == nil && r.endOther() {
+		return
+	}
+	if longest == nil {
+		longest = newest
+	}
+	r.closed++
+	r.expire(longest)
+}
+
+// expire ends the read in which the server waits for a request on a connection. The lock must be held.
+func (r *ConnReaper) expire(c net.Conn) {
+	w := r.waiting[c]
+	w.expired = true
+	r.waiting[c] = w
+	_ = c.SetReadDeadline(expiredDeadline)
+}
+
+// Counts returns the number of open connections, and of those that were closed so far because there were too many.
+func (r *ConnReaper) Counts() (open int, closed int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.open, r.closed
+}
+
 // endExpired ends the reads of the connections that have waited longer than their timeout. They are tracked until the server
 // reports their end, since the server may have set a later deadline meanwhile.
 func (r *ConnReaper) endExpired(now time.Time) {
@@ -93,9 +155,7 @@
 			timeout = timeouts.Header
 		}
 		if timeout > 0 && now.Sub(w.since) > timeout+reapGrace {
-			_ = c.SetReadDeadline(expiredDeadline)
-			w.expired = true
-			r.waiting[c] = w
+			r.expire(c)
 		}
 	}
 }
--- a/pkg/listener/timeout_test.go
+++ b/pkg/listener/timeout_test.go
@@ -131,3 +131,35 @@
 	_, err = served.Read(make([]byte, 1))
 	qt.Assert(t, err, qt.IsNil)
 }
+
+// TestTooManyConnections guards against silent clients that came first and keep others out, and against more open connections than the
+// listener's limit.
+func TestTooManyConnections(t *testing.T) {
+	const maxConns, limit, silent = 8, 10, 40
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	limited := listener.NewLimitedListener(inner, limit)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = w.Write(body)
+	})}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	reaper := listener.NewConnReaper(ctx, server, func() listener.Timeouts { return listener.Timeouts{} },
+		listener.WithMaxConns(limited, maxConns, func() bool { return false }))
+	go func() { _ = server.Serve(limited) }()
+	t.Cleanup(func() { _ = server.Close() })
+	for range silent {
+		c, err := net.Dial("tcp", inner.Addr().String())
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() { _ = c.Close() })
+		open, _ := reaper.Counts()
+		qt.Assert(t, open <= limit, qt.IsTrue, qt.Commentf("%d connections are open", open))
+	}
+	c, err := net.Dial("tcp", inner.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = c.Close() }()
+	qt.Assert(t, exchange(c, bufio.NewReader(c)), qt.IsNil)
+	_, closed := reaper.Counts()
+	qt.Check(t, closed >= silent-maxConns, qt.IsTrue, qt.Commentf("%d connections were closed", closed))
+}
--- a/pkg/peer/caller/exchange.go
+++ b/pkg/peer/caller/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -16,6 +15,7 @@
 	"github.com/cuminroute/cuminroute/pkg/configuration"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/requestbody"
 )
 
 // exchange is an HTTP request and the response to it.
@@ -29,6 +29,7 @@
 	client        configuration.Caller         // client is the authenticated client, set by authenticate.
 	rules         configuration.EffectiveRules // rules are the client's rules at start, set by authenticate.
 	generations   uint32                       // generations is the number of routes that an inference request had.
+	held          *requestbody.Body            // held is the body, which counts in the budget of all bodies until the request ends.
 	headersSent   bool                         // headersSent is set once the response headers are written.
 }
 
@@ -111,22 +112,26 @@
 	return ctx, cancel, nil
 }
 
-// body reads the request body within the size and time limits.
+// body reads the request body within the size and time limits, and within the budget of all bodies. It is counted until x.release.
 func (x *exchange) body() ([]byte, error) {
-	control := http.NewResponseController(x.writer)
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // Only response writers of tests lack deadlines.
-	body, err := io.ReadAll(http.MaxBytesReader(x.writer, x.request.Body, x.server.maxBody))
+	body, err := x.server.bodies.Read(x.writer, x.request, x.server.maxBody, time.Time{})
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case err == nil:
+		x.held = body
+		return body.Bytes, nil
+	case errors.As(err, &tooLarge):
 		return nil, refusal.New(http.StatusRequestEntityTooLarge, "body_too_large", outcome.NotRun,
 			"the body has more than %d bytes", tooLarge.Limit)
-	}
-	if err != nil {
+	case errors.Is(err, requestbody.ErrNoRoom):
+		x.writer.Header().Set("Connection", "close") // The rest of the body may be on its way.
+		return nil, refusal.New(http.StatusServiceUnavailable, "no_memory", outcome.NotRun,
+			"this instance has no room for the body").WithCause(err).WithRetryAfter(time.Second)
+	default:
+		x.writer.Header().Set("Connection", "close")
 		return nil, refusal.New(http.StatusBadRequest, "body_unreadable", outcome.NotRun,
 			"the body could not be read").WithCause(err)
 	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
 }
 
 // errorBody is the JSON body of a refusal.
--- a/pkg/peer/caller/server.go
+++ b/pkg/peer/caller/server.go
@@ -30,10 +30,12 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cuminroute/cuminroute/pkg/configuration"
+	"github.com/cuminroute/cuminroute/pkg/decision/bytebudget"
 	"github.com/cuminroute/cuminroute/pkg/drain"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/peer/service"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/requestbody"
 	"github.com/cuminroute/cuminroute/pkg/stream"
 )
 
@@ -71,8 +73,8 @@
 	DefaultMaxHeaderBytes = 16 << 10
 	// DefaultMaxTokens limits the output tokens of a request, also of a request that sets no limit itself.
 	DefaultMaxTokens = 4096
-	// bodyTimeout limits the time to read a request body.
-	bodyTimeout = 30 * time.Second
+	// DefaultBodyBudget limits the bytes of the bodies of all requests together.
+	DefaultBodyBudget = 256 << 20
 	// writeTimeout limits one write of response data, which blocks if the client does not read.
 	writeTimeout = 30 * time.Second
 	// admissionRetryAfter is sent if the admission controller gives no time to wait before a retry.
@@ -93,6 +95,7 @@
 	requests    metrics.Meter
 	refused     metrics.Counter
 	firstToken  metrics.Timer
+	bodies      *requestbody.Reader
 	maxBody     int64
 	maxTokens   int
 }
@@ -135,6 +138,11 @@
 	return func(s *Server) { s.maxBody = n }
 }
 
+// WithBodies sets the reader of request bodies. By default all bodies together are limited to DefaultBodyBudget.
+func WithBodies(r *requestbody.Reader) Option {
+	return func(s *Server) { s.bodies = r }
+}
+
 // WithMaxTokens limits the output tokens of a request, also of a request that sets no limit itself.
 func WithMaxTokens(n int) Option {
 	return func(s *Server) { s.maxTokens = n }
@@ -145,7 +153,7 @@
 	s := &Server{
 		snapshot: snapshot, runner: runner, services: services, admission: unlimitedAdmission{}, drain: &drain.Counter{},
 		fingerprint: defaultFingerprint, now: time.Now, logger: &log.DefaultLogger,
-		maxBody: DefaultMaxBodyBytes, maxTokens: DefaultMaxTokens,
+		bodies: requestbody.New(bytebudget.New(DefaultBodyBudget)), maxBody: DefaultMaxBodyBytes, maxTokens: DefaultMaxTokens,
 	}
 	for _, option := range options {
 		option(s)
@@ -165,6 +173,7 @@
 	x := newExchange(s, w, r)
 	w.Header().Set("X-Request-Id", x.id)
 	err := s.serve(x)
+	x.held.Release()
 	if err != nil {
 		x.sendRefusal(refusal.FromError(err))
 	}
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -26,6 +26,8 @@
 	// because they occupy capacity for longer.
 	minUnaryRetryAfter  = 400 * time.Millisecond
 	minStreamRetryAfter = 800 * time.Millisecond
+	// writeGrace is how long after its deadline a response may still be written. A client that does not read blocks the writing.
+	writeGrace = 5 * time.Second
 )
 
 // Server serves requests. It is safe for concurrent use.
@@ -148,6 +150,7 @@
 	active := &activeRequest{Request: request, server: s}
 	err := active.admit()
 	if err == nil {
+		_ = http.NewResponseController(w).SetWriteDeadline(active.deadline.Add(writeGrace)) // Only response writers of tests lack deadlines.
 		deadlineCtx, cancel := context.WithDeadline(ctx, active.deadline)
 		stop := context.AfterFunc(s.running, cancel)
 		s.retryBudget.RecordRequest(active.service.Name, request.ReceivedAt)
