Decide which requests get the room that targets have

What callers saw: with more load than targets have memory for, chance decided who was served.

Cause: a stream that finds no room asks again each 40 ms until 0.6 of its goal has passed; nothing orders those who ask, and Retry-After does not follow the load.

Change: pkg/decision/room gives each request a position by rank (priority, then that of its route), work and lost goals, and keeps a cutoff behind which requests are refused at once. Instances move towards each other's cutoffs, which status updates carry. Less urgent ranks leave headroom while requests are turned away. Retry-After grows with the fraction of requests that are turned away for want of room. No rank and no size is starved. It takes effect for services whose routes declare a goal for events.

Tests: load without a network, 10 and 99 instances, 1 to 4 times the load, against the same load without an order; any order of events; a proxy with an urgent and a less urgent route.

--- a/pkg/catalogue/catalogue.go
+++ b/pkg/catalogue/catalogue.go
@@ -88,6 +88,26 @@
 	Name           string
 	MaxConnections int // MaxConnections limits the connections to one target from all clients.
 	Engine         *Engine
+	// Ranks lists the ranks that requests for the service can have, the most urgent first. New sets it.
+	Ranks []Rank
+}
+
+// Rank orders requests for a service: by their priority, and those of the same priority by that of their route, where their workspace's
+// priority overrides it.
+type Rank struct {
+	Priority int
+	Route    int // Route is the priority of the route.
+}
+
+// Compare orders ranks, the most urgent first.
+func (r Rank) Compare(other Rank) int {
+	return cmp.Or(cmp.Compare(r.Priority, other.Priority), cmp.Compare(r.Route, other.Route))
+}
+
+// RankIndex returns the index of a rank in Ranks.
+func (s *Service) RankIndex(r Rank) int {
+	index, _ := slices.BinarySearchFunc(s.Ranks, r, Rank.Compare)
+	return index
 }
 
 // Workspace is one tenant of the system, which authenticates with API keys.
@@ -140,9 +160,40 @@
 	if err := findings.Err(); err != nil {
 		return nil, err
 	}
+	c.setRanks(routes, workspaces)
 	return c, nil
 }
 
+// setRanks sets the ranks of all services.
+func (c *Catalogue) setRanks(routes []Route, workspaces []Workspace) {
+	overriding := make(map[int]bool)
+	for _, w := range workspaces {
+		if w.HasPriority {
+			overriding[w.Priority] = true
+		}
+	}
+	routePriorities := make(map[*Service]map[int]bool, len(c.services))
+	for _, r := range routes {
+		for _, s := range r.WeightedServices {
+			service := c.services[s.Service]
+			if routePriorities[service] == nil {
+				routePriorities[service] = make(map[int]bool)
+			}
+			routePriorities[service][r.Priority] = true
+		}
+	}
+	for service, priorities := range routePriorities {
+		for p := range priorities {
+			service.Ranks = append(service.Ranks, Rank{Priority: p, Route: p})
+			for w := range overriding {
+				service.Ranks = append(service.Ranks, Rank{Priority: w, Route: p})
+			}
+		}
+		slices.SortFunc(service.Ranks, Rank.Compare)
+		service.Ranks = slices.Compact(service.Ranks)
+	}
+}
+
 func (c *Catalogue) validateRoute(r *Route, findings *finding.List) {
 	path := "Routes." + r.Name
 	if len(r.WeightedServices) == 0 {
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -145,6 +145,9 @@
 	u.HasLoads = true
 	u.LinksFailed = p.gateway.hasLostLinks()
 	u.Loads = sampleLoads(p.gateway.targetStats.LocalLoads())
+	for service, cutoff := range p.gateway.server.RoomReports(now) {
+		u.Rooms = append(u.Rooms, &instancepb.RoomReport{Service: service, Cutoff: float32(cutoff)})
+	}
 	p.send(others, u)
 	p.sendRequestLimits(others, now)
 }
--- a/pkg/gateway/receive.go
+++ b/pkg/gateway/receive.go
@@ -24,6 +24,9 @@
 		g.targetStats.SetRemoteLoads(from.String(), loads, now)
 		p.relays.RecordLinks(from, u.GetLinksFailed(), now)
 	}
+	for _, r := range u.GetRooms() {
+		g.server.AddRoomReport(r.GetService(), float64(r.GetCutoff()), now)
+	}
 	p.receiveVerdicts(u)
 	p.receiveSuspects(u)
 	if rows := u.GetTargets(); len(rows) > 0 && g.targetsLoaded.Load() {
--- a/pkg/gateway/state.go
+++ b/pkg/gateway/state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
+	"github.com/cuminroute/cuminroute/pkg/decision/room"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
@@ -27,6 +28,8 @@
 	HoldsLease       bool                `json:"Leads"`    // HoldsLease reports whether the instance holds the lease for assignments.
 	Members          []membership.Member `json:"Members"`
 	Targets          []TargetState       `json:"Targets"`
+	// Room holds the state of the decision on the room of targets, by service.
+	Room map[string]room.State `json:"Room"`
 }
 
 // TargetState is an instance's view of one target.
@@ -45,6 +48,7 @@
 	state := State{
 		Instance: g.settings.Instance, DataCentre: g.settings.DataCentre, Ready: g.Ready(), Stopping: g.stopping.Load(),
 		Running: g.requests.Running(), WatchesStore: g.peers.isWatcher(), HoldsLease: g.leader.holds(), Members: g.peers.node.Members(),
+		Room: g.server.RoomStates(now),
 	}
 	version, at := g.cache.configurationVersion()
 	state.Version, state.Revision, state.Era = version, at.Number, at.Era
--- a/pkg/proxy/active_request.go
+++ b/pkg/proxy/active_request.go
@@ -30,6 +30,7 @@
 	crossDataCentreHops int           // crossDataCentreHops is the number of cross-data-centre hops of the last attempt's path.
 	firstEventLatency   time.Duration // firstEventLatency is the time to the first event.
 	eventCount          atomic.Int64  // eventCount is written by the handler and also read when the path is changed.
+	roomRequest         *roomRequest  // roomRequest is nil if the request takes no part in the decision on room.
 	longestGap          time.Duration // longestGap is the longest gap between two events.
 	resumes             int
 	pathChanges         atomic.Int32
--- a/pkg/proxy/active_stream.go
+++ b/pkg/proxy/active_stream.go
@@ -46,6 +46,7 @@
 }
 
 func newActiveStream(r *activeRequest, w http.ResponseWriter) *activeStream {
+	r.roomRequest = r.newRoomRequest()
 	s := &activeStream{activeRequest: r, writer: w, control: http.NewResponseController(w), lastEventAt: time.Now()}
 	s.stallTimer = time.AfterFunc(time.Hour, func() { r.server.detector.streamStalled(s) })
 	r.server.detector.add(s)
--- a/pkg/proxy/failure.go
+++ b/pkg/proxy/failure.go
@@ -67,7 +67,7 @@
 	if r.mayHaveRunAnywhere() {
 		return unknownError(code, message, cause)
 	}
-	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, "%s", message).WithCause(cause).WithRetryAfter(r.server.retryAfter(r.service))
+	return refusal.New(http.StatusServiceUnavailable, code, outcome.NotRun, "%s", message).WithCause(cause).WithRetryAfter(r.retryAfter(cause))
 }
 
 // unknownError returns the final error of a request that a target may have run.
--- a/pkg/proxy/fakes_test.go
+++ b/pkg/proxy/fakes_test.go
@@ -142,6 +142,8 @@
 		{Name: "book", Prefix: "/book/", Kind: catalogue.NonIdempotent, MaxAttempts: 1, WeightedServices: []catalogue.WeightedService{{Service: "desk"}}},
 		{Name: "plan", Prefix: "/plan/", Kind: catalogue.Streaming, Resumable: true, MaxAttempts: 2, WeightedServices: []catalogue.WeightedService{{Service: "model"}}},
 		{Name: "chat", Prefix: "/chat/", Kind: catalogue.Streaming, MaxAttempts: 2, WeightedServices: []catalogue.WeightedService{{Service: "model"}}},
+		{Name: "urgent", Prefix: "/urgent/", Kind: catalogue.Streaming, MaxAttempts: 2, Priority: 0, EventGapGoal: time.Second, WeightedServices: []catalogue.WeightedService{{Service: "model"}}},
+		{Name: "later", Prefix: "/later/", Kind: catalogue.Streaming, MaxAttempts: 2, Priority: 2, EventGapGoal: time.Second, WeightedServices: []catalogue.WeightedService{{Service: "model"}}},
 		{Name: "open", Prefix: "/open/", Kind: catalogue.NonIdempotent, MaxAttempts: 1, Public: true, WeightedServices: []catalogue.WeightedService{{Service: "desk"}}},
 	}
 	for i := range routes {
--- a/pkg/proxy/find_path.go
+++ b/pkg/proxy/find_path.go
@@ -45,7 +45,7 @@
 func (s *activeStream) findUnlimitedPath(q path.Request) (path.Path, error) {
 	q.Excluded = s.isExcluded
 	if !s.headerSent {
-		q.MaxUtilization = s.server.memoryLimit.Utilization(time.Now())
+		q.MaxUtilization = s.utilization(time.Now())
 	}
 	if s.targetLimitReached() {
 		allowed := q.FirstAllowed
--- a/pkg/proxy/result.go
+++ b/pkg/proxy/result.go
@@ -63,6 +63,10 @@
 		entry = entry.Dur("First", r.firstEventLatency).Int64("Events", r.eventCount.Load()).Dur("LongestPause", r.longestGap).
 			Int("Crossings", r.crossDataCentreHops).Int("Resumes", r.resumes).Int32("Repaths", r.pathChanges.Load())
 	}
+	if r.roomRequest != nil {
+		entry = entry.Float64("Position", r.roomRequest.place.Position).Dur("WaitedForRoom", r.roomRequest.waitedFor).
+			Float64("Cutoff", r.roomRequest.room.State(time.Now()).Cutoff)
+	}
 	var refused *refusal.Error
 	switch {
 	case err == nil:
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -10,12 +10,12 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/cuminroute/cuminroute/pkg/catalogue"
 	"github.com/cuminroute/cuminroute/pkg/decision/linkbudget"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
 	"github.com/cuminroute/cuminroute/pkg/decision/memorylimit"
 	"github.com/cuminroute/cuminroute/pkg/decision/requestlimit"
 	"github.com/cuminroute/cuminroute/pkg/decision/retry"
+	"github.com/cuminroute/cuminroute/pkg/decision/room"
 	"github.com/cuminroute/cuminroute/pkg/decision/targetstats"
 	"github.com/cuminroute/cuminroute/pkg/quarantinesync"
 	"github.com/cuminroute/cuminroute/pkg/target"
@@ -42,6 +42,7 @@
 	requestLimiter *requestlimit.Limiter
 	dataCentre     string
 	logger         *log.Logger
+	registry       metrics.Registry
 	counters       counters
 	detector       *failureDetector
 	mustEndBy      func() time.Time
@@ -50,6 +51,7 @@
 
 	mu     sync.Mutex
 	random *rand.Rand
+	rooms  map[string]*room.Room // rooms holds the decision on the room of each service's targets.
 }
 
 // Option configures a Server.
@@ -87,7 +89,7 @@
 
 // WithRegistry sets the metrics registry.
 func WithRegistry(r metrics.Registry) Option {
-	return func(s *Server) { s.counters = newCounters(r) }
+	return func(s *Server) { s.counters, s.registry = newCounters(r), r }
 }
 
 // WithStop sets the function that returns when the requests of a stopping instance must have ended at the latest, or zero if
@@ -134,7 +136,7 @@
 		requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()),
 		crashTracker:   quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
 		mustEndBy: func() time.Time { return time.Time{} },
-		counters:  newCounters(metrics.NewRegistry()), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		counters:  newCounters(metrics.NewRegistry()), registry: metrics.NewRegistry(), rooms: make(map[string]*room.Room), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.running, s.endRequests = context.WithCancel(context.Background())
 	s.detector = newFailureDetector(s)
@@ -180,14 +182,17 @@
 	return s.stats.IsDead(name, now) || s.stats.Saturated(name, now)
 }
 
-// retryAfter returns the Retry-After of a refusal for lack of capacity: short because overload is usually brief, and
-// with jitter so that clients do not retry at the same time.
-func (s *Server) retryAfter(service *catalogue.Service) time.Duration {
+// retryAfter returns the Retry-After of a refusal for a cause, with jitter so that clients do not retry at the same time. It is short,
+// because overload is usually brief, unless targets lack room, of which the decision on room knows more.
+func (r *activeRequest) retryAfter(cause error) time.Duration {
 	base := minUnaryRetryAfter
-	if service.Engine != nil {
+	if r.service.Engine != nil {
 		base = minStreamRetryAfter
 	}
-	return base + time.Duration(s.randomFloat()*float64(base))
+	if r.roomRequest != nil && lacksRoom(cause) {
+		return r.roomRequest.room.RetryAfter(base, time.Until(r.deadline), time.Now())
+	}
+	return base + time.Duration(r.server.randomFloat()*float64(base))
 }
 
 // randomFloat returns a random number in [0, 1).
--- a/pkg/proxy/stream.go
+++ b/pkg/proxy/stream.go
@@ -18,6 +18,8 @@
 	maxResumes = 6
 	// pathRetryInterval is the time between two attempts to find a path.
 	pathRetryInterval = 40 * time.Millisecond
+	// latePathRetryInterval is the same time for a stream whose goal is lost.
+	latePathRetryInterval = 160 * time.Millisecond
 	// maxQueueFraction is the fraction of the route's latency goal that a request may wait for capacity.
 	maxQueueFraction = 0.6
 	// resumePriority is the priority of resumed streams at targets, before all others: in the middle of a response,
@@ -53,6 +55,9 @@
 func (r *activeRequest) serveStream(ctx context.Context, w http.ResponseWriter) error {
 	s := newActiveStream(r, w)
 	defer s.end()
+	if err := s.admitToRoom(); err != nil {
+		return err
+	}
 	for {
 		response, err := s.open(ctx)
 		if err != nil {
@@ -124,6 +129,9 @@
 			if errorx.IsOfType(err, requestLimited) {
 				return nil, s.refuseLimited(err)
 			}
+			if lacksRoom(err) {
+				s.roomDecided(false)
+			}
 			return nil, s.refuse("no_path", "no targets have room for the request on all layers", err)
 		}
 		if !p.Complete(s.service.Engine.Layers) {
@@ -138,6 +146,7 @@
 		}
 		response, err := s.send(ctx, p)
 		if err == nil {
+			s.roomDecided(true)
 			return response, nil
 		}
 		if ctx.Err() != nil {
@@ -169,19 +178,28 @@
 }
 
 // waitToRetry waits for pathRetryInterval and refreshes the snapshot, and reports whether another attempt to find a
-// path is allowed. A stream whose response header was not sent waits only for capacity, and only within
-// maxQueueFraction of the latency goal.
+// path is allowed. A stream whose response header was not sent waits only for capacity, and only for as long as the decision on room
+// allows.
 func (s *activeStream) waitToRetry(ctx context.Context, cause error) bool {
-	if !s.headerSent && (!errorx.IsOfType(cause, path.NoCapacity) || time.Since(s.ReceivedAt) > time.Duration(maxQueueFraction*float64(s.route.LatencyGoal))) {
+	if !s.headerSent && (!errorx.IsOfType(cause, path.NoCapacity) || !s.mayWaitForRoom(time.Now())) {
 		return false
 	}
-	if sleep.For(ctx, pathRetryInterval) != nil {
+	if sleep.For(ctx, s.pathRetryInterval()) != nil {
 		return false
 	}
 	s.refreshSnapshot()
 	return true
 }
 
+// pathRetryInterval returns the time to the next attempt to find a path. Streams that can still meet their goal look for room more
+// often than those whose goal is lost, and so find it first.
+func (s *activeStream) pathRetryInterval() time.Duration {
+	if r := s.roomRequest; r != nil && !s.headerSent && r.request.GoalLost() {
+		return latePathRetryInterval
+	}
+	return pathRetryInterval
+}
+
 // refreshSnapshot replaces the request's snapshot by the newest snapshot, unless the newest lacks the request's
 // service.
 func (r *activeRequest) refreshSnapshot() {
