Serve again at once when the store answers after an outage

What callers saw: after an outage of the store in which calls got no answer, requests were refused as stale_configuration for 1.8 s more, then by targets that had left or lost their layers meanwhile, which were chosen again and again, for two more seconds.

Cause: a call that was sent during the outage hangs until its timeout of 1.5 s, and an instance in such a call asks no other one; watchers then wait up to 1.2 s. A target that refuses a request is avoided for 0.15 s only.

Change: watchers ask a silent store with 0.5 s and a mean backoff of 0.2 s at most. The first answer is told to all instances (StoreRegained in status updates), and those with a stale configuration ask the sender for a confirmation at once. A target that refuses although it has room is ejected for 0.25 s, twice as long each time (targetstats).

--- a/pkg/decision/targetstats/tracker.go
+++ b/pkg/decision/targetstats/tracker.go
@@ -6,6 +6,8 @@
 // A target may fail or crash while its health check succeeds, so a failed target is ejected: requests avoid it. The
 // ejection ends with the target's first successful response, or after a time that doubles with each consecutive failure.
 //
+// A target that refuses requests without need is ejected too, for longer each time.
+//
 // A target that refuses a request for lack of capacity is saturated. A saturated target works, so it is not ejected, but
 // for saturatedTime its estimated times are multiplied by saturatedSlowdown.
 //
@@ -40,6 +42,8 @@
 	saturatedTime = 150 * time.Millisecond
 	// saturatedSlowdown multiplies the estimated times of a saturated target.
 	saturatedSlowdown = 6
+	// refusalMemory is how long after the end of its ejection a target that refuses again counts as refusing still.
+	refusalMemory = 2 * time.Second
 	// latencyWeight is the weight of a new response in the smoothed latency.
 	latencyWeight = 0.1
 	// failureWeight is the weight of a new outcome in the smoothed failure rate.
@@ -58,8 +62,10 @@
 	ejectedUntil   time.Time
 	saturatedUntil time.Time
 	deadUntil      time.Time
-	failures       int     // failures counts the failures since the last successful response.
-	failureRate    float64 // failureRate is the smoothed ratio of failed requests.
+	refusals       int       // refusals counts the refusals without need in a row.
+	refusedUntil   time.Time // refusedUntil is when the ejection for the last of them ends.
+	failures       int       // failures counts the failures since the last successful response.
+	failureRate    float64   // failureRate is the smoothed ratio of failed requests.
 	latency        time.Duration
 }
 
@@ -249,6 +255,25 @@
 	s.saturatedUntil = now.Add(saturatedTime)
 }
 
+// RecordNeedlessRefusal records that the target refused a request although it has room, as far as is known: it is leaving, has lost its
+// layers, or passes requests on to a target that is dead. It is ejected, twice as long each time that it refuses again soon after.
+func (t *Tracker) RecordNeedlessRefusal(name string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.getOrCreate(name)
+	if now.Before(s.refusedUntil) {
+		return // Requests that were under way together count once.
+	}
+	if now.Sub(s.refusedUntil) > refusalMemory {
+		s.refusals = 0
+	}
+	s.refusedUntil = now.Add(min(baseEjectionTime<<min(s.refusals, 8), maxEjectionTime))
+	s.refusals++
+	if s.refusedUntil.After(s.ejectedUntil) {
+		s.ejectedUntil = s.refusedUntil
+	}
+}
+
 // Saturated reports whether the target refused a request less than saturatedTime before now.
 func (t *Tracker) Saturated(name string, now time.Time) bool {
 	t.mu.Lock()
--- a/pkg/decision/targetstats/tracker_test.go
+++ b/pkg/decision/targetstats/tracker_test.go
@@ -73,6 +73,29 @@
 	qt.Assert(t, tracker.Saturated("w", start.Add(time.Second)), qt.IsFalse)
 }
 
+// TestRecordNeedlessRefusal guards against choosing a target again and again that refuses all requests, and against avoiding it for long
+// after refusals that came together or long ago.
+func TestRecordNeedlessRefusal(t *testing.T) {
+	tracker := targetstats.New()
+	now := start
+	for range 20 {
+		tracker.RecordNeedlessRefusal("w", now) // Requests that were under way together.
+	}
+	qt.Assert(t, tracker.Ejected("w", now.Add(200*time.Millisecond)), qt.IsTrue)
+	qt.Assert(t, tracker.Ejected("w", now.Add(300*time.Millisecond)), qt.IsFalse)
+	refusals := 0
+	for end := now.Add(8 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		if !tracker.Ejected("w", now) {
+			tracker.RecordNeedlessRefusal("w", now)
+			refusals++
+		}
+	}
+	qt.Check(t, refusals <= 6, qt.IsTrue, qt.Commentf("%d requests went to a target that refuses all", refusals))
+	now = now.Add(10 * time.Second)
+	tracker.RecordNeedlessRefusal("w", now)
+	qt.Check(t, tracker.Ejected("w", now.Add(300*time.Millisecond)), qt.IsFalse)
+}
+
 // TestRetain guards against memory that grows with each target that was ever recorded, and against removing the load of
 // an unknown target that still runs requests.
 func TestRetain(t *testing.T) {
--- a/pkg/gateway/confirm.go
+++ b/pkg/gateway/confirm.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/netip"
+	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/peer/instance"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
@@ -53,3 +54,40 @@
 	}
 	p.send(asked, &instancepb.StatusUpdate{Question: int64(timeSinceBoot())})
 }
+
+const (
+	// regainedInterval is how long an instance does not tell the others that the store answers again, after another one has done so.
+	regainedInterval = 2 * time.Second
+	// questionInterval is the shortest time between two requests for a confirmation that answer such messages.
+	questionInterval = 100 * time.Millisecond
+)
+
+// sendRegained tells all instances that the store answers again, so that those with a stale configuration ask this one for a
+// confirmation. An instance that is not a watcher leaves it to others if one has done so.
+func (p *peers) sendRegained(now time.Time) {
+	p.mu.Lock()
+	told := now.Sub(p.regainedAt) < regainedInterval
+	p.regainedAt = now
+	p.mu.Unlock()
+	if told && !p.isWatcher() {
+		return
+	}
+	u := p.status()
+	u.StoreRegained = true
+	p.send(addressesOf(p.others()), u)
+}
+
+// receiveRegained asks an instance to which the store answers again for a confirmation, if the own one is not recent.
+func (p *peers) receiveRegained(from netip.AddrPort, now time.Time) {
+	age, confirmed := p.gateway.cache.confirmationAge()
+	p.mu.Lock()
+	p.regainedAt = now
+	ask := (!confirmed || age > confirmAfter) && now.Sub(p.questionAt) >= questionInterval
+	if ask {
+		p.questionAt = now
+	}
+	p.mu.Unlock()
+	if ask {
+		p.send([]netip.AddrPort{from}, &instancepb.StatusUpdate{Question: int64(timeSinceBoot())})
+	}
+}
--- a/pkg/gateway/peers.go
+++ b/pkg/gateway/peers.go
@@ -65,6 +65,9 @@
 	leaseSeenAt    time.Time                    // leaseSeenAt is when the row of the lease was last received.
 	leaseRow       *instancepb.Row              // leaseRow is the row of the lease as last received.
 	wake           chan struct{}                // wake wakes watchConfiguration.
+	// regainedAt is when this or another instance last told that the store answers again, and questionAt when this one last asked for a
+	// confirmation upon that.
+	regainedAt, questionAt time.Time
 }
 
 func newPeers(g *Gateway) *peers {
--- a/pkg/gateway/receive.go
+++ b/pkg/gateway/receive.go
@@ -55,6 +55,9 @@
 		p.compareDigest(d, now)
 	}
 	p.receiveConfirmation(from, u)
+	if u.GetStoreRegained() {
+		p.receiveRegained(from, now)
+	}
 }
 
 // leaseSeen reports whether the row of the lease was received within the last two status intervals.
--- a/pkg/gateway/watch.go
+++ b/pkg/gateway/watch.go
@@ -39,6 +39,11 @@
 	storeFailureTick = 50 * time.Millisecond
 	// callSpacing is the mean time between two calls of a fleet whose instances lack a confirmation of the configuration.
 	callSpacing = 50 * time.Millisecond
+	// watcherBackoff is the largest mean delay of a watcher after a failed read of the configuration: the others wait for it.
+	watcherBackoff = 200 * time.Millisecond
+	// silentStoreTimeout bounds a watcher's reads of the configuration while the store is silent. Other instances keep the usual timeout,
+	// since the store may be slow instead.
+	silentStoreTimeout = 500 * time.Millisecond
 	// minBackoff and maxBackoff bound the mean delay after a failed call.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = 800 * time.Millisecond
@@ -70,18 +75,20 @@
 func (g *Gateway) watchConfiguration(ctx context.Context) {
 	var after revision.Revision // after is the revision up to which changes were read; zero means that the whole is to be read.
 	var retry backoff
+	failures := 0 // failures counts the failed reads since the last answer.
 	for ctx.Err() == nil {
 		if !g.awaitConfigurationDue(ctx) {
 			continue
 		}
 		startedAt := timeSinceBoot()
-		change, err := g.readConfiguration(ctx, after)
+		change, err := g.readConfiguration(ctx, after, failures)
 		g.logStoreState("Configuration", err)
 		if errors.Is(err, ErrCompacted) {
 			after = revision.Revision{}
 			continue
 		}
 		if err != nil {
+			failures++
 			failedAt := time.Now()
 			g.storeFailedAt.Store(&failedAt)
 			g.peers.sendDisconnected()
@@ -107,7 +114,11 @@
 		if confirmed {
 			g.cache.confirm(startedAt)
 			retry.reset()
+			if failures > 0 {
+				g.peers.sendRegained(time.Now())
+			}
 		}
+		failures = 0
 		if version != before || !activeRevision.SameEra(revisionBefore) {
 			g.peers.sendRevision()
 		}
@@ -122,7 +133,7 @@
 // succeeds lets the others ask the instance that made it.
 func (g *Gateway) longestBackoff() time.Duration {
 	if g.peers.isWatcher() {
-		return maxBackoff
+		return watcherBackoff
 	}
 	return max(maxBackoff, time.Duration(len(g.peers.node.Members()))*callSpacing)
 }
@@ -164,8 +175,14 @@
 	return false
 }
 
-// readConfiguration reads the configuration from the store. Only a watcher waits for a change.
-func (g *Gateway) readConfiguration(ctx context.Context, after revision.Revision) (Change, error) {
+// readConfiguration reads the configuration from the store, after a number of failures in a row. Only a watcher waits for a change.
+func (g *Gateway) readConfiguration(ctx context.Context, after revision.Revision, failures int) (Change, error) {
+	if failures > 0 && g.peers.isWatcher() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, silentStoreTimeout)
+		defer cancel()
+		return g.platform.Store.Configuration(ctx) // It answers at once, unlike a watch.
+	}
 	switch {
 	case !after.Exists():
 		return g.platform.Store.Configuration(ctx)
--- a/pkg/proxy/failure.go
+++ b/pkg/proxy/failure.go
@@ -107,8 +107,11 @@
 	r.exclude(failed.Name)
 	if attemptErr.Refused && !attemptErr.Misdirected {
 		r.server.stats.RecordRefusal(failed.Name, now)
-		if r.isNearlyFull(failed) {
+		switch {
+		case r.isNearlyFull(failed):
 			r.server.memoryLimit.Refused(now)
+		case r.service.Engine != nil:
+			r.server.stats.RecordNeedlessRefusal(failed.Name, now)
 		}
 	} else {
 		r.server.stats.RecordFailure(failed.Name, now)
