proxy: Keep the decisions on room under a lock of their own

Cause: the states and reports of rooms were read under the lock of the random source, which path finding holds, and took the lock of each room while holding it.

Change: a set with its own lock, which is not held while a room is asked.

--- a/pkg/proxy/room.go
+++ b/pkg/proxy/room.go
@@ -2,8 +2,10 @@
 
 import (
 	"errors"
+	"maps"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,24 +33,35 @@
 	waitedFor time.Duration // waitedFor is the time from the receipt of the stream's request to the last attempt to find room.
 }
 
-// roomFor returns the decision on the room of a service's targets.
-func (s *Server) roomFor(service string) *room.Room {
+// roomSet holds the decision on the room of each service's targets. It is safe for concurrent use.
+type roomSet struct {
+	mu    sync.Mutex
+	rooms map[string]*room.Room
+}
+
+// get returns the decision for a service. It creates one if there is none.
+func (s *roomSet) get(service string) *room.Room {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.rooms[service]
 	if r == nil {
-		r = room.New(rand.New(rand.NewPCG(s.random.Uint64(), s.random.Uint64())))
+		r = room.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 		s.rooms[service] = r
 	}
 	return r
 }
 
-// RoomStates returns the state of the decision on room of each service that has one.
-func (s *Server) RoomStates(now time.Time) map[string]room.State {
+// all returns the decisions of all services.
+func (s *roomSet) all() map[string]*room.Room {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	states := make(map[string]room.State, len(s.rooms))
-	for service, r := range s.rooms {
+	return maps.Clone(s.rooms)
+}
+
+// RoomStates returns the state of the decision on room of each service that has one.
+func (s *Server) RoomStates(now time.Time) map[string]room.State {
+	states := make(map[string]room.State)
+	for service, r := range s.rooms.all() {
 		states[service] = r.State(now)
 	}
 	return states
@@ -56,14 +69,9 @@
 
 // RoomReports returns the cutoffs that other instances need, by a hash of the service's name.
 func (s *Server) RoomReports(now time.Time) map[uint64]float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var reports map[uint64]float64
-	for service, r := range s.rooms {
+	reports := make(map[uint64]float64)
+	for service, r := range s.rooms.all() {
 		if cutoff, needed := r.Report(now); needed {
-			if reports == nil {
-				reports = make(map[uint64]float64)
-			}
 			reports[xxhash.Sum64String(service)] = cutoff
 		}
 	}
@@ -73,9 +81,7 @@
 // AddRoomReport takes the cutoff that another instance reports for a service. It is ignored if this instance has had no request for the
 // service.
 func (s *Server) AddRoomReport(service uint64, cutoff float64, now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name, r := range s.rooms {
+	for name, r := range s.rooms.all() {
 		if xxhash.Sum64String(name) == service {
 			r.AddReport(cutoff, now)
 		}
@@ -101,7 +107,7 @@
 	if q.GoalLost() {
 		wait = max(wait, room.MaxLateWait)
 	}
-	decision := r.server.roomFor(r.service.Name)
+	decision := r.server.rooms.get(r.service.Name)
 	return &roomRequest{room: decision, request: q, place: decision.Place(q, r.ReceivedAt), maxWait: wait}
 }
 
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -45,13 +45,13 @@
 	registry       metrics.Registry
 	counters       counters
 	detector       *failureDetector
+	rooms          roomSet
 	mustEndBy      func() time.Time
 	running        context.Context    // running ends when all requests must end.
 	endRequests    context.CancelFunc // endRequests ends running.
 
 	mu     sync.Mutex
 	random *rand.Rand
-	rooms  map[string]*room.Room // rooms holds the decision on the room of each service's targets.
 }
 
 // Option configures a Server.
@@ -136,7 +136,7 @@
 		requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()),
 		crashTracker:   quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
 		mustEndBy: func() time.Time { return time.Time{} },
-		counters:  newCounters(metrics.NewRegistry()), registry: metrics.NewRegistry(), rooms: make(map[string]*room.Room), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		counters:  newCounters(metrics.NewRegistry()), registry: metrics.NewRegistry(), rooms: roomSet{rooms: make(map[string]*room.Room)}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.running, s.endRequests = context.WithCancel(context.Background())
 	s.detector = newFailureDetector(s)
