command: Check a configuration before it is sent

Cause: operators want to know, before a configuration is sent, of entries that can never match and limits that contradict each other, beside the errors and differences that validate and diff show one by one.

It reads the own format; the users' platform checks its own.

Conclusion: the tool covers the own configuration only.

--- a/pkg/command/command_test.go
+++ b/pkg/command/command_test.go
@@ -111,6 +111,11 @@
 		{"validate -bogus x", command.ExitUsage, "not defined"},
 		{"validate -output xml x", command.ExitUsage, "text or json"},
 		{"validate " + exampleConfiguration, command.ExitOK, "no findings"},
+		{"check", command.ExitUsage, "one configuration file"},
+		{"check " + exampleConfiguration, command.ExitOK, "no errors, 0 warnings"},
+		{"check -output json " + exampleConfiguration, command.ExitOK, `"Warnings": []`},
+		{"check -address http://127.0.0.1:1 " + exampleConfiguration, command.ExitUsage, "-address and -key are required"},
+		{"check -output json ../../examples/krpanka/answers.yaml", command.ExitRefused, `"Code": "Invalid"`},
 		{"validate DIR/none.yaml", command.ExitRefused, "no such file"},
 		{"validate -output json ../../examples/krpanka/answers.yaml", command.ExitRefused, `"Code": "Invalid"`},
 		{"explain -workspace none " + exampleConfiguration, command.ExitRefused, "no workspace"},
@@ -141,6 +146,8 @@
 	s.expect("show REMOTE -out DIR/mine.yaml", command.ExitOK, "wrote")
 	s.replaceInFile("mine.yaml", "Timeout: 30s", "Timeout: 31s")
 	s.expect("diff REMOTE DIR/mine.yaml", command.ExitRefused, "+    Timeout: 31s")
+	s.expect("check REMOTE DIR/mine.yaml", command.ExitOK, "+    Timeout: 31s")
+	s.expect("check REMOTE "+exampleConfiguration, command.ExitOK, "no difference to version 1")
 	s.expect("apply REMOTE -id second DIR/mine.yaml", command.ExitOK, "version 2")
 
 	s.expect("apply REMOTE -id third DIR/mine.yaml", command.ExitRefused, "version 2 came first (change second by mara")
--- a/pkg/command/commands.go
+++ b/pkg/command/commands.go
@@ -10,6 +10,7 @@
 	newQuestionnaire,
 	newGenerate,
 	newValidate,
+	newCheck,
 	newExplain,
 	newApply,
 	newShow,
--- a/pkg/command/diff.go
+++ b/pkg/command/diff.go
@@ -47,23 +47,15 @@
 }
 
 func (e *Environment) diff(ctx context.Context, r *remoteFlags, path string) error {
-	client, err := r.client()
-	if err != nil {
-		return err
-	}
 	local, _, err := configuration.Load(path)
 	if err != nil {
 		return e.reportError(err, r.format)
 	}
-	current, err := client.Current(ctx)
-	if err != nil {
-		return e.reportError(err, r.format)
-	}
-	text, err := diffConfigurations(fmt.Sprintf("version %d", current.Head.Version), &current.Configuration, path, local)
+	version, text, err := e.compareWithNewest(ctx, r, path, local)
 	if err != nil {
 		return err
 	}
-	result := diffResult{Version: current.Head.Version, Differs: len(text) > 0, Diff: string(text)}
+	result := diffResult{Version: version, Differs: len(text) > 0, Diff: string(text)}
 	if err := e.writeResult(r.format, result, func() { _, _ = e.Stdout.Write(text) }); err != nil {
 		return err
 	}
@@ -73,6 +65,20 @@
 	return nil
 }
 
+// compareWithNewest returns the newest accepted version and how the configuration of a file differs from it.
+func (e *Environment) compareWithNewest(ctx context.Context, r *remoteFlags, path string, local *configuration.Configuration) (version uint64, text []byte, err error) {
+	client, err := r.client()
+	if err != nil {
+		return 0, nil, err
+	}
+	current, err := client.Current(ctx)
+	if err != nil {
+		return 0, nil, e.reportError(err, r.format)
+	}
+	text, err = diffConfigurations(fmt.Sprintf("version %d", current.Head.Version), &current.Configuration, path, local)
+	return current.Head.Version, text, err
+}
+
 // diffConfigurations returns a diff with context lines, or nil if the configurations are equal.
 func diffConfigurations(oldName string, old *configuration.Configuration, newName string, updated *configuration.Configuration) ([]byte, error) {
 	before, err := configuration.Marshal(normalisedConfiguration(old))
