soak: Open crowds of clients that hold half a body

Cause: the soak did not know the limits on what clients hold.

Change: a fault ClientCrowd, weight 1 of 38: 30 clients send half of a body of 2 MB to an instance and keep the connections open.

--- a/pkg/soak/faults.go
+++ b/pkg/soak/faults.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"net"
+	"strings"
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/peer/operator"
@@ -19,6 +22,9 @@
 	linkSlowdown = 100
 	// crashAttempts is how often a client sends a request that crashes engines.
 	crashAttempts = 3
+	// crowdSize is the number of clients of a ClientCrowd fault, and crowdBody what each of them sends of a body of twice the size.
+	crowdSize = 30
+	crowdBody = 1 << 20
 	// listLag is the delay of the list during a ListLag fault.
 	listLag = 2 * time.Second
 	// changeTimeout limits how long an operator waits for a configuration change.
@@ -41,6 +47,8 @@
 		r.raceConfiguration(f)
 	case CrashingRequest:
 		r.sendCrashing(f)
+	case ClientCrowd:
+		r.holdBodies(f)
 	default:
 		r.injectPlatform(f)
 	}
@@ -221,3 +229,30 @@
 		r.recordVersion(versionObservation{at: time.Now(), version: head.Version, id: id})
 	}
 }
+
+// holdBodies opens connections to an instance whose bodies stop halfway, and keeps them for the duration of the fault.
+func (r *run) holdBodies(f fault) {
+	instances := r.fleet.Ready()
+	if len(instances) == 0 {
+		return
+	}
+	address := instances[f.selector%len(instances)].ClientAddress().String()
+	var crowd []net.Conn
+	defer func() {
+		for _, c := range crowd {
+			_ = c.Close()
+		}
+	}()
+	head := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: soak\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n",
+		fleet.ClientKey(0), 2*crowdBody)
+	for range crowdSize {
+		c, err := net.DialTimeout("tcp", address, time.Second)
+		if err != nil {
+			break // The instance has ended, or accepts no more connections.
+		}
+		crowd = append(crowd, c)
+		_ = c.SetWriteDeadline(time.Now().Add(f.duration))
+		_, _ = io.WriteString(c, head+strings.Repeat("b", crowdBody)) // The instance may refuse the body.
+	}
+	_ = sleep.For(r.ctx, f.duration) // The run may end earlier.
+}
--- a/pkg/soak/schedule.go
+++ b/pkg/soak/schedule.go
@@ -26,6 +26,7 @@
 	ServiceFreeze     FaultKind = "ServiceFreeze"
 	ConfigurationRace FaultKind = "ConfigurationRace"
 	CrashingRequest   FaultKind = "CrashingRequest"
+	ClientCrowd       FaultKind = "ClientCrowd"
 	Resend            FaultKind = "Resend" // Resend is drawn with the requests and isn't scheduled.
 )
 
@@ -50,6 +51,7 @@
 	{ServiceFreeze, 2},
 	{ConfigurationRace, 5},
 	{CrashingRequest, 1},
+	{ClientCrowd, 1},
 }
 
 const (
