platform: Leave the times of refused bodies and responses to the product

Change: the Retry-After of a body without room and the time to read a body are those of pkg/requestbody, for both front ends; the write timeout is the server's.

--- a/pkg/gateway/clients.go
+++ b/pkg/gateway/clients.go
@@ -26,6 +26,9 @@
 	descriptorFraction = 0.75
 	// closingFraction is the number of connections that may be in the course of being closed, as a fraction of those that may be open.
 	closingFraction = 0.25
+	// writeTimeout bounds the time from the end of a request's header to that of a response to a request that is not served. Requests that
+	// are served set a deadline of their own.
+	writeTimeout = 2 * requestbody.MaxReadTime
 	// clientReportInterval is how often it is logged that clients had to give way.
 	clientReportInterval = time.Second
 )
@@ -47,6 +50,7 @@
 	budget := bytebudget.New(bodyBytes)
 	limited := listener.NewLimitedListener(g.clientListener, connections+max(int(closingFraction*float64(connections)), 1))
 	server := newHTTPServer(limited)
+	server.WriteTimeout = writeTimeout
 	server.Handler = g.platform.NewHandler(g.server, g.limits, g.trackRequest, requestbody.New(budget))
 	server.ErrorLog = g.logger.Std("", 0)
 	reaper := listener.NewConnReaper(ctx, server.Server, g.timeouts,
--- a/pkg/peer/caller/exchange.go
+++ b/pkg/peer/caller/exchange.go
@@ -126,7 +126,7 @@
 	case errors.Is(err, requestbody.ErrNoRoom):
 		x.writer.Header().Set("Connection", "close") // The rest of the body may be on its way.
 		return nil, refusal.New(http.StatusServiceUnavailable, "no_memory", outcome.NotRun,
-			"this instance has no room for the body").WithCause(err).WithRetryAfter(time.Second)
+			"this instance has no room for the body").WithCause(err).WithRetryAfter(requestbody.NoRoomRetryAfter)
 	default:
 		x.writer.Header().Set("Connection", "close")
 		return nil, refusal.New(http.StatusBadRequest, "body_unreadable", outcome.NotRun,
--- a/pkg/requestbody/reader.go
+++ b/pkg/requestbody/reader.go
@@ -21,8 +21,11 @@
 )
 
 const (
-	// maxReadTime bounds the time to read a body.
-	maxReadTime = 30 * time.Second
+	// MaxReadTime bounds the time to read a body.
+	MaxReadTime = 30 * time.Second
+	// NoRoomRetryAfter is the Retry-After of a request for whose body there is no room. It is short because other instances have room of
+	// their own.
+	NoRoomRetryAfter = 500 * time.Millisecond
 	// firstBuffer is the size in bytes of the first buffer of a body.
 	firstBuffer = 4 << 10
 )
@@ -68,7 +71,7 @@
 		return &Body{}, nil
 	}
 	now := time.Now()
-	until := now.Add(maxReadTime)
+	until := now.Add(MaxReadTime)
 	if !deadline.IsZero() && deadline.Before(until) {
 		until = deadline
 	}
