listener: Do not hold the lock while another connection is ended

Cause: the hook that makes room for a connection called into the budget of bodies with its own lock held.

Change: the choice and the end of a connection are steps of their own; the lock is held for each of them alone.

Measured: the tests of pkg/listener pass with the race detector.

--- a/pkg/listener/reaper.go
+++ b/pkg/listener/reaper.go
@@ -83,17 +83,26 @@
 	return r
 }
 
-// trackState is the server's ConnState hook. It records which connections wait for a request.
+// trackState is the server's ConnState hook. It records which connections wait for a request, and makes room if there are too many.
 func (r *ConnReaper) trackState(c net.Conn, state http.ConnState) {
+	if !r.record(c, state) || r.closeLongestWaiting(c) || r.endOther() {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed++
+	r.expire(c)
+}
+
+// record records the state of a connection and reports whether there are too many since it was opened.
+func (r *ConnReaper) record(c net.Conn, state http.ConnState) (tooMany bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch state {
 	case http.StateNew:
 		r.waiting[c] = waitingConn{since: time.Now(), first: true}
 		r.open++
-		if r.maxConns > 0 && r.open > r.maxConns {
-			r.closeOne(c)
-		}
+		return r.maxConns > 0 && r.open > r.maxConns
 	case http.StateClosed, http.StateHijacked:
 		r.open--
 		delete(r.waiting, c)
@@ -108,24 +117,25 @@
 		}
 		delete(r.waiting, c)
 	}
+	return false
 }
 
-// closeOne makes room for the newest connection. The lock must be held.
-func (r *ConnReaper) closeOne(newest net.Conn) {
+// closeLongestWaiting closes the connection that has waited longest for a request, and reports whether there is one beside the newest.
+func (r *ConnReaper) closeLongestWaiting(newest net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	var longest net.Conn
 	for c, w := range r.waiting {
 		if c != newest && !w.expired && (longest == nil || w.since.Before(r.waiting[longest].since)) {
 			longest = c
 		}
 	}
-	if longest == nil && r.endOther() {
-		return
-	}
 	if longest == nil {
-		longest = newest
+		return false
 	}
 	r.closed++
 	r.expire(longest)
+	return true
 }
 
 // expire ends the read in which the server waits for a request on a connection. The lock must be held.
