gateway: Bound the requests that one instance runs

Cause, read from the figures and not traced further: after a restart of all instances the first that is ready gets the requests of all others, and nothing bounds how many it runs.

Change: as many requests as have room in a quarter of the memory at 100 KiB each, else 503 as not run after 0.2 s, since other instances have room. An incomplete body gives way before that, so that clients who stop in the middle of a body keep nobody out.

--- a/pkg/gateway/clients.go
+++ b/pkg/gateway/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
@@ -9,6 +10,8 @@
 
 	"github.com/cuminroute/cuminroute/pkg/decision/bytebudget"
 	"github.com/cuminroute/cuminroute/pkg/listener"
+	"github.com/cuminroute/cuminroute/pkg/outcome"
+	"github.com/cuminroute/cuminroute/pkg/refusal"
 	"github.com/cuminroute/cuminroute/pkg/requestbody"
 )
 
@@ -19,6 +22,13 @@
 	connectionFraction = 0.4
 	// connectionBytes is the memory of a connection whose client sends a header of the largest size that the server reads.
 	connectionBytes = 96 << 10
+	// requestFraction is the fraction of the process's memory that running requests may take up, and requestBytes what each of them takes
+	// up: connections to the client and to a target, their buffers and goroutines.
+	requestFraction = 0.25
+	requestBytes    = 100 << 10
+	// fullRetryAfter is the Retry-After of a request that comes to an instance with too many. It is short because other instances have
+	// room.
+	fullRetryAfter = 200 * time.Millisecond
 	// reservedDescriptors is the number of descriptors that are not available to connections.
 	reservedDescriptors = 200
 	// descriptorFraction is the fraction of the other descriptors that the connections of clients may use. The rest is for
@@ -44,17 +54,36 @@
 	return bodyBytes, connections
 }
 
+// maxRunning returns how many requests may run at a time. After a restart of all instances, the first that is ready gets the requests of
+// all, which would exceed its memory.
+func maxRunning(s Settings) int {
+	return max(int(requestFraction*float64(s.MemoryLimit)/requestBytes), 1)
+}
+
+// fullError returns the refusal of a request while too many run.
+func fullError() error {
+	return refusal.New(http.StatusServiceUnavailable, "instance_full", outcome.NotRun, "this instance runs too many requests").
+		WithRetryAfter(fullRetryAfter)
+}
+
+// endIncompleteRequest ends the request whose incomplete body has held the most for longest, and reports whether there is one: clients
+// that stop in the middle of a body must not keep others out.
+func (g *Gateway) endIncompleteRequest() bool {
+	return g.bodies != nil && g.bodies.EvictWorst(time.Now())
+}
+
 // newClientServer returns the server of client requests, with the limits on what clients hold of the instance's memory and descriptors.
 func (g *Gateway) newClientServer(ctx context.Context) *khttp.Server {
 	bodyBytes, connections := clientLimits(g.settings)
 	budget := bytebudget.New(bodyBytes)
+	g.bodies = budget
 	limited := listener.NewLimitedListener(g.clientListener, connections+max(int(closingFraction*float64(connections)), 1))
 	server := newHTTPServer(limited)
 	server.WriteTimeout = writeTimeout
 	server.Handler = g.platform.NewHandler(g.server, g.limits, g.trackRequest, requestbody.New(budget))
 	server.ErrorLog = g.logger.Std("", 0)
 	reaper := listener.NewConnReaper(ctx, server.Server, g.timeouts,
-		listener.WithMaxConns(limited, connections, func() bool { return budget.EvictWorst(time.Now()) }))
+		listener.WithMaxConns(limited, connections, g.endIncompleteRequest))
 	gauge := func(name string, value func() int64) {
 		_ = g.registry.Register("Clients."+name, metrics.NewFunctionalGauge(value))
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/cuminroute/cuminroute/pkg/decision/bytebudget"
 	"github.com/cuminroute/cuminroute/pkg/decision/crashhistory"
 	"github.com/cuminroute/cuminroute/pkg/decision/linkbudget"
 	"github.com/cuminroute/cuminroute/pkg/decision/membership"
@@ -94,7 +95,10 @@
 	storeFailedAt atomic.Pointer[time.Time] // storeFailedAt is when the last read of the configuration failed; nil if it succeeded.
 	stoppingSince atomic.Pointer[time.Time] // stoppingSince is when the stop was requested.
 
-	requests drain.Counter // requests counts the requests in flight.
+	requests drain.Counter   // requests counts the requests in flight.
+	full     metrics.Counter // full counts the requests that were refused since too many were in flight.
+	// bodies bounds the bodies of the requests; nil before the start.
+	bodies *bytebudget.Budget
 	// runningSinceStop counts those of them that were received after the stop was requested, and lastReceivedAfter is the time from
 	// then to the last such request, in nanoseconds.
 	runningSinceStop, lastReceivedAfter atomic.Int64
@@ -130,6 +134,7 @@
 	for _, o := range options {
 		o(g)
 	}
+	g.full = metrics.GetOrRegisterCounter("Clients.InstanceFull", g.registry)
 	debug.SetMemoryLimit(int64(memoryFraction * float64(settings.MemoryLimit)))
 	g.logQueue = logqueue.New(g.output, logqueue.WithDropCounter(metrics.GetOrRegisterCounter("Log.Dropped", g.registry).Inc))
 	g.logger = newLogger(settings, g.logQueue)
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -7,13 +7,19 @@
 	"github.com/cuminroute/cuminroute/pkg/proxy"
 )
 
-// trackRequest counts a request as in flight until end is called, or refuses it if the instance no longer waits for requests.
+// trackRequest counts a request as in flight until end is called, or refuses it if the instance no longer waits for requests or runs too
+// many.
 // closing reports whether the request's connection must be closed after the response.
 func (g *Gateway) trackRequest() (end func(), closing bool, err error) {
 	leave, err := g.requests.Enter()
 	if err != nil {
 		return func() {}, true, proxy.StoppingError()
 	}
+	if g.requests.Running() > maxRunning(g.settings) && !g.endIncompleteRequest() {
+		leave()
+		g.full.Inc(1)
+		return func() {}, false, fullError()
+	}
 	if !g.stopping.Load() {
 		return leave, false, nil
 	}
