Remove what the bounds on clients and the order for room do not need

Cause, found on reading the whole change again: Hold.Evicted is called by nobody, Usage has field tags though it is never encoded, the gateway passed its budget along beside holding it, a comment speaks of a value that cannot occur, and a server without an own registry had two of them.

Change: these are gone. Behaviour is the same.

--- a/pkg/decision/bytebudget/budget.go
+++ b/pkg/decision/bytebudget/budget.go
@@ -149,13 +149,6 @@
 	return !h.evicted
 }
 
-// Evicted reports whether the body had to give way.
-func (h *Hold) Evicted() bool {
-	h.budget.mu.Lock()
-	defer h.budget.mu.Unlock()
-	return h.evicted
-}
-
 // Release gives all bytes back. Further calls have no effect.
 func (h *Hold) Release() {
 	h.budget.mu.Lock()
@@ -167,11 +160,11 @@
 
 // Usage says how a budget is used.
 type Usage struct {
-	Limit      int64 `json:"Limit"`      // Limit is the number of bytes that may be held.
-	Used       int64 `json:"Used"`       // Used is the number of bytes that are held.
-	Incomplete int   `json:"Incomplete"` // Incomplete is the number of bodies that are being read.
-	Evicted    int64 `json:"Evicted"`    // Evicted counts the bodies that had to give way.
-	Denied     int64 `json:"Denied"`     // Denied counts the bodies for which there was no room.
+	Limit      int64 // Limit is the number of bytes that may be held.
+	Used       int64 // Used is the number of bytes that are held.
+	Incomplete int   // Incomplete is the number of bodies that are being read.
+	Evicted    int64 // Evicted counts the bodies that had to give way.
+	Denied     int64 // Denied counts the bodies for which there was no room.
 }
 
 // Usage returns how the budget is used.
--- a/pkg/gateway/clients.go
+++ b/pkg/gateway/clients.go
@@ -43,8 +43,7 @@
 	clientReportInterval = time.Second
 )
 
-// clientLimits returns how many bytes of bodies and how many connections of clients the instance holds at most. A number of 0
-// connections means any number.
+// clientLimits returns how many bytes of bodies and how many connections of clients the instance holds at most.
 func clientLimits(s Settings) (bodyBytes int64, connections int) {
 	bodyBytes = int64(bodyFraction * float64(s.MemoryLimit))
 	connections = max(int(connectionFraction*float64(s.MemoryLimit)/connectionBytes), 1)
@@ -75,34 +74,33 @@
 // newClientServer returns the server of client requests, with the limits on what clients hold of the instance's memory and descriptors.
 func (g *Gateway) newClientServer(ctx context.Context) *khttp.Server {
 	bodyBytes, connections := clientLimits(g.settings)
-	budget := bytebudget.New(bodyBytes)
-	g.bodies = budget
+	g.bodies = bytebudget.New(bodyBytes)
 	limited := listener.NewLimitedListener(g.clientListener, connections+max(int(closingFraction*float64(connections)), 1))
 	server := newHTTPServer(limited)
 	server.WriteTimeout = writeTimeout
-	server.Handler = g.platform.NewHandler(g.server, g.limits, g.trackRequest, requestbody.New(budget))
+	server.Handler = g.platform.NewHandler(g.server, g.limits, g.trackRequest, requestbody.New(g.bodies))
 	server.ErrorLog = g.logger.Std("", 0)
 	reaper := listener.NewConnReaper(ctx, server.Server, g.timeouts,
 		listener.WithMaxConns(limited, connections, g.endIncompleteRequest))
 	gauge := func(name string, value func() int64) {
 		_ = g.registry.Register("Clients."+name, metrics.NewFunctionalGauge(value))
 	}
-	gauge("BodyBytes", func() int64 { return budget.Usage().Used })
-	gauge("BodiesEvicted", func() int64 { return budget.Usage().Evicted })
-	gauge("BodiesDenied", func() int64 { return budget.Usage().Denied })
+	gauge("BodyBytes", func() int64 { return g.bodies.Usage().Used })
+	gauge("BodiesEvicted", func() int64 { return g.bodies.Usage().Evicted })
+	gauge("BodiesDenied", func() int64 { return g.bodies.Usage().Denied })
 	gauge("Connections", func() int64 { open, _ := reaper.Counts(); return int64(open) })
 	gauge("ConnectionsClosed", func() int64 { _, closed := reaper.Counts(); return closed })
-	go g.reportClients(ctx, budget, reaper)
+	go g.reportClients(ctx, reaper)
 	return server
 }
 
 // reportClients logs when clients had to give way, until ctx ends.
-func (g *Gateway) reportClients(ctx context.Context, budget *bytebudget.Budget, reaper *listener.ConnReaper) {
+func (g *Gateway) reportClients(ctx context.Context, reaper *listener.ConnReaper) {
 	var last bytebudget.Usage
 	lastClosed := int64(0)
 	for ctx.Err() == nil {
 		waitFor(ctx, clientReportInterval)
-		usage := budget.Usage()
+		usage := g.bodies.Usage()
 		open, closed := reaper.Counts()
 		if usage.Evicted != last.Evicted || usage.Denied != last.Denied || closed != lastClosed {
 			g.logger.Warn().Int64("BodyBytes", usage.Used).Int64("BodyLimit", usage.Limit).Int("Incomplete", usage.Incomplete).
--- a/pkg/gateway/shutdown.go
+++ b/pkg/gateway/shutdown.go
@@ -8,8 +8,7 @@
 )
 
 // trackRequest counts a request as in flight until end is called, or refuses it if the instance no longer waits for requests or runs too
-// many.
-// closing reports whether the request's connection must be closed after the response.
+// many. closing reports whether the request's connection must be closed after the response.
 func (g *Gateway) trackRequest() (end func(), closing bool, err error) {
 	leave, err := g.requests.Enter()
 	if err != nil {
--- a/pkg/listener/reaper.go
+++ b/pkg/listener/reaper.go
@@ -24,8 +24,8 @@
 // expiredDeadline is a read deadline in the past.
 var expiredDeadline = time.Unix(1, 0)
 
-// ConnReaper closes the connections of slow and idle clients, and those that are too many. Unlike the timeouts of http.Server, those of a ConnReaper
-// may change while the server runs.
+// ConnReaper closes the connections of slow and idle clients, and those that are too many. Unlike the timeouts of http.Server, those of
+// a ConnReaper may change while the server runs.
 //
 // It ends the read in which the server waits for a request, upon which the server closes the connection. A request that was read
 // already is served: the server reports it only after it has read the whole header, so closing the connection itself would take
--- a/pkg/proxy/server.go
+++ b/pkg/proxy/server.go
@@ -131,12 +131,14 @@
 
 // New returns a server.
 func New(snapshots SnapshotSource, upstream Upstream, stats *targetstats.Tracker, options ...Option) *Server {
+	registry := metrics.NewRegistry()
 	s := &Server{
 		snapshots: snapshots, upstream: upstream, stats: stats, retryBudget: retry.New(), linkBudget: linkbudget.New(), memoryLimit: memorylimit.New(),
 		requestLimiter: requestlimit.New(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), time.Now()),
 		crashTracker:   quarantinesync.New(func([]membership.Item) {}), logger: &log.DefaultLogger,
 		mustEndBy: func() time.Time { return time.Time{} },
-		counters:  newCounters(metrics.NewRegistry()), registry: metrics.NewRegistry(), rooms: roomSet{rooms: make(map[string]*room.Room)}, random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		registry:  registry, counters: newCounters(registry), rooms: roomSet{rooms: make(map[string]*room.Room)},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 	s.running, s.endRequests = context.WithCancel(context.Background())
 	s.detector = newFailureDetector(s)
