decision: Count decaying events in one place

Cause: the smoothed rate of requestlimit and the smoothed counts of room were the same logic, written twice.

Change: pkg/decision/decayingcount serves both. The arithmetic is the same: requestlimit divided each event by the time constant when it counted it, now when it reads the rate.

Measured: the tests of room, requestlimit and decayingcount pass, with all assertions.

--- a/pkg/decision/requestlimit/demand.go
+++ b/pkg/decision/requestlimit/demand.go
@@ -1,8 +1,9 @@
 package requestlimit
 
 import (
-	"math"
 	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/decayingcount"
 )
 
 // demandTime is the time constant with which demand is smoothed.
@@ -10,16 +11,13 @@
 
 // demand is a smoothed rate of requests.
 type demand struct {
-	perSecond float64 // perSecond is the rate at the time at.
-	at        time.Time
+	count decayingcount.Count
 }
 
 // record counts a request.
-func (d *demand) record(now time.Time) {
-	d.perSecond, d.at = d.rate(now)+1/demandTime.Seconds(), now
-}
+func (d *demand) record(now time.Time) { d.count.Add(demandTime, now) }
 
 // rate returns the rate in requests a second.
 func (d *demand) rate(now time.Time) float64 {
-	return d.perSecond * math.Exp(-max(now.Sub(d.at), 0).Seconds()/demandTime.Seconds())
+	return d.count.Value(demandTime, now) / demandTime.Seconds()
 }
--- a/pkg/decision/room/place.go
+++ b/pkg/decision/room/place.go
@@ -1,6 +1,10 @@
 package room
 
-import "time"
+import (
+	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/decayingcount"
+)
 
 const (
 	// starvedFraction and starvedLargeFraction are how often, compared with all requests, those of a rank and large ones are admitted at
@@ -49,28 +53,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	rank := r.setRanks(q)
-	r.ranks[rank].add(1, rankTime, now)
+	r.ranks[rank].Add(rankTime, now)
 	all := r.all.fraction(now)
 	if r.ofRank[rank].fraction(now) < starvedFraction*all {
 		return Place{}
 	}
 	before, sum := 0.0, 0.0
 	for i := range r.ranks {
-		n := r.ranks[i].current(rankTime, now)
+		n := r.ranks[i].Value(rankTime, now)
 		sum += n
 		if i < rank {
 			before += n
 		}
 	}
 	byWork := r.large.fraction(now) >= starvedLargeFraction*all
-	own := r.ranks[rank].current(rankTime, now)
+	own := r.ranks[rank].Value(rankTime, now)
 	return Place{Position: min(1, (before+q.within(byWork)*own)/sum), Ahead: min(1, before/sum)}
 }
 
 // setRanks sets the number of ranks and returns the rank of a request. The lock must be held.
 func (r *Room) setRanks(q Request) int {
 	if n := max(q.Ranks, 1); len(r.ranks) != n {
-		r.ranks, r.ofRank = make([]rate, n), make([]admissions, n)
+		r.ranks, r.ofRank = make([]decayingcount.Count, n), make([]admissions, n)
 	}
 	return min(max(q.Rank, 0), len(r.ranks)-1)
 }
--- a/pkg/decision/room/room.go
+++ b/pkg/decision/room/room.go
@@ -33,6 +33,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/decision/decayingcount"
 )
 
 const (
@@ -69,12 +71,12 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	cutoff  float64
-	at      time.Time // at is the time of cutoff.
-	belowAt time.Time // belowAt is when the cutoff was last known to be below 1.
-	inRow   int       // inRow counts the requests that found room since the last one that did not.
-	ranks   []rate    // ranks holds the rate of requests of each rank.
-	decided rate
-	refused rate
+	at      time.Time             // at is the time of cutoff.
+	belowAt time.Time             // belowAt is when the cutoff was last known to be below 1.
+	inRow   int                   // inRow counts the requests that found room since the last one that did not.
+	ranks   []decayingcount.Count // ranks holds the rate of requests of each rank.
+	decided decayingcount.Count
+	refused decayingcount.Count
 	// all, ofRank and large hold how often requests were admitted: all, those of each rank, and the large ones.
 	all, large admissions
 	ofRank     []admissions
@@ -119,7 +121,7 @@
 
 // stepScale returns the factor by which the steps of the cutoff are smaller, since there are many requests. The lock must be held.
 func (r *Room) stepScale(now time.Time) float64 {
-	return min(1, fullStepRequests/max(r.decided.current(turnedAwayTime, now), 1))
+	return min(1, fullStepRequests/max(r.decided.Value(turnedAwayTime, now), 1))
 }
 
 // Report returns the cutoff for the other instances, and whether they need it.
@@ -161,9 +163,9 @@
 	if q.isLarge() {
 		r.large.add(admitted, now)
 	}
-	r.decided.add(1, turnedAwayTime, now)
+	r.decided.Add(turnedAwayTime, now)
 	if !admitted {
-		r.refused.add(1, turnedAwayTime, now)
+		r.refused.Add(turnedAwayTime, now)
 	}
 }
 
@@ -181,7 +183,7 @@
 
 // refusedFraction returns the smoothed fraction of requests that are turned away. The lock must be held.
 func (r *Room) refusedFraction(now time.Time) float64 {
-	return min(1, r.refused.current(turnedAwayTime, now)/max(r.decided.current(turnedAwayTime, now), 1))
+	return min(1, r.refused.Value(turnedAwayTime, now)/max(r.decided.Value(turnedAwayTime, now), 1))
 }
 
 // State is what operators see of a Room.
