Show in a script that a restarted instance runs requests with a withdrawn key

The store comes back from a copy that still has the key, and an instance that is killed and started then takes the copy's configuration for confirmed until it hears of the newer one from the others (CONFIG, revoke_strict).

--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -22,7 +22,8 @@
 type scenario func(e *env) (bool, error)
 
 var scenarios = map[string]scenario{
-	"drain-retry": drainRetry,
+	"copy-restart": copyRestart,
+	"drain-retry":  drainRetry,
 }
 
 // env is what a scenario works with.
--- a/review/standins2/store.go
+++ b/review/standins2/store.go
@@ -30,6 +30,8 @@
 	intercept func(w http.ResponseWriter, r *http.Request) bool
 
 	mu      sync.Mutex
+	era     uint64 // era is sent in all answers, if it is above 0, and rises when the store comes back from a copy.
+	away    bool   // away means that the store resets all connections.
 	version uint64
 	rows    map[string]*row // rows holds the rows by table and key, also those that were removed.
 	changed chan struct{}   // changed is closed with the next transaction.
@@ -51,6 +53,9 @@
 	mux.HandleFunc("GET /cuminroute/rows-feed", s.feed)
 	go func() {
 		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if s.isAway() {
+				panic(http.ErrAbortHandler)
+			}
 			if s.intercept != nil && s.intercept(w, r) {
 				return
 			}
@@ -61,7 +66,51 @@
 	return nil
 }
 
-// put writes or, if value is nil, removes a row in a transaction of its own. It returns when the write is acknowledged.
+func (s *store) isAway() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
+// copied is a copy of the store.
+type copied struct {
+	version uint64
+	rows    map[string]*row
+}
+
+// copy returns a copy of the store.
+func (s *store) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := copied{version: s.version, rows: make(map[string]*row, len(s.rows))}
+	for k, r := range s.rows {
+		same := *r
+		c.rows[k] = &same
+	}
+	return c
+}
+
+// leave makes the store reset all calls.
+func (s *store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// comeBack lets the store come back from a copy, in the next era. What was written since is lost.
+func (s *store) comeBack(c copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.rows, s.away = c.version, c.rows, false
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// put writes or, if value is nil, removes a row in a transaction of its own. It returns when the write was
+// acknowledged, or zero if the store is away.
 func (s *store) put(table, key string, value any) time.Time {
 	var content []byte
 	if value != nil {
@@ -69,6 +118,9 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.away {
+		return time.Time{}
+	}
 	s.version++
 	s.rows[table+"/"+key] = &row{Table: table, Key: key, Value: content, Version: s.version, Deleted: value == nil}
 	close(s.changed)
@@ -78,6 +130,9 @@
 
 func (s *store) reply(w http.ResponseWriter, status int, body map[string]any) {
 	body["now_ms"] = time.Since(s.start).Milliseconds()
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_ = json.NewEncoder(w).Encode(body)
@@ -147,7 +202,7 @@
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after_rev"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
-	end := time.After(time.Duration(wait) * time.Millisecond)
+	end, ended := time.After(time.Duration(wait)*time.Millisecond), false
 	for {
 		s.mu.Lock()
 		list := []row{}
@@ -157,17 +212,25 @@
 			}
 		}
 		sort.Slice(list, func(i, j int) bool { return list[i].Version < list[j].Version })
-		version, changed := s.version, s.changed
-		s.mu.Unlock()
-		if len(list) > 0 {
+		version, changed, away := s.version, s.changed, s.away
+		switch {
+		case away:
+			s.mu.Unlock()
+			panic(http.ErrAbortHandler)
+		case after > version:
+			s.reply(w, http.StatusGone, map[string]any{})
+			s.mu.Unlock()
+			return
+		case len(list) > 0 || ended:
 			s.reply(w, http.StatusOK, map[string]any{"rows": list, "ver": version})
+			s.mu.Unlock()
 			return
 		}
+		s.mu.Unlock()
 		select {
 		case <-changed:
 		case <-end:
-			s.reply(w, http.StatusOK, map[string]any{"rows": list, "ver": version})
-			return
+			ended = true
 		case <-r.Context().Done():
 			return
 		}
