Show in a script that configurations are not read while the watcher is frozen

Four instances in one zone; the one that watches the store is frozen for 4 s. The others take each other's digests of the target list for those of a watcher and read no configuration for 3.3 s, so that routes acknowledged 2.02 s before are refused with 404 (CONFIG).

--- a/review/standins2/drain_retry.go
+++ b/review/standins2/drain_retry.go
@@ -32,12 +32,12 @@
 	}
 }
 
-// startFleet starts instances in one zone, with their addresses from 127.0.0.11 on, and waits until all are ready.
+// startFleet starts instances in one zone, with their addresses from .11 of the network on, and waits until all are ready.
 func (e *env) startFleet(n int) ([]*instance, error) {
-	seeds := []string{"127.0.0.11"}
+	seeds := []string{e.network + ".11"}
 	var all []*instance
 	for i := range n {
-		x, err := e.fleet.add(fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("127.0.0.%d", 11+i), "z1", seeds)
+		x, err := e.fleet.add(fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("%s.%d", e.network, 11+i), "z1", seeds)
 		if err != nil {
 			return nil, err
 		}
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -24,16 +24,33 @@
 var scenarios = map[string]scenario{
 	"copy-restart": copyRestart,
 	"drain-retry":  drainRetry,
+	"frozen":       frozenWatcher,
 }
 
 // env is what a scenario works with.
 type env struct {
 	trouble bool
+	network string // network is the first three numbers of the instances' addresses.
 	record  *record
 	store   *store
 	fleet   *fleet
 }
 
+// newEnv returns a deployment without instances, with a store that listens. The files of its instances are in a directory.
+func newEnv(dir, program string, r *record) (*env, error) {
+	e := &env{trouble: os.Getenv("TROUBLE") != "0", record: r, store: newStore(), network: "127.0.0"}
+	address, err := e.store.listen()
+	if err != nil {
+		return nil, err
+	}
+	found, err := freePorts(3)
+	if err != nil {
+		return nil, err
+	}
+	e.fleet = &fleet{dir: dir, program: program, record: r, store: address, ports: ports{frontend: found[0], ready: found[1], first: 20000 + found[2]%10000}}
+	return e, nil
+}
+
 func main() {
 	program := flag.String("program", "target/cuminrouted", "the instance's program")
 	out := flag.String("record", "record.txt", "the file to write what was sent, answered and run to")
@@ -63,18 +80,11 @@
 		fmt.Println(dir)
 	}
 	program, _ = filepath.Abs(program)
-	found, err := freePorts(4)
+	e, err := newEnv(dir, program, r)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return notRun
 	}
-	e := &env{trouble: os.Getenv("TROUBLE") != "0", record: r, store: newStore()}
-	address := fmt.Sprintf("127.0.0.1:%d", found[0])
-	e.fleet = &fleet{dir: dir, program: program, record: r, store: address, ports: ports{frontend: found[1], ready: found[2], first: 20000 + found[3]%20000}}
-	if err := e.store.listen(address); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return notRun
-	}
 	defer e.fleet.stop()
 	wrong, err := run(e)
 	switch {
--- a/review/standins2/store.go
+++ b/review/standins2/store.go
@@ -41,11 +41,11 @@
 	return &store{start: time.Now(), rows: make(map[string]*row), changed: make(chan struct{})}
 }
 
-// listen serves the store at an address.
-func (s *store) listen(address string) error {
-	l, err := net.Listen("tcp4", address)
+// listen serves the store at a free port and returns its address.
+func (s *store) listen() (string, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return err
+		return "", err
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /cuminroute/rows-tx", s.transact)
@@ -63,7 +63,7 @@
 			mux.ServeHTTP(w, r)
 		}))
 	}()
-	return nil
+	return l.Addr().String(), nil
 }
 
 func (s *store) isAway() bool {
