Show in a script that a stream cut off by a crash ends as complete

An engine answers a stream without a length, is killed while the instance is frozen, and is back under its name when the instance wakes. The instance takes the end of the connection for that of the stream, since the engine answers a report: its start time is not compared (ORDER).

--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -25,6 +25,7 @@
 	"copy-restart": copyRestart,
 	"drain-retry":  drainRetry,
 	"frozen":       frozenWatcher,
+	"reborn":       rebornEngine,
 }
 
 // env is what a scenario works with.
@@ -52,6 +53,9 @@
 }
 
 func main() {
+	if len(os.Args) > 1 && os.Args[1] == "engine" {
+		os.Exit(serveEngine(os.Args[2:]))
+	}
 	program := flag.String("program", "target/cuminrouted", "the instance's program")
 	out := flag.String("record", "record.txt", "the file to write what was sent, answered and run to")
 	flag.Parse()
