Show in a script that an order's answer cut off by a crash ends as complete

A plain worker answers an order without a length, is killed while the instance is frozen, and a worker of another name listens at its address when the instance wakes. The client gets 200 with half of the body (MIXED).

--- a/review/standins2/engine.go
+++ b/review/standins2/engine.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -75,6 +76,9 @@
 		switch {
 		case r.Header.Get("X-Expect-Instance") != e.id:
 			answer(http.StatusMisdirectedRequest, "", nil)
+		case strings.HasPrefix(r.URL.Path, "/book/"):
+			sendPieces(c, id)
+			return
 		case r.URL.Path == "/cuminroute/report":
 			answer(http.StatusOK, "Content-Type: application/json\r\n", e.report())
 		case r.URL.Path == "/cuminroute/order":
@@ -138,6 +142,33 @@
 	}
 }
 
+const (
+	bodyPieces = 10
+	pieceGap   = 20 * time.Millisecond
+)
+
+// wholeBody is the body of a plain worker's answer.
+func wholeBody(id string) string {
+	var b strings.Builder
+	for n := range bodyPieces {
+		b.WriteString(bodyPiece(id, n))
+	}
+	return b.String()
+}
+
+func bodyPiece(id string, n int) string { return fmt.Sprintf("line %d of the order %s\n", n, id) }
+
+// sendPieces answers as a plain worker, without a length and piece by piece.
+func sendPieces(c net.Conn, id string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-%s\r\nContent-Type: text/plain\r\n\r\n", id, id)
+	for n := range bodyPieces {
+		if _, err := io.WriteString(c, bodyPiece(id, n)); err != nil {
+			return
+		}
+		time.Sleep(pieceGap)
+	}
+}
+
 // heldLayers lists the ranges of an engine that holds the first layers.
 func heldLayers(n int) []map[string]int {
 	if n == 0 {
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -26,6 +26,7 @@
 	"drain-retry":  drainRetry,
 	"frozen":       frozenWatcher,
 	"reborn":       rebornEngine,
+	"reborn-plain": rebornPlain,
 }
 
 // env is what a scenario works with.
