--- a/review/standins2/engine.go
+++ b/review/standins2/engine.go
@@ -198,7 +198,7 @@
 	if err == nil {
 		g.command = exec.Command(program, "engine", "-listen", g.address, "-id", g.id, "-layers", strconv.Itoa(layers), "-born", strconv.FormatInt(g.born, 10))
 		g.command.Stderr = os.Stderr
-		err = g.command.Start()
+		err = startProcess(g.command)
 	}
 	g.mu.Unlock()
 	g.record.add("engine %s: started with %d layers, born %d", g.id, layers, g.born)
--- a/review/standins2/fleet.go
+++ b/review/standins2/fleet.go
@@ -123,7 +123,7 @@
 	i.command.Env = append(os.Environ(), "CUMINROUTE_BOOT="+i.settings)
 	i.command.Stdout, i.command.Stderr = log, log
 	f.record.add("instance %s: started", i.name)
-	return i.command.Start()
+	return startProcess(i.command)
 }
 
 // add adds an instance at an address of its own, in a zone.
--- a/review/standins2/main.go
+++ b/review/standins2/main.go
@@ -84,6 +84,7 @@
 	} else {
 		fmt.Println(dir)
 	}
+	endOnSignal()
 	program, _ = filepath.Abs(program)
 	e, err := newEnv(dir, program, r)
 	if err != nil {
--- a/review/standins2/plain.go
+++ b/review/standins2/plain.go
@@ -34,7 +34,7 @@
 	p.store.put("servers", id, map[string]any{
 		"service": "desk", "address": p.address, "zone": "z1", "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
 	})
-	return p.command.Start()
+	return startProcess(p.command)
 }
 
 // kill ends the process.
