--- a/review/standins2/born.go
+++ b/review/standins2/born.go
@@ -15,6 +15,7 @@
 )
 
 const (
+	engineCount  = 3
 	streamEvents = 60
 	goal         = 500 * time.Millisecond // goal is goal_ms of the streaming route.
 	patience     = 2 * time.Second        // patience is the gap after which clients leave a stream with this goal.
@@ -42,18 +43,24 @@
 
 // rebornEngine freezes an instance in the middle of a stream. Meanwhile the engine is killed and started again under its name.
 func rebornEngine(e *env) (bool, error) {
-	found, err := freePorts(1)
+	found, err := freePorts(engineCount)
 	if err != nil {
 		return false, err
 	}
-	g := &engine{id: "e-1", address: fmt.Sprintf("127.0.0.2:%d", found[0]), store: e.store, record: e.record}
-	if err := g.start(modelLayers); err != nil {
-		return false, err
+	engines := make(map[string]*engine)
+	for n, port := range found {
+		g := &engine{id: fmt.Sprintf("e-%d", n+1), address: fmt.Sprintf("127.0.0.2:%d", port), store: e.store, record: e.record}
+		engines[g.id] = g
+		if err := g.start(modelLayers); err != nil {
+			return false, err
+		}
+		defer g.kill()
 	}
-	defer g.kill()
 	go func() {
 		for range time.Tick(heartbeat) {
-			g.beat()
+			for _, g := range engines {
+				g.beat()
+			}
 		}
 	}()
 	e.store.put("op", "config", withEngines())
@@ -62,12 +69,12 @@
 		return false, err
 	}
 	x := instances[0]
-	if _, complete, err := e.stream(x, "before", func(int) {}); err != nil || !complete {
+	if _, complete, err := e.stream(x, "before", func(int, string) {}); err != nil || !complete {
 		return false, fmt.Errorf("a stream before the trouble: complete %v, %v", complete, err)
 	}
-	events, complete, err := e.stream(x, "during", func(n int) {
+	events, complete, err := e.stream(x, "during", func(n int, engine string) {
 		if n == 15 && e.trouble {
-			go e.freezeAndRestart(x, g)
+			go e.freezeAndRestart(x, engines[engine])
 		}
 	})
 	e.record.add("stream during: %d of %d events, complete %v, %v", events, streamEvents, complete, err)
@@ -89,8 +96,9 @@
 }
 
 // stream sends a streaming request and reads its events. It returns the number of events in order, and whether the answer ended as
-// complete. The client leaves after a gap of its patience. The function seen is called with the number of each event.
-func (e *env) stream(x *instance, id string, seen func(n int)) (events int, complete bool, err error) {
+// complete. The client leaves after a gap of its patience. The function seen is called with the number of each event and the
+// engine that began the answer.
+func (e *env) stream(x *instance, id string, seen func(n int, engine string)) (events int, complete bool, err error) {
 	c, err := net.DialTimeout("tcp4", e.fleet.frontend(x), time.Second)
 	if err != nil {
 		return 0, false, err
@@ -111,6 +119,7 @@
 	if response.StatusCode != http.StatusOK {
 		return 0, false, fmt.Errorf("status %d", response.StatusCode)
 	}
+	name, _, _ := strings.Cut(response.Header.Get("X-Response-Seal"), "/")
 	reader := bufio.NewReader(response.Body)
 	for {
 		line, err := reader.ReadString('\n')
@@ -128,7 +137,7 @@
 			}
 			_ = c.SetReadDeadline(time.Now().Add(patience))
 			e.record.add("client: %s got event %d", id, events)
-			seen(events)
+			seen(events, name)
 		}
 	}
 }
--- a/review/standins2/drain_retry.go
+++ b/review/standins2/drain_retry.go
@@ -66,6 +66,9 @@
 	breakAfter = drainTime + 150*time.Millisecond
 	// exitAfter is when the draining worker exits.
 	exitAfter = drainTime + 200*time.Millisecond
+	// greyShare is the share of its requests that the grey worker fails.
+	greyShare = 0.45
+	reads     = 45
 )
 
 // drainRetry lets one worker keep reads and break them off later, while another worker drains and exits.
@@ -75,11 +78,13 @@
 		workers[id] = &worker{id: id, service: "desk", address: "127.0.0.2:0", work: 100 * time.Millisecond, store: e.store, record: e.record}
 	}
 	var grey atomic.Bool
+	var taken, kept atomic.Int64
 	breakOff := make(chan struct{})
 	workers["w-a"].serve = func(w http.ResponseWriter, _ *http.Request, _ []byte) bool {
-		if !grey.Load() {
+		if !grey.Load() || float64(kept.Load()+1) > greyShare*float64(taken.Add(1)) {
 			return false
 		}
+		kept.Add(1)
 		<-breakOff
 		if c, _, err := w.(http.Hijacker).Hijack(); err == nil {
 			_ = c.(*net.TCPConn).SetLinger(0)
@@ -110,7 +115,7 @@
 	var group sync.WaitGroup
 	var mu sync.Mutex
 	answers := make(map[string]answer)
-	for n := range 18 {
+	for n := range reads {
 		group.Go(func() {
 			id := fmt.Sprintf("read-%d", n)
 			a := read(id)
@@ -127,6 +132,7 @@
 	time.Sleep(time.Until(drained.Add(exitAfter)))
 	workers["w-b"].exit()
 	group.Wait()
+	e.record.add("w-a kept %d of %d reads", kept.Load(), taken.Load())
 	late := e.record.runsOf(func(r run) bool { return r.worker == "w-b" && r.at.Sub(drained) > drainTime })
 	for _, r := range late {
 		e.record.add("%s reached w-b %d ms after it was acknowledged as draining, and its client got %d", r.id, r.at.Sub(drained).Milliseconds(), answers[r.id].status)
--- a/review/standins2/engine.go
+++ b/review/standins2/engine.go
@@ -77,6 +77,7 @@
 		case r.Header.Get("X-Expect-Instance") != e.id:
 			answer(http.StatusMisdirectedRequest, "", nil)
 		case strings.HasPrefix(r.URL.Path, "/book/"):
+			fmt.Println(id) // The script learns from this which worker runs the request.
 			sendPieces(c, id)
 			return
 		case r.URL.Path == "/cuminroute/report":
@@ -133,7 +134,7 @@
 func (e *engineProcess) stream(c net.Conn, r *http.Request, id string) {
 	total, _ := strconv.Atoi(r.URL.Query().Get("events"))
 	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal-%s\r\nContent-Type: text/event-stream\r\n\r\n", id, id)
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: %s/%s\r\nContent-Type: text/event-stream\r\n\r\n", id, e.id, id)
 	for n := last + 1; n <= total; n++ {
 		if _, err := fmt.Fprintf(c, "id: %d\ndata: %s-%d\n\n", n, id, n); err != nil {
 			return
--- a/review/standins2/frozen.go
+++ b/review/standins2/frozen.go
@@ -19,8 +19,8 @@
 	deployments = 3               // deployments is the number of deployments that run side by side.
 	freezeTime  = 4 * time.Second
 	firstChange = 700 * time.Millisecond // firstChange is the time from the freeze to the first change of the configuration.
-	changes     = 5
-	changeGap   = 300 * time.Millisecond
+	changes     = 2
+	changeGap   = 600 * time.Millisecond
 )
 
 // keptRoutes is the number of the latest versions whose routes a version has.
@@ -39,7 +39,7 @@
 	return c
 }
 
-// frozenWatcher freezes the first instance of a deployment of four while the configuration changes.
+// frozenWatcher freezes the first instance of a deployment of four, and changes the configuration twice then.
 func frozenWatcher(e *env) (bool, error) {
 	var group sync.WaitGroup
 	var late atomic.Int64
--- a/review/standins2/plain.go
+++ b/review/standins2/plain.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"net/http"
@@ -17,6 +18,7 @@
 	address string
 	store   *store
 	record  *record
+	runs    chan *plainWorker // runs receives the worker when it begins to run a request.
 	command *exec.Cmd
 	id      string
 }
@@ -30,6 +32,16 @@
 	p.id = id
 	p.command = exec.Command(program, "engine", "-listen", p.address, "-id", id)
 	p.command.Stderr = os.Stderr
+	output, err := p.command.StdoutPipe()
+	if err != nil {
+		return err
+	}
+	go func() {
+		for lines := bufio.NewScanner(output); lines.Scan(); {
+			p.record.add("worker %s: runs %s", id, lines.Text())
+			p.runs <- p
+		}
+	}()
 	p.record.add("worker %s: started at %s", id, p.address)
 	p.store.put("servers", id, map[string]any{
 		"service": "desk", "address": p.address, "zone": "z1", "version": "v1", "slots": 6, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
@@ -44,18 +56,23 @@
 	p.record.add("worker %s: killed", p.id)
 }
 
+const plainWorkers = 3
+
 // rebornPlain freezes an instance in the middle of a plain worker's answer without a length. Meanwhile the worker is killed and starts again
 // under another name.
 func rebornPlain(e *env) (bool, error) {
-	found, err := freePorts(1)
+	found, err := freePorts(plainWorkers)
 	if err != nil {
 		return false, err
 	}
-	p := &plainWorker{address: fmt.Sprintf("127.0.0.2:%d", found[0]), store: e.store, record: e.record}
-	if err := p.start("w-1"); err != nil {
-		return false, err
+	runs := make(chan *plainWorker, 1)
+	for n, port := range found {
+		p := &plainWorker{address: fmt.Sprintf("127.0.0.2:%d", port), store: e.store, record: e.record, runs: runs}
+		if err := p.start(fmt.Sprintf("w-%d", n+1)); err != nil {
+			return false, err
+		}
+		defer func() { p.kill() }()
 	}
-	defer func() { p.kill() }()
 	e.store.put("op", "config", configuration(3))
 	instances, err := e.startFleet(2)
 	if err != nil {
@@ -68,8 +85,10 @@
 	if a := order("before"); a.status != http.StatusOK || string(a.body) != wholeBody("before") {
 		return false, fmt.Errorf("an order before the trouble got %d, %d bytes, %w", a.status, len(a.body), a.err)
 	}
+	<-runs
 	done := make(chan answer, 1)
 	go func() { done <- order("during") }()
+	p := <-runs
 	if e.trouble {
 		time.Sleep(2 * pieceGap)
 		frozen := time.Now()
@@ -77,8 +96,8 @@
 		time.Sleep(time.Until(frozen.Add(3 * pieceGap)))
 		p.kill()
 		time.Sleep(time.Until(frozen.Add(restartAfter)))
-		e.store.put("servers", "w-1", nil)
-		if err := p.start("w-2"); err != nil {
+		e.store.put("servers", p.id, nil)
+		if err := p.start(p.id + "-again"); err != nil {
 			return false, err
 		}
 		time.Sleep(time.Until(frozen.Add(wakeAfter)))
