responseconn: Pass a reset that a write has met on to the read of the response

Callers saw: a target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. The client got that part as a complete response.

Cause: the kernel reports a reset once, to the call that is first. Order of events: (1) the response's head and first bytes arrive and are read; (2) the reset arrives while the body of the request is being written by another goroutine, and that write fails with ECONNRESET, which clears the error; (3) the next read returns 0 bytes, an orderly end. A body without a length ends with its connection, so it was complete; the check that the target still runs passed, since it did. net/http's transport has the same two goroutines, so the own front end had the fault, and stored the part as the response for the key of an order. A relay between two instances writes and reads concurrently as well, and passed a reset on as an orderly end.

Change: responseconn.Conn keeps the error of a write and returns it to a read that finds the end, after a write that still waits has ended. EPIPE does not count: the kernel reports it for a reset after an orderly end. Errors of reads are kept as well, since the next read would find an orderly end. An order ends as unknown and is not repeated, as after any broken response.

--- a/pkg/connection/conn.go
+++ b/pkg/connection/conn.go
@@ -16,6 +16,8 @@
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/sys/unix"
+
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 )
 
 var (
@@ -46,7 +48,7 @@
 
 // headReader reads from a connection, and bounds the bytes and the time of a response header.
 type headReader struct {
-	netConn   net.Conn
+	netConn   *responseconn.Conn
 	limited   bool // limited is set while a header is read.
 	remaining int  // remaining is the number of bytes that the header may still have.
 	timer     *time.Timer
@@ -84,7 +86,7 @@
 // Conn is a connection to a target. It carries one exchange at a time; only Close may be called from another goroutine.
 type Conn struct {
 	address     netip.AddrPort
-	netConn     net.Conn
+	netConn     *responseconn.Conn
 	head        *headReader
 	reader      *bufio.Reader // reader reads from head.
 	lastUsed    time.Time     // lastUsed is when the last exchange ended.
@@ -130,7 +132,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	rawConn, err := c.netConn.(syscall.Conn).SyscallConn()
+	rawConn, err := c.netConn.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/pkg/connection/pool.go
+++ b/pkg/connection/pool.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 )
 
 const (
@@ -104,10 +106,11 @@
 
 // open opens a connection with a dial function.
 func open(ctx context.Context, dial func(ctx context.Context, network, address string) (net.Conn, error), address netip.AddrPort) (*Conn, error) {
-	netConn, err := dial(ctx, "tcp", address.String())
+	dialed, err := dial(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, NotSent.Wrap(err, "no connection to %s", address)
 	}
+	netConn := responseconn.Wrap(dialed)
 	head := &headReader{netConn: netConn}
 	return &Conn{
 		address: address, netConn: netConn, head: head, reader: bufio.NewReaderSize(head, readBufferSize), idleTimeout: defaultIdleTimeout,
--- a/pkg/peer/engine/unary.go
+++ b/pkg/peer/engine/unary.go
@@ -15,6 +15,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 )
 
 const (
@@ -28,13 +29,13 @@
 
 func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), connections int) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: responseconn.NewTransport(&http.Transport{
 			DialContext:         dial,
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
-		},
+		}),
 		// Following a redirect would send the step to another engine.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/pkg/peer/instance/relay.go
+++ b/pkg/peer/instance/relay.go
@@ -16,6 +16,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/connection"
 	"github.com/cuminroute/cuminroute/pkg/peer/instance/instancepb"
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 )
 
 const (
@@ -70,7 +71,7 @@
 		return nil, err
 	}
 	_ = c.SetDeadline(time.Time{})
-	return c, nil
+	return responseconn.Wrap(c), nil
 }
 
 // requestRelay sends a relay request and reads the response.
@@ -135,7 +136,7 @@
 	defer stop()
 	activity := n.relayActivities.add()
 	defer n.relayActivities.remove(activity)
-	forward(peer, target, activity)
+	forward(peer, responseconn.Wrap(target), activity)
 }
 
 // Relayed returns the number of connections that are relayed for other instances.
--- a/pkg/peer/instance/relay_test.go
+++ b/pkg/peer/instance/relay_test.go
@@ -96,6 +96,45 @@
 	}
 }
 
+// TestResetDuringRelayedUpload guards against a reset of a target's connection that looks like an orderly end through a relay, because
+// the write of a request met it, at the relay or at the instance that asked.
+func TestResetDuringRelayedUpload(t *testing.T) {
+	const (
+		connections = 64
+		// pause is how much later a connection is reset than the one before.
+		pause = 10 * time.Microsecond
+	)
+	ended := 0
+	for n := range connections {
+		asks, relays := startRelayPair(t, netip.AddrPort{})
+		to := startTarget(t, func(c *net.TCPConn) {
+			_ = c.SetReadBuffer(4 << 10)
+			b := make([]byte, 7)
+			_, _ = io.ReadFull(c, b)
+			_, _ = c.Write(b)
+			time.Sleep(time.Duration(n) * pause)
+			_ = c.SetLinger(0)
+			_ = c.Close()
+		})
+		c, err := asks.DialThrough(context.Background(), relays.Address(), to)
+		qt.Assert(t, err, qt.IsNil)
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			_, _ = c.Write(make([]byte, 3<<20))
+		}()
+		_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+		if _, err = io.Copy(io.Discard, c); err == nil { // An orderly end.
+			ended++
+		}
+		_ = c.Close()
+		<-written
+		_ = asks.Close()
+		_ = relays.Close()
+	}
+	qt.Assert(t, ended, qt.Equals, 0, qt.Commentf("of %d connections that were reset", connections))
+}
+
 // TestRelaysInUse guards against a stop that cuts off a relayed request whose target works for long, and against one that waits for
 // relayed connections without a request.
 func TestRelaysInUse(t *testing.T) {
--- a/pkg/peer/operator/client.go
+++ b/pkg/peer/operator/client.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 )
 
 const (
@@ -54,7 +55,7 @@
 func NewClient(base, key string, opts ...ClientOption) *Client {
 	c := &Client{
 		base: strings.TrimSuffix(base, "/"), key: key,
-		http: &http.Client{Timeout: requestTimeout}, retryDelay: defaultRetryDelay,
+		http: &http.Client{Timeout: requestTimeout, Transport: newTransport()}, retryDelay: defaultRetryDelay,
 	}
 	for _, opt := range opts {
 		opt(c)
@@ -62,6 +63,15 @@
 	return c
 }
 
+// newTransport returns a transport with the settings of net/http's own, such as a proxy that the environment names.
+func newTransport() *responseconn.Transport {
+	base := &http.Transport{Proxy: http.ProxyFromEnvironment}
+	if standard, ok := http.DefaultTransport.(*http.Transport); ok {
+		base = standard.Clone()
+	}
+	return responseconn.NewTransport(base)
+}
+
 // Current returns the newest accepted configuration.
 func (c *Client) Current(ctx context.Context) (api.Current, error) {
 	return send[api.Current](ctx, c, http.MethodGet, api.ConfigurationPath, nil)
--- a/pkg/peer/service/client.go
+++ b/pkg/peer/service/client.go
@@ -11,6 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/requestlimit"
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 )
 
 const (
@@ -119,13 +120,13 @@
 
 func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), disableKeepAlives bool) *http.Client {
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: responseconn.NewTransport(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 			IdleConnTimeout:     time.Minute,
 			DisableCompression:  true,
 			DisableKeepAlives:   disableKeepAlives,
-		},
+		}),
 		// Following a redirect would dispatch the request again.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/pkg/peer/table/client.go
+++ b/pkg/peer/table/client.go
@@ -17,6 +17,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 )
 
 const (
@@ -73,12 +75,12 @@
 	return c
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{
+func newTransport() *responseconn.Transport {
+	return responseconn.NewTransport(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: DefaultTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
-	}
+	})
 }
 
 // Close closes idle connections.
--- a/pkg/peer/weightstore/client.go
+++ b/pkg/peer/weightstore/client.go
@@ -24,6 +24,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 )
 
 const (
@@ -70,7 +72,7 @@
 
 // New returns a client of the weight store at baseURL.
 func New(baseURL string, opts ...Option) *Client {
-	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), timeout: DefaultTimeout, http: &http.Client{Transport: &http.Transport{}}}
+	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), timeout: DefaultTimeout, http: &http.Client{Transport: responseconn.NewTransport(&http.Transport{})}}
 	for _, opt := range opts {
 		opt(c)
 	}
--- /dev/null
+++ b/pkg/responseconn/conn.go
@@ -0,0 +1,118 @@
+// Package responseconn reads the responses of other processes from connections, and tells broken ones from whole ones where the
+// operating system and the parser of net/http do not.
+//
+// A reset of a connection is reported once, to whichever of its calls is first. If that is the write of a request, a read after it finds
+// an orderly end, and a response without a length looks complete. A Conn passes such a reset on to its reads.
+//
+// Every client that reads HTTP responses uses it: those with their own connections by Wrap, those of net/http by NewTransport.
+//
+// Usage:
+//
+//	client := &http.Client{Transport: responseconn.NewTransport(&http.Transport{})}
+package responseconn
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// errReset reports a connection that broke while a request was being written to it.
+var errReset = errors.New("the connection broke while the request was being written, so the response may be incomplete")
+
+// brokenError is errReset with the error of the write.
+type brokenError struct{ cause error }
+
+func (e *brokenError) Error() string   { return errReset.Error() + ": " + e.cause.Error() }
+func (e *brokenError) Unwrap() []error { return []error{errReset, e.cause} }
+
+// Conn is a connection on which responses are read. Reads and writes may be concurrent, as those of net.Conn.
+type Conn struct {
+	net.Conn
+
+	writing sync.Mutex // writing is held during a write.
+	broken  error      // broken is the error of the write that met the end of the connection; guarded by writing.
+
+	mu     sync.Mutex
+	failed error // failed is the error of all further reads.
+}
+
+// Wrap returns a Conn that reads from c and writes to it, or c itself if it is a Conn.
+func Wrap(c net.Conn) *Conn {
+	if wrapped, ok := c.(*Conn); ok {
+		return wrapped
+	}
+	return &Conn{Conn: c}
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *Conn) SyscallConn() (syscall.RawConn, error) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return raw.SyscallConn()
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if c.broken == nil && meansBroken(err) {
+		c.broken = err
+	}
+	return n, err
+}
+
+// meansBroken reports whether the error of a write shows that the connection broke before its other side ended it. After an orderly end
+// of the other side, a write fails with EPIPE.
+func meansBroken(err error) bool {
+	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// Read implements net.Conn. After an error other than a timeout, all further reads fail with it: the operating system would report an
+// orderly end to the next one.
+func (c *Conn) Read(b []byte) (int, error) {
+	if err := c.failure(); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = c.confirmEnd()
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.fail(err)
+	}
+	return n, err
+}
+
+// failure returns the error of all further reads, or nil.
+func (c *Conn) failure() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed
+}
+
+// fail sets the error of all further reads.
+func (c *Conn) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failed = err
+}
+
+// confirmEnd returns io.EOF if the other side ended the connection in order, or the error of the write that met its break. A write
+// that is still waiting ends: no response follows that would need the rest of the request.
+func (c *Conn) confirmEnd() error {
+	_ = c.SetWriteDeadline(time.Unix(1, 0))
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.broken != nil {
+		return &brokenError{cause: c.broken}
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/pkg/responseconn/transport.go
@@ -0,0 +1,37 @@
+package responseconn
+
+import (
+	"context"
+	"net"
+	"net/http"
+)
+
+// Transport is an http.RoundTripper whose responses are read from a Conn.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a Transport that sends requests by base, whose connections it opens as base does. base must not be used
+// otherwise.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return Wrap(c), nil
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	return t.base.RoundTrip(request)
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
