responsehead: Refuse responses whose status is not valid

Callers saw: a target in trouble sent a response with the status 000. In the platform's front end it was skipped like an interim response, and if its body looked like a response, clients got that body as the response to their request; a status from 600 to 999 was passed on. In the own front end the status 000 was the answer to an order, and was stored for its key.

Cause: the parser of net/http takes any three characters that strconv.Atoi reads as a number of 0 or more for a status, such as 000, -00 or +20, and 101 was neither asked for nor refused. The readers ask only whether a status is below 200, below 300 or below 500. The table's client concluded from 000 that a transaction was not written, and the objects' client that a write was done.

Change: responsehead.Checker checks the version and the status of each head before the parser gets it, also of interim responses, and responseconn.Conn reads through it. The valid start of an invalid head is passed on, so that net/http reports a broken response and not a broken idle connection, after which it would send the request again. Responses on TLS connections are checked after the parser.

Conclusion: no reader gets a status outside 200 to 599.

--- a/pkg/connection/conn.go
+++ b/pkg/connection/conn.go
@@ -209,6 +209,10 @@
 
 // receiveHead reads the header of the next response, within maxHeadBytes and headTimeout.
 func (c *Conn) receiveHead(request *http.Request) (*http.Response, error) {
+	received, _ := c.reader.Peek(c.reader.Buffered()) // The buffer holds as many.
+	if err := c.netConn.ExpectResponse(received); err != nil {
+		return nil, InvalidResponse.Wrap(err, "%s sent an invalid HTTP response", c.address)
+	}
 	c.head.begin()
 	response, err := c.receive(request)
 	if inTime := c.head.end(); !inTime && err == nil {
--- a/pkg/responseconn/conn.go
+++ b/pkg/responseconn/conn.go
@@ -2,7 +2,8 @@
 // operating system and the parser of net/http do not.
 //
 // A reset of a connection is reported once, to whichever of its calls is first. If that is the write of a request, a read after it finds
-// an orderly end, and a response without a length looks complete. A Conn passes such a reset on to its reads.
+// an orderly end, and a response without a length looks complete. A Conn passes such a reset on to its reads. It also checks the head
+// of each response that is expected, see package responsehead.
 //
 // Every client that reads HTTP responses uses it: those with their own connections by Wrap, those of net/http by NewTransport.
 //
@@ -19,6 +20,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/cuminroute/cuminroute/pkg/responsehead"
 )
 
 // errReset reports a connection that broke while a request was being written to it.
@@ -37,8 +40,9 @@
 	writing sync.Mutex // writing is held during a write.
 	broken  error      // broken is the error of the write that met the end of the connection; guarded by writing.
 
-	mu     sync.Mutex
-	failed error // failed is the error of all further reads.
+	mu      sync.Mutex
+	checker responsehead.Checker
+	failed  error // failed is the error of all further reads.
 }
 
 // Wrap returns a Conn that reads from c and writes to it, or c itself if it is a Conn.
@@ -58,6 +62,16 @@
 	return raw.SyscallConn()
 }
 
+// ExpectResponse checks the head of the response that begins with the next byte, after those that were read already and begin it. The
+// error is that of an invalid head.
+func (c *Conn) ExpectResponse(read []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.checker.Begin()
+	_, err := c.checker.Check(read)
+	return err
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
@@ -75,8 +89,8 @@
 	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// Read implements net.Conn. After an error other than a timeout, all further reads fail with it: the operating system would report an
-// orderly end to the next one.
+// Read implements net.Conn. Bytes of an expected head that are invalid are not returned. After an error other than a timeout, all
+// further reads fail with it: the operating system would report an orderly end to the next one.
 func (c *Conn) Read(b []byte) (int, error) {
 	if err := c.failure(); err != nil {
 		return 0, err
@@ -85,10 +99,7 @@
 	if errors.Is(err, io.EOF) {
 		err = c.confirmEnd()
 	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		c.fail(err)
-	}
-	return n, err
+	return c.finishRead(b[:n], err)
 }
 
 // failure returns the error of all further reads, or nil.
@@ -98,11 +109,21 @@
 	return c.failed
 }
 
-// fail sets the error of all further reads.
-func (c *Conn) fail(err error) {
+// finishRead returns the result of a read that got the bytes and the error.
+func (c *Conn) finishRead(b []byte, err error) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.failed = err
+	n, invalid := c.checker.Check(b)
+	if invalid != nil {
+		err = invalid
+	}
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.failed = err
+	}
+	if n > 0 && invalid != nil {
+		return n, nil // The valid start is passed on, so that the error is that of a response and not of an idle connection.
+	}
+	return n, err
 }
 
 // confirmEnd returns io.EOF if the other side ended the connection in order, or the error of the write that met its break. A write
--- a/pkg/responseconn/transport.go
+++ b/pkg/responseconn/transport.go
@@ -4,6 +4,9 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+
+	"github.com/cuminroute/cuminroute/pkg/responsehead"
 )
 
 // Transport is an http.RoundTripper whose responses are read from a Conn.
@@ -30,7 +33,21 @@
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
-	return t.base.RoundTrip(request)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*Conn); ok {
+			_ = c.ExpectResponse(nil) // No byte of the response was read.
+		}
+	}}
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	// On a TLS connection the head was not checked before it was parsed.
+	if err := responsehead.CheckStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
 }
 
 // CloseIdleConnections closes the connections that carry no request.
--- /dev/null
+++ b/pkg/responsehead/checker.go
@@ -0,0 +1,182 @@
+// Package responsehead checks the heads of HTTP/1 responses byte by byte, before they are parsed.
+//
+// The parser of net/http accepts heads that are not valid: those with a status from 000 to 099, above 599 or with a sign, and another
+// protocol version. A Checker reports such a head as invalid.
+//
+// A Checker does no I/O. It is not safe for concurrent use.
+//
+// Usage:
+//
+//	var c responsehead.Checker
+//	c.Begin()
+//	n, err := c.Check(received) // The first n bytes are valid so far.
+package responsehead
+
+import (
+	"github.com/joomcode/errorx"
+)
+
+// Invalid is the type of errors for bytes that cannot be part of a response head.
+var Invalid = errorx.NewNamespace("responsehead").ApplyModifiers(errorx.TypeModifierOmitStackTrace).NewType("invalid")
+
+// part is the part of a head that the next byte belongs to.
+type part string
+
+const (
+	partNone       part = "" // partNone means that no head is expected.
+	partVersion    part = "version"
+	partStatus     part = "status code"
+	partReason     part = "reason phrase"
+	partFieldStart part = "start of a field"
+	partValue      part = "field value"
+	partLineEnd    part = "end of a line" // partLineEnd is the line feed after a carriage return.
+	partHeadEnd    part = "end of the head"
+)
+
+const (
+	versionPrefix = "HTTP/1."
+	statusDigits  = 3
+	// switchingProtocols ends HTTP on a connection. It is valid only for a request that asked for it, and none does.
+	switchingProtocols = 101
+	// minFinal is the lowest status of a final response, and maxFinal the highest of any. Lower statuses from minInterim are of interim
+	// responses, after which another head follows.
+	minInterim = 100
+	minFinal   = 200
+	maxFinal   = 599
+)
+
+// Checker checks the head of one final response at a time, and the interim responses before it.
+type Checker struct {
+	part   part
+	count  int // count is the number of bytes of the version or the status code so far.
+	status int
+}
+
+// Begin expects a head with the next byte.
+func (c *Checker) Begin() { *c = Checker{part: partVersion} }
+
+// Check checks further bytes, up to the end of the head; what follows belongs to the body and is not checked. If the error is not nil,
+// it has the type Invalid, and valid is the number of bytes before the first one that cannot be part of a head.
+func (c *Checker) Check(b []byte) (valid int, err error) {
+	for i, char := range b {
+		if c.part == partNone {
+			break
+		}
+		if err := c.next(char); err != nil {
+			return i, err
+		}
+	}
+	return len(b), nil
+}
+
+// next checks one byte.
+func (c *Checker) next(char byte) error {
+	switch c.part {
+	case partVersion:
+		return c.version(char)
+	case partStatus:
+		return c.statusCode(char)
+	case partReason, partValue:
+		c.text(char)
+		return nil
+	case partFieldStart:
+		c.fieldStart(char)
+		return nil
+	default:
+		c.lineFeed(char)
+		return nil
+	}
+}
+
+// version checks the protocol version and the blank after it.
+func (c *Checker) version(char byte) error {
+	n := c.count
+	c.count++
+	switch {
+	case n < len(versionPrefix) && char == versionPrefix[n]:
+		return nil
+	case n == len(versionPrefix) && isDigit(char):
+		return nil
+	case n == len(versionPrefix)+1 && char == ' ':
+		c.part, c.count, c.status = partStatus, 0, 0
+		return nil
+	}
+	return Invalid.New("the response does not begin with an HTTP/1 version")
+}
+
+// statusCode checks the digits of the status code, and the blank or line end after them.
+func (c *Checker) statusCode(char byte) error {
+	if c.count < statusDigits {
+		if !isDigit(char) {
+			return Invalid.New("the status code is not a number of %d digits", statusDigits)
+		}
+		c.count++
+		c.status = 10*c.status + int(char-'0')
+		if c.count == statusDigits {
+			return checkStatus(c.status)
+		}
+		return nil
+	}
+	c.part = partReason
+	if char == ' ' || char == '\r' || char == '\n' {
+		c.text(char)
+		return nil
+	}
+	return Invalid.New("the status code has more than %d characters", statusDigits)
+}
+
+// checkStatus returns an error for a status that no response to a request of this program can have.
+func checkStatus(status int) error {
+	if status < minInterim || status > maxFinal {
+		return Invalid.New("the status code %03d is not between %d and %d", status, minInterim, maxFinal)
+	}
+	if status == switchingProtocols {
+		return Invalid.New("the status code %d was not asked for", status)
+	}
+	return nil
+}
+
+// text checks a byte of the reason phrase or of a field, or the end of its line.
+func (c *Checker) text(char byte) {
+	switch char {
+	case '\n':
+		c.part = partFieldStart
+	case '\r':
+		c.part = partLineEnd
+	}
+}
+
+// fieldStart checks the first byte of a field, or of the empty line that ends the head.
+func (c *Checker) fieldStart(char byte) {
+	switch char {
+	case '\n':
+		c.end()
+	case '\r':
+		c.part = partHeadEnd
+	default:
+		c.part = partValue
+	}
+}
+
+// lineFeed checks the byte after a carriage return.
+func (c *Checker) lineFeed(char byte) {
+	switch {
+	case char == '\n' && c.part == partHeadEnd:
+		c.end()
+	case char == '\n':
+		c.part = partFieldStart
+	default:
+		c.part = partValue
+	}
+}
+
+// end ends a head. After that of an interim response, another one is expected.
+func (c *Checker) end() {
+	if c.status < minFinal {
+		c.Begin()
+	} else {
+		c.part = partNone
+	}
+}
+
+func isDigit(char byte) bool { return char >= '0' && char <= '9' }
--- /dev/null
+++ b/pkg/standin/brokenresponse/server.go
@@ -0,0 +1,89 @@
+// Package brokenresponse is a stand-in for a process in trouble: it sends responses that no client may take for an answer.
+//
+// Usage:
+//
+//	for _, r := range brokenresponse.InvalidStatuses("", "{}") {
+//		s, err := brokenresponse.New(r.Bytes)
+//		...
+//		defer s.Close()
+//	}
+package brokenresponse
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+)
+
+// Server sends the same bytes to each request and closes the connection in order. It is safe for concurrent use.
+type Server struct {
+	listener net.Listener
+	response string
+	except   map[string]string
+
+	mu       sync.Mutex
+	requests int
+}
+
+// Option configures a Server.
+type Option func(*Server)
+
+// WithResponse sets another response for a path.
+func WithResponse(path, response string) Option {
+	return func(s *Server) { s.except[path] = response }
+}
+
+// New starts a server on a loopback address.
+func New(response string, options ...Option) (*Server, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{listener: l, response: response, except: make(map[string]string)}
+	for _, option := range options {
+		option(s)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(c)
+		}
+	}()
+	return s, nil
+}
+
+// Address returns the server's address.
+func (s *Server) Address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// Requests returns the number of requests that got the response of New.
+func (s *Server) Requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.requests
+}
+
+// Close ends the server.
+func (s *Server) Close() { _ = s.listener.Close() }
+
+func (s *Server) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	request, err := http.ReadRequest(bufio.NewReader(c))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	if response, ok := s.except[request.URL.Path]; ok {
+		_, _ = io.WriteString(c, response)
+		return
+	}
+	s.mu.Lock()
+	s.requests++
+	s.mu.Unlock()
+	_, _ = io.WriteString(c, s.response)
+}
