responsehead: Refuse responses in whose head a field is not valid

Callers saw: a target in trouble sent a response in whose head the name of a field held a blank or a control character. The client got it as a response, with that line passed on, or with a body that was not the target's: with "Content-Length : 14" the body went on past its end, with "Transfer-Encoding : chunked" the client got the chunk sizes as well.

Cause: the parser of net/http keeps a field name with blanks as it is, and takes a line that begins with a blank for the rest of the field before it. Neither is the field that frames the body. A Transfer-Encoding in HTTP/1.0 is dropped, and so is what RFC 9112 wants refused. The readers look at the fields that they know only.

Change: responsehead.Checker checks names, values and line ends. A line that continues another one is refused as well; RFC 9112 allows that for a gateway. On TLS connections the names are checked after the parser.

The other cases of the tests held before. Fuzzing for 20 s found no head that passes and whose parsed names or status are not valid. The tests of pkg/connection, pkg/peer, pkg/daemon and platform passed with the race detector.

Conclusion: a head is valid or the response is refused.

--- a/pkg/responseconn/transport.go
+++ b/pkg/responseconn/transport.go
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	// On a TLS connection the head was not checked before it was parsed.
-	if err := responsehead.CheckStatus(response.StatusCode); err != nil {
+	if err := responsehead.CheckParsed(response.StatusCode, response.Header); err != nil {
 		_ = response.Body.Close()
 		return nil, err
 	}
--- a/pkg/responsehead/checker.go
+++ b/pkg/responsehead/checker.go
@@ -1,7 +1,9 @@
 // Package responsehead checks the heads of HTTP/1 responses byte by byte, before they are parsed.
 //
-// The parser of net/http accepts heads that are not valid: those with a status from 000 to 099, above 599 or with a sign, and another
-// protocol version. A Checker reports such a head as invalid.
+// The parser of net/http accepts heads that are not valid: a status from 000 to 099 or above 599, a field name with a blank before the
+// colon, a line that begins with a blank and continues the field before it, a control character in a value, and a Transfer-Encoding in
+// HTTP/1.0. A field that the parser does not recognise, such as "Content-Length : 5", does not frame the body, so that the body that a
+// caller gets is not the one that was sent. A Checker reports such a head as invalid.
 //
 // A Checker does no I/O. It is not safe for concurrent use.
 //
@@ -13,6 +15,8 @@
 package responsehead
 
 import (
+	"fmt"
+
 	"github.com/joomcode/errorx"
 )
 
@@ -28,14 +32,16 @@
 	partStatus     part = "status code"
 	partReason     part = "reason phrase"
 	partFieldStart part = "start of a field"
+	partName       part = "field name"
 	partValue      part = "field value"
 	partLineEnd    part = "end of a line" // partLineEnd is the line feed after a carriage return.
 	partHeadEnd    part = "end of the head"
 )
 
 const (
-	versionPrefix = "HTTP/1."
-	statusDigits  = 3
+	versionPrefix    = "HTTP/1."
+	transferEncoding = "transfer-encoding"
+	statusDigits     = 3
 	// switchingProtocols ends HTTP on a connection. It is valid only for a request that asked for it, and none does.
 	switchingProtocols = 101
 	// minFinal is the lowest status of a final response, and maxFinal the highest of any. Lower statuses from minInterim are of interim
@@ -47,9 +53,11 @@
 
 // Checker checks the head of one final response at a time, and the interim responses before it.
 type Checker struct {
-	part   part
-	count  int // count is the number of bytes of the version or the status code so far.
-	status int
+	part    part
+	count   int // count is the number of bytes of the version, the status code or the field name so far.
+	status  int
+	http10  bool
+	matches int // matches is the number of bytes of the field name that match transferEncoding from the start.
 }
 
 // Begin expects a head with the next byte.
@@ -77,14 +85,13 @@
 	case partStatus:
 		return c.statusCode(char)
 	case partReason, partValue:
-		c.text(char)
-		return nil
+		return c.text(char)
 	case partFieldStart:
-		c.fieldStart(char)
-		return nil
+		return c.fieldStart(char)
+	case partName:
+		return c.name(char)
 	default:
-		c.lineFeed(char)
-		return nil
+		return c.lineFeed(char)
 	}
 }
 
@@ -96,6 +103,7 @@
 	case n < len(versionPrefix) && char == versionPrefix[n]:
 		return nil
 	case n == len(versionPrefix) && isDigit(char):
+		c.http10 = char == '0'
 		return nil
 	case n == len(versionPrefix)+1 && char == ' ':
 		c.part, c.count, c.status = partStatus, 0, 0
@@ -119,8 +127,7 @@
 	}
 	c.part = partReason
 	if char == ' ' || char == '\r' || char == '\n' {
-		c.text(char)
-		return nil
+		return c.text(char)
 	}
 	return Invalid.New("the status code has more than %d characters", statusDigits)
 }
@@ -136,38 +143,63 @@
 	return nil
 }
 
-// text checks a byte of the reason phrase or of a field, or the end of its line.
-func (c *Checker) text(char byte) {
-	switch char {
-	case '\n':
+// text checks a byte of the reason phrase or of a field value, or the end of its line.
+func (c *Checker) text(char byte) error {
+	switch {
+	case char == '\n':
 		c.part = partFieldStart
-	case '\r':
+	case char == '\r':
 		c.part = partLineEnd
+	case isControl(char):
+		return Invalid.New("the %s has the control character %#02x", c.part, char)
 	}
+	return nil
 }
 
 // fieldStart checks the first byte of a field, or of the empty line that ends the head.
-func (c *Checker) fieldStart(char byte) {
+func (c *Checker) fieldStart(char byte) error {
 	switch char {
 	case '\n':
 		c.end()
+		return nil
 	case '\r':
 		c.part = partHeadEnd
-	default:
-		c.part = partValue
+		return nil
 	}
+	c.part, c.count, c.matches = partName, 0, 0
+	return c.name(char)
 }
 
-// lineFeed checks the byte after a carriage return.
-func (c *Checker) lineFeed(char byte) {
+// name checks a byte of a field name, or the colon after it.
+func (c *Checker) name(char byte) error {
 	switch {
-	case char == '\n' && c.part == partHeadEnd:
+	case char == ':' && c.count > 0:
+		if c.http10 && c.count == len(transferEncoding) && c.matches == c.count {
+			return Invalid.New("the response of HTTP/1.0 has a Transfer-Encoding")
+		}
+		c.part = partValue
+		return nil
+	case !isToken(char):
+		return Invalid.New("a field name has %s", describe(char))
+	}
+	if c.matches == c.count && c.count < len(transferEncoding) && lower(char) == transferEncoding[c.count] {
+		c.matches++
+	}
+	c.count++
+	return nil
+}
+
+// lineFeed checks the line feed after a carriage return.
+func (c *Checker) lineFeed(char byte) error {
+	if char != '\n' {
+		return Invalid.New("a carriage return is not followed by a line feed")
+	}
+	if c.part == partHeadEnd {
 		c.end()
-	case char == '\n':
+	} else {
 		c.part = partFieldStart
-	default:
-		c.part = partValue
 	}
+	return nil
 }
 
 // end ends a head. After that of an interim response, another one is expected.
@@ -179,4 +211,37 @@
 	}
 }
 
+// describe names a byte that a field name must not have.
+func describe(char byte) string {
+	switch {
+	case char == ' ' || char == '\t':
+		return "a blank"
+	case char == '\r' || char == '\n':
+		return "no colon after it"
+	case isControl(char):
+		return fmt.Sprintf("the control character %#02x", char)
+	default:
+		return fmt.Sprintf("the character %q", char)
+	}
+}
+
 func isDigit(char byte) bool { return char >= '0' && char <= '9' }
+
+// isControl reports whether a byte is a control character other than a tab.
+func isControl(char byte) bool { return char < ' ' && char != '\t' || char == 0x7f }
+
+// isToken reports whether a field name may have the byte.
+func isToken(char byte) bool {
+	switch char {
+	case '!', '#', '$', '%', '&', '\'', '*', '+', '-', '.', '^', '_', '`', '|', '~':
+		return true
+	}
+	return isDigit(char) || lower(char) >= 'a' && lower(char) <= 'z'
+}
+
+func lower(char byte) byte {
+	if char >= 'A' && char <= 'Z' {
+		return char + 'a' - 'A'
+	}
+	return char
+}
--- a/pkg/responsehead/checker_test.go
+++ b/pkg/responsehead/checker_test.go
@@ -53,6 +53,11 @@
 	testInvalid(t, brokenresponse.InvalidStatuses("X-A: b\r\n", "body"))
 }
 
+// TestInvalidFields guards against a field name, a field value or a line that no head can have.
+func TestInvalidFields(t *testing.T) {
+	testInvalid(t, brokenresponse.InvalidFields("X-A: b\r\n", "body"))
+}
+
 func testInvalid(t *testing.T, responses []brokenresponse.Response) {
 	for _, response := range responses {
 		for piece := 1; piece <= len(response.Bytes); piece++ {
@@ -79,7 +84,7 @@
 // FuzzChecker guards against a head that passes the check and that net/http parses as something else, and against a result that
 // depends on how the bytes arrive.
 func FuzzChecker(f *testing.F) {
-	for _, response := range brokenresponse.InvalidStatuses("X-A: b\r\n", "body") {
+	for _, response := range append(brokenresponse.InvalidStatuses("X-A: b\r\n", "body"), brokenresponse.InvalidFields("X-A: b\r\n", "body")...) {
 		f.Add(response.Bytes)
 	}
 	f.Add("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\n\r\nbody")
@@ -97,6 +102,26 @@
 		if err != nil {
 			return
 		}
-		qt.Assert(t, responsehead.CheckStatus(parsed.StatusCode), qt.IsNil)
+		qt.Assert(t, responsehead.CheckParsed(parsed.StatusCode, parsed.Header), qt.IsNil)
 	})
 }
+
+// TestCheckParsed guards against a response on a TLS connection whose status or field names are not valid.
+func TestCheckParsed(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		status int
+		header http.Header
+		valid  bool
+	}{
+		{"whole", http.StatusOK, http.Header{"X-Own": {"a"}}, true},
+		{"status 000", 0, nil, false},
+		{"status 101", http.StatusSwitchingProtocols, nil, false},
+		{"status 600", 600, nil, false},
+		{"blank in a name", http.StatusOK, http.Header{"Content-Length ": {"4"}}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, responsehead.CheckParsed(test.status, test.header) == nil, qt.Equals, test.valid)
+		})
+	}
+}
--- a/pkg/standin/brokenresponse/readers_test.go
+++ b/pkg/standin/brokenresponse/readers_test.go
@@ -188,3 +188,8 @@
 func TestInvalidStatus(t *testing.T) {
 	testReaders(t, func(body string) []brokenresponse.Response { return brokenresponse.InvalidStatuses("", body) })
 }
+
+// TestInvalidFields guards against a response in whose head a field is not valid, and that a client takes for an answer.
+func TestInvalidFields(t *testing.T) {
+	testReaders(t, func(body string) []brokenresponse.Response { return brokenresponse.InvalidFields("", body) })
+}
