table: Count a transaction as unwritten only after a status from 400

Callers would see: an order refused as not run, or a change as not applied, although it may have been written. The client concluded from every status below 500 other than 200 and 408 that a transaction was not written, also from 204, 206 and 3xx, which say the opposite or nothing.

Cause: the check for 4xx has no lower bound.

Change: only 4xx without 408, and 503, mean that nothing was written.

Measured, before, one run (no dependence on time): 4 of 5 cases of TestUnusualStatus failed; 500 held. After: all pass.

--- a/pkg/peer/table/client.go
+++ b/pkg/peer/table/client.go
@@ -164,7 +164,7 @@
 	if !errors.As(err, &status) || status == http.StatusRequestTimeout {
 		return false
 	}
-	return status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
+	return status >= http.StatusBadRequest && status < http.StatusInternalServerError || status == http.StatusServiceUnavailable
 }
 
 // call sends one request and decodes the response body. It returns sent as false if the request got no connection,
--- a/pkg/standin/brokenresponse/readers_test.go
+++ b/pkg/standin/brokenresponse/readers_test.go
@@ -193,3 +193,20 @@
 func TestInvalidFields(t *testing.T) {
 	testReaders(t, func(body string) []brokenresponse.Response { return brokenresponse.InvalidFields("", body) })
 }
+
+// TestUnusualStatus guards against a transaction that is said not to have been written because the status of the response is one that
+// the table does not send.
+func TestUnusualStatus(t *testing.T) {
+	for _, status := range []string{"204 No Content", "206 Partial Content", "300 Multiple Choices", "304 Not Modified", "500 Internal Server Error"} {
+		t.Run(status, func(t *testing.T) {
+			s, err := brokenresponse.New("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n")
+			qt.Assert(t, err, qt.IsNil)
+			defer s.Close()
+			c := table.New("http://" + s.Address().String())
+			defer c.Close()
+			_, err = c.Commit(context.Background(), table.Transaction{})
+			qt.Assert(t, err, qt.ErrorIs, table.ErrUnknown)
+			qt.Assert(t, s.Requests(), qt.Equals, 1)
+		})
+	}
+}
