operator: Say that a change may have been made when only its resend failed

Operators would see: a change whose answer was broken, and that may have been made, was reported as Unavailable, which means that nothing was changed.

Order of events: (1) the instance makes the change, and its answer is cut off; (2) the client takes the outcome for unknown and sends the change again under its ID; (3) the instance has ended, or has lost its stores, and the second attempt is Unavailable; (4) that was the result.

Change: an attempt that was not made does not replace an unknown outcome.

--- a/pkg/peer/operator/client.go
+++ b/pkg/peer/operator/client.go
@@ -144,15 +144,18 @@
 }
 
 // retry calls f up to maxAttempts times while the error has the code Unknown. The change that f sends has
-// an ID, so that it is applied only once.
+// an ID, so that it is applied only once. An attempt that was not made says nothing of the one before it.
 func retry(ctx context.Context, c *Client, f func() (api.Head, error)) (api.Head, error) {
+	var lost error // lost is the error of the last attempt whose outcome is unknown.
 	for attempt := 1; ; attempt++ {
 		head, err := f()
-		var refusal *api.Error
-		unknown := errors.As(err, &refusal) && refusal.Code == api.Unknown
-		if !unknown || attempt == maxAttempts {
+		if lost != nil && hasCode(err, api.Unavailable) {
+			return head, lost
+		}
+		if !hasCode(err, api.Unknown) || attempt == maxAttempts {
 			return head, err
 		}
+		lost = err
 		select {
 		case <-ctx.Done():
 			return head, err
@@ -161,6 +164,12 @@
 	}
 }
 
+// hasCode reports whether an error is a refusal with the code.
+func hasCode(err error, code api.Code) bool {
+	var refusal *api.Error
+	return errors.As(err, &refusal) && refusal.Code == code
+}
+
 func send[T any](ctx context.Context, c *Client, method, path string, body any) (T, error) {
 	var result T
 	request, err := c.request(ctx, method, path, body)
--- a/pkg/standin/brokenresponse/server.go
+++ b/pkg/standin/brokenresponse/server.go
@@ -23,6 +23,7 @@
 	listener net.Listener
 	response string
 	except   map[string]string
+	ends     bool
 
 	mu       sync.Mutex
 	requests int
@@ -36,6 +37,12 @@
 	return func(s *Server) { s.except[path] = response }
 }
 
+// WithEnd makes the server end with its first response, as a process does that is killed: its connections end in order, and its host
+// refuses new ones.
+func WithEnd() Option {
+	return func(s *Server) { s.ends = true }
+}
+
 // New starts a server on a loopback address.
 func New(response string, options ...Option) (*Server, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -86,4 +93,7 @@
 	s.requests++
 	s.mu.Unlock()
 	_, _ = io.WriteString(c, s.response)
+	if s.ends {
+		s.Close()
+	}
 }
