responseconn: Confirm the end of every response without a length

Callers would see: weights or a document of the configuration that were cut off, taken for whole ones. The connections of a process that is killed end in order, and a body without a length ends with its connection. JSON shows a cut; raw bytes do not. Services and the platform's targets had a check of their own.

Change: a response without a length that is read through net/http ends only if the process that sent it still accepts a connection, whatever the client. The same check in the client of services goes. Its error is not that of a dial, which the operators' client takes for a request that was not sent.

--- a/pkg/peer/service/dispatch.go
+++ b/pkg/peer/service/dispatch.go
@@ -79,29 +79,12 @@
 	if len(body) > maxResponseBytes {
 		return Response{}, fmt.Errorf("response body exceeds %d bytes", maxResponseBytes)
 	}
-	if err := c.confirmEnd(ctx, response, t, direct); err != nil {
-		return Response{}, err
+	if unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0; unframed && !direct() {
+		return Response{}, errRelayedEnd
 	}
 	return Response{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}, nil
 }
 
-// confirmEnd returns an error if a body, which was read to its end, may have ended before its last byte: it has no length, and
-// the target no longer accepts connections, or the instance that relayed it may have ended. The connections of a process that is
-// killed end in order.
-func (c *Client) confirmEnd(ctx context.Context, response *http.Response, t target.Target, direct func() bool) error {
-	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 {
-		return nil
-	}
-	if !direct() {
-		return errRelayedEnd
-	}
-	conn, err := c.dial(ctx, "tcp", t.Address.String())
-	if err != nil {
-		return fmt.Errorf("the response has no length, and the target may have ended: %w", err)
-	}
-	return conn.Close()
-}
-
 func newRequest(ctx context.Context, t target.Target, req Request) (*http.Request, error) {
 	address := url.URL{Scheme: "http", Host: t.Address.String(), Path: "/" + req.Path, RawQuery: req.Query}
 	request, err := http.NewRequestWithContext(ctx, req.Method, address.String(), bytes.NewReader(req.Body))
--- a/pkg/responseconn/transport.go
+++ b/pkg/responseconn/transport.go
@@ -5,40 +5,50 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync/atomic"
 
 	"github.com/cuminroute/cuminroute/pkg/responsehead"
 )
 
-// Transport is an http.RoundTripper whose responses are read from a Conn.
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Transport is an http.RoundTripper whose responses are read from a Conn. The body of a response without a length ends only if the
+// process that sent it still accepts connections then.
 type Transport struct {
 	base *http.Transport
+	dial dialFunc
 }
 
 // NewTransport returns a Transport that sends requests by base, whose connections it opens as base does. base must not be used
 // otherwise.
 func NewTransport(base *http.Transport) *Transport {
-	dial := base.DialContext
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
+	t := &Transport{base: base, dial: base.DialContext}
+	if t.dial == nil {
+		t.dial = (&net.Dialer{}).DialContext
 	}
 	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dial(ctx, network, address)
+		c, err := t.dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
 		return Wrap(c), nil
 	}
-	return &Transport{base: base}
+	return t
 }
 
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	ctx := request.Context()
+	var peer atomic.Pointer[net.Addr] // peer is the remote address of the request's connection.
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		address := info.Conn.RemoteAddr()
+		peer.Store(&address)
 		if c, ok := info.Conn.(*Conn); ok {
 			_ = c.ExpectResponse(nil) // No byte of the response was read.
 		}
 	}}
-	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, err
 	}
@@ -47,6 +57,9 @@
 		_ = response.Body.Close()
 		return nil, err
 	}
+	if address := peer.Load(); address != nil && isUnframed(response) {
+		response.Body = &unframedBody{ReadCloser: response.Body, accepts: acceptance(ctx, t.dial, *address)}
+	}
 	return response, nil
 }
 
--- a/pkg/standin/brokenresponse/readers_test.go
+++ b/pkg/standin/brokenresponse/readers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -194,6 +195,44 @@
 	testReaders(t, func(body string) []brokenresponse.Response { return brokenresponse.InvalidFields("", body) })
 }
 
+// TestEndWithoutLength guards against a part of a body without a length that is taken for the whole, since the connections of a process
+// that was killed end in order.
+func TestEndWithoutLength(t *testing.T) {
+	for _, r := range readers {
+		for n := range len(r.body) {
+			s, err := brokenresponse.New("HTTP/1.1 200 OK\r\n\r\n"+r.body[:n], brokenresponse.WithEnd())
+			qt.Assert(t, err, qt.IsNil)
+			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+			qt.Check(t, r.send(ctx, s.Address()), qt.Equals, lost, qt.Commentf("%s, %d bytes", r.name, n))
+			cancel()
+			s.Close()
+		}
+	}
+}
+
+// TestSoundResponses guards against refusing a whole response without a length, or one after interim responses.
+func TestSoundResponses(t *testing.T) {
+	for _, response := range []struct{ name, start string }{
+		{"without a length", "HTTP/1.1 200 OK\r\n\r\n"},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nX-Own: a\r\n\r\n"},
+		{"after interim responses", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\nHTTP/1.1 200 OK\r\n\r\n"},
+	} {
+		for _, r := range readers {
+			if strings.HasPrefix(r.name, "engine, ") && r.name != "engine, cancellation" {
+				continue // A message without a length is refused, since a part of it can be decoded.
+			}
+			t.Run(response.name+"/"+r.name, func(t *testing.T) {
+				s, err := brokenresponse.New(response.start + r.body)
+				qt.Assert(t, err, qt.IsNil)
+				defer s.Close()
+				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+				defer cancel()
+				qt.Assert(t, r.send(ctx, s.Address()), qt.Equals, answered+": <nil>")
+			})
+		}
+	}
+}
+
 // TestUnusualStatus guards against a transaction that is said not to have been written because the status of the response is one that
 // the table does not send.
 func TestUnusualStatus(t *testing.T) {
