responseconn: Refuse bodies that are longer than their reader accepts

Callers would see: a report, an object or an exported KV cache whose first part, up to the reader's limit, was taken for the whole. The readers cut off what is beyond their limit and did not say so, except for the client of services.

Change: ReadBody fails for a longer body; all clients that read whole bodies use it.

--- a/pkg/peer/engine/unary.go
+++ b/pkg/peer/engine/unary.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -113,7 +112,7 @@
 }
 
 func (c *Client) decodeResponse(path string, response *http.Response, result proto.Message) error {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxUnaryBytes))
+	body, err := responseconn.ReadBody(response.Body, maxUnaryBytes)
 	if err != nil {
 		return c.newError(path, outcome.Unknown, err)
 	}
--- a/pkg/peer/instancelist/client.go
+++ b/pkg/peer/instancelist/client.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -120,7 +119,7 @@
 	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := responseconn.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
--- a/pkg/peer/objectstore/client.go
+++ b/pkg/peer/objectstore/client.go
@@ -18,7 +18,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
@@ -119,7 +118,7 @@
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
-	content, err := io.ReadAll(io.LimitReader(resp.Body, MaxObjectBytes))
+	content, err := responseconn.ReadBody(resp.Body, MaxObjectBytes)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
--- a/pkg/peer/operator/client.go
+++ b/pkg/peer/operator/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -181,7 +180,7 @@
 		return result, transportError(method, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	content, err := responseconn.ReadBody(response.Body, maxResponseBytes)
 	if err != nil {
 		return result, transportError(method, err)
 	}
--- a/pkg/peer/service/dispatch.go
+++ b/pkg/peer/service/dispatch.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
@@ -13,6 +12,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -72,13 +72,10 @@
 		return Response{}, err
 	}
 	c.recordRequestLimit(t.Name, response.Header)
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	body, err := responseconn.ReadBody(response.Body, maxResponseBytes)
 	if err != nil {
 		return Response{}, err
 	}
-	if len(body) > maxResponseBytes {
-		return Response{}, fmt.Errorf("response body exceeds %d bytes", maxResponseBytes)
-	}
 	if unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0; unframed && !direct() {
 		return Response{}, errRelayedEnd
 	}
--- a/pkg/peer/table/client.go
+++ b/pkg/peer/table/client.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -190,7 +189,7 @@
 }
 
 func decode(resp *http.Response, into any) error {
-	content, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	content, err := responseconn.ReadBody(resp.Body, maxResponseBytes)
 	if err != nil {
 		return err
 	}
