service, brokenresponse: Keep dead addresses of tests dead

TestIdempotent/all_dead failed once, in `go test ./platform ./pkg/peer/... ./pkg/standin/...`: the request to two dead addresses was Done.

Cause: the dead address is the port of a listener that was closed 4 s before. The tests of brokenresponse opened some 1,000 listeners in a second, one of which got that port and answered.

Change: the test holds the port with a socket that does not listen, which refuses connections as well. The tests with broken responses use one listener for many responses.

--- a/pkg/peer/service/client_test.go
+++ b/pkg/peer/service/client_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -14,6 +13,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"github.com/cuminroute/cuminroute/pkg/drain"
 	"github.com/cuminroute/cuminroute/pkg/outcome"
@@ -180,10 +180,7 @@
 // TestIdempotent guards against lookups that fail or stall because of one target, and against retries without a
 // budget.
 func TestIdempotent(t *testing.T) {
-	closed, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	unused := netip.MustParseAddrPort(closed.Addr().String())
-	_ = closed.Close()
+	unused := reserveAddress(t)
 	var failing atomic.Int32
 	unavailable := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		failing.Add(1)
@@ -249,3 +246,16 @@
 
 func (noRetries) RecordRequest(string, time.Time) {}
 func (noRetries) Allow(string, time.Time) bool    { return false }
+
+// reserveAddress returns an address that refuses connections until the test ends. The port of a closed listener could be given to that
+// of another test, which would accept them.
+func reserveAddress(t *testing.T) netip.AddrPort {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM, 0)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	qt.Assert(t, unix.Bind(fd, &unix.SockaddrInet4{Addr: loopback.As4()}), qt.IsNil)
+	name, err := unix.Getsockname(fd)
+	qt.Assert(t, err, qt.IsNil)
+	return netip.AddrPortFrom(loopback, uint16(name.(*unix.SockaddrInet4).Port))
+}
--- a/pkg/standin/brokenresponse/readers_test.go
+++ b/pkg/standin/brokenresponse/readers_test.go
@@ -165,20 +165,27 @@
 	}},
 }
 
+// start starts a server that sends a response to each request.
+func start(t *testing.T, response string, options ...brokenresponse.Option) *brokenresponse.Server {
+	s, err := brokenresponse.New(response, options...)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(s.Close)
+	return s
+}
+
 // testReaders checks that no client takes one of the responses for an answer, and that none sends a request again that may have run.
 func testReaders(t *testing.T, responses func(body string) []brokenresponse.Response) {
 	for _, r := range readers {
 		t.Run(r.name, func(t *testing.T) {
+			s := start(t, "")
 			for _, response := range responses(r.body) {
-				s, err := brokenresponse.New(response.Bytes)
-				qt.Assert(t, err, qt.IsNil)
+				s.SetResponse(response.Bytes)
 				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 				qt.Check(t, r.send(ctx, s.Address()), qt.Equals, lost, qt.Commentf("%s", response.Name))
 				if !r.resends {
 					qt.Check(t, s.Requests(), qt.Equals, 1, qt.Commentf("%s", response.Name))
 				}
 				cancel()
-				s.Close()
 			}
 		})
 	}
@@ -200,12 +207,10 @@
 func TestEndWithoutLength(t *testing.T) {
 	for _, r := range readers {
 		for n := range len(r.body) {
-			s, err := brokenresponse.New("HTTP/1.1 200 OK\r\n\r\n"+r.body[:n], brokenresponse.WithEnd())
-			qt.Assert(t, err, qt.IsNil)
+			s := start(t, "HTTP/1.1 200 OK\r\n\r\n"+r.body[:n], brokenresponse.WithEnd())
 			ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 			qt.Check(t, r.send(ctx, s.Address()), qt.Equals, lost, qt.Commentf("%s, %d bytes", r.name, n))
 			cancel()
-			s.Close()
 		}
 	}
 }
@@ -222,9 +227,7 @@
 				continue // A message without a length is refused, since a part of it can be decoded.
 			}
 			t.Run(response.name+"/"+r.name, func(t *testing.T) {
-				s, err := brokenresponse.New(response.start + r.body)
-				qt.Assert(t, err, qt.IsNil)
-				defer s.Close()
+				s := start(t, response.start+r.body)
 				ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 				defer cancel()
 				qt.Assert(t, r.send(ctx, s.Address()), qt.Equals, answered+": <nil>")
@@ -238,12 +241,10 @@
 func TestUnusualStatus(t *testing.T) {
 	for _, status := range []string{"204 No Content", "206 Partial Content", "300 Multiple Choices", "304 Not Modified", "500 Internal Server Error"} {
 		t.Run(status, func(t *testing.T) {
-			s, err := brokenresponse.New("HTTP/1.1 " + status + "\r\nContent-Length: 0\r\n\r\n")
-			qt.Assert(t, err, qt.IsNil)
-			defer s.Close()
+			s := start(t, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
 			c := table.New("http://" + s.Address().String())
 			defer c.Close()
-			_, err = c.Commit(context.Background(), table.Transaction{})
+			_, err := c.Commit(context.Background(), table.Transaction{})
 			qt.Assert(t, err, qt.ErrorIs, table.ErrUnknown)
 			qt.Assert(t, s.Requests(), qt.Equals, 1)
 		})
--- a/pkg/standin/brokenresponse/server.go
+++ b/pkg/standin/brokenresponse/server.go
@@ -2,10 +2,12 @@
 //
 // Usage:
 //
+//	s, err := brokenresponse.New("")
+//	...
+//	defer s.Close()
 //	for _, r := range brokenresponse.InvalidStatuses("", "{}") {
-//		s, err := brokenresponse.New(r.Bytes)
+//		s.SetResponse(r.Bytes)
 //		...
-//		defer s.Close()
 //	}
 package brokenresponse
 
@@ -21,11 +23,11 @@
 // Server sends the same bytes to each request and closes the connection in order. It is safe for concurrent use.
 type Server struct {
 	listener net.Listener
-	response string
 	except   map[string]string
 	ends     bool
 
 	mu       sync.Mutex
+	response string
 	requests int
 }
 
@@ -68,7 +70,14 @@
 // Address returns the server's address.
 func (s *Server) Address() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
 
-// Requests returns the number of requests that got the response of New.
+// SetResponse sets the response to further requests, and starts to count them anew.
+func (s *Server) SetResponse(response string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.response, s.requests = response, 0
+}
+
+// Requests returns the number of requests that got the response that was set last.
 func (s *Server) Requests() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,6 +87,14 @@
 // Close ends the server.
 func (s *Server) Close() { _ = s.listener.Close() }
 
+// next counts a request and returns its response.
+func (s *Server) next() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.requests++
+	return s.response
+}
+
 func (s *Server) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
 	request, err := http.ReadRequest(bufio.NewReader(c))
@@ -89,10 +106,7 @@
 		_, _ = io.WriteString(c, response)
 		return
 	}
-	s.mu.Lock()
-	s.requests++
-	s.mu.Unlock()
-	_, _ = io.WriteString(c, s.response)
+	_, _ = io.WriteString(c, s.next())
 	if s.ends {
 		s.Close()
 	}
