proxy, responseconn: Name the cause of a broken response in the log

Operators saw: "malformed MIME header" or "malformed HTTP status code "00"" for a head that was refused before the parser had it whole, and no cause at all for a response of more than 64 KiB that was cut off at the client.

Cause: the parser takes the valid start of a line for the line and reports that, and the copy of a long body dropped its error.

Change: the error of the head goes before that of the parser, and a request that ends as BrokenOff has its cause in "request ended".

--- a/pkg/connection/conn.go
+++ b/pkg/connection/conn.go
@@ -225,6 +225,9 @@
 func (c *Conn) receive(request *http.Request) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(c.reader, request)
+		if invalid := c.netConn.HeadError(); invalid != nil {
+			err = invalid
+		}
 		if err != nil {
 			if isProtocolError(err) {
 				return nil, InvalidResponse.Wrap(err, "%s sent an invalid HTTP response", c.address)
--- a/pkg/proxy/result.go
+++ b/pkg/proxy/result.go
@@ -78,7 +78,7 @@
 		entry.Str("Outcome", "CallerLeft").Err(err).Msg("request ended")
 	case errors.Is(err, http.ErrAbortHandler):
 		s.counters.aborted.Inc(1)
-		entry.Str("Outcome", "BrokenOff").Msg("request ended")
+		entry.Str("Outcome", "BrokenOff").Err(err).Msg("request ended")
 	case errors.As(err, &refused) && refused.Status < http.StatusInternalServerError || refused != nil && refused.Status == http.StatusServiceUnavailable:
 		s.counters.refused.Inc(1)
 		entry.Str("Outcome", string(refused.Outcome)).Str("Reason", refused.Code).Int("Status", refused.Status).
--- a/pkg/proxy/unary.go
+++ b/pkg/proxy/unary.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -194,21 +196,33 @@
 	w.WriteHeader(response.Status)
 	if _, err := w.Write(body); err != nil {
 		response.Abort()
-		return http.ErrAbortHandler
+		return brokenOff(err)
 	}
 	rest := response.Body
 	if response.ContentLength < 0 {
 		rest = io.LimitReader(response.Body, maxUnboundedResponse)
 	}
 	n, err := io.Copy(w, rest)
-	if err != nil || response.ContentLength < 0 && n == maxUnboundedResponse || response.confirmEnd(ctx) != nil {
+	if err == nil && response.ContentLength < 0 && n == maxUnboundedResponse {
+		err = errEndlessResponse
+	}
+	if err == nil {
+		err = response.confirmEnd(ctx)
+	}
+	if err != nil {
 		response.Abort()
-		return http.ErrAbortHandler
+		return brokenOff(err)
 	}
 	response.Release()
 	return nil
 }
 
+// errEndlessResponse reports a response without a length that exceeds maxUnboundedResponse.
+var errEndlessResponse = errors.New("the response has no length and does not end")
+
+// brokenOff returns http.ErrAbortHandler with the cause for which a response that was begun ends early.
+func brokenOff(cause error) error { return fmt.Errorf("%w: %w", http.ErrAbortHandler, cause) }
+
 // copyHeader sets the fields of the response in the header. If the response has no Content-Type, a nil value prevents
 // net/http from adding one.
 func copyHeader(to, from http.Header) {
--- a/pkg/responseconn/conn.go
+++ b/pkg/responseconn/conn.go
@@ -21,6 +21,8 @@
 	"syscall"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/cuminroute/cuminroute/pkg/responsehead"
 )
 
@@ -72,6 +74,15 @@
 	return err
 }
 
+// HeadError returns the error of an invalid head that was read, or nil. The parser, which gets the valid start of that head, may report
+// another one.
+func (c *Conn) HeadError() error {
+	if err := c.failure(); errorx.IsOfType(err, responsehead.Invalid) {
+		return err
+	}
+	return nil
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	c.writing.Lock()
--- a/pkg/responseconn/transport.go
+++ b/pkg/responseconn/transport.go
@@ -40,27 +40,39 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(request *http.Request) (*http.Response, error) {
 	ctx := request.Context()
-	var peer atomic.Pointer[net.Addr] // peer is the remote address of the request's connection.
+	var conn atomic.Pointer[net.Conn] // conn is the connection of the request.
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		address := info.Conn.RemoteAddr()
-		peer.Store(&address)
+		conn.Store(&info.Conn)
 		if c, ok := info.Conn.(*Conn); ok {
 			_ = c.ExpectResponse(nil) // No byte of the response was read.
 		}
 	}}
 	response, err := t.base.RoundTrip(request.WithContext(httptrace.WithClientTrace(ctx, trace)))
-	if err != nil {
-		return nil, err
+	used := conn.Load()
+	if used == nil {
+		return response, err
 	}
-	// On a TLS connection the head was not checked before it was parsed.
-	if err := responsehead.CheckParsed(response.StatusCode, response.Header); err != nil {
-		_ = response.Body.Close()
-		return nil, err
+	if invalid := checkHead(*used, response); invalid != nil {
+		if response != nil {
+			_ = response.Body.Close()
+		}
+		return nil, invalid
+	}
+	if err == nil && isUnframed(response) {
+		response.Body = &unframedBody{ReadCloser: response.Body, accepts: acceptance(ctx, t.dial, (*used).RemoteAddr())}
+	}
+	return response, err
+}
+
+// checkHead returns the error of a head that is not valid. response is nil if it could not be parsed.
+func checkHead(used net.Conn, response *http.Response) error {
+	if c, ok := used.(*Conn); ok {
+		return c.HeadError()
 	}
-	if address := peer.Load(); address != nil && isUnframed(response) {
-		response.Body = &unframedBody{ReadCloser: response.Body, accepts: acceptance(ctx, t.dial, *address)}
+	if response == nil {
+		return nil
 	}
-	return response, nil
+	return responsehead.CheckParsed(response.StatusCode, response.Header) // On a TLS connection.
 }
 
 // CloseIdleConnections closes the connections that carry no request.
