--- a/pkg/responsehead/checker.go
+++ b/pkg/responsehead/checker.go
@@ -151,7 +151,7 @@
 	case char == '\r':
 		c.part = partLineEnd
 	case isControl(char):
-		return Invalid.New("the %s has the control character %#02x", c.part, char)
+		return Invalid.New("the %s has the control character 0x%02x", c.part, char)
 	}
 	return nil
 }
@@ -219,7 +219,7 @@
 	case char == '\r' || char == '\n':
 		return "no colon after it"
 	case isControl(char):
-		return fmt.Sprintf("the control character %#02x", char)
+		return fmt.Sprintf("the control character 0x%02x", char)
 	default:
 		return fmt.Sprintf("the character %q", char)
 	}
