responseconn: Return the error of the write without a type of its own

Nothing looked for the sentinel error. The message is the same. The comment on statuses says which constant it means.

--- a/pkg/responseconn/conn.go
+++ b/pkg/responseconn/conn.go
@@ -14,6 +14,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -26,15 +27,6 @@
 	"github.com/cuminroute/cuminroute/pkg/responsehead"
 )
 
-// errReset reports a connection that broke while a request was being written to it.
-var errReset = errors.New("the connection broke while the request was being written, so the response may be incomplete")
-
-// brokenError is errReset with the error of the write.
-type brokenError struct{ cause error }
-
-func (e *brokenError) Error() string   { return errReset.Error() + ": " + e.cause.Error() }
-func (e *brokenError) Unwrap() []error { return []error{errReset, e.cause} }
-
 // Conn is a connection on which responses are read. Reads and writes may be concurrent, as those of net.Conn.
 type Conn struct {
 	net.Conn
@@ -144,7 +136,7 @@
 	c.writing.Lock()
 	defer c.writing.Unlock()
 	if c.broken != nil {
-		return &brokenError{cause: c.broken}
+		return fmt.Errorf("the connection broke while the request was being written, so the response may be incomplete: %w", c.broken)
 	}
 	return io.EOF
 }
--- a/pkg/responsehead/checker.go
+++ b/pkg/responsehead/checker.go
@@ -44,8 +44,7 @@
 	statusDigits     = 3
 	// switchingProtocols ends HTTP on a connection. It is valid only for a request that asked for it, and none does.
 	switchingProtocols = 101
-	// minFinal is the lowest status of a final response, and maxFinal the highest of any. Lower statuses from minInterim are of interim
-	// responses, after which another head follows.
+	// Statuses from minInterim to below minFinal are those of interim responses, after which another head follows.
 	minInterim = 100
 	minFinal   = 200
 	maxFinal   = 599
