--- a/pkg/peer/engine/unary.go
+++ b/pkg/peer/engine/unary.go
@@ -14,7 +14,8 @@
 
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/peer/engine/enginepb"
-	"github.com/cuminroute/cuminroute/pkg/responseconn"
+	"github.com/cuminroute/cuminroute/pkg/responsebody"
+	"github.com/cuminroute/cuminroute/pkg/responsetransport"
 )
 
 const (
@@ -28,7 +29,7 @@
 
 func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), connections int) *http.Client {
 	return &http.Client{
-		Transport: responseconn.NewTransport(&http.Transport{
+		Transport: responsetransport.New(&http.Transport{
 			DialContext:         dial,
 			MaxConnsPerHost:     connections,
 			MaxIdleConnsPerHost: connections,
@@ -112,7 +113,7 @@
 }
 
 func (c *Client) decodeResponse(path string, response *http.Response, result proto.Message) error {
-	body, err := responseconn.ReadBody(response.Body, maxUnaryBytes)
+	body, err := responsebody.Read(response.Body, maxUnaryBytes)
 	if err != nil {
 		return c.newError(path, outcome.Unknown, err)
 	}
--- a/pkg/peer/instancelist/client.go
+++ b/pkg/peer/instancelist/client.go
@@ -25,7 +25,8 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/cuminroute/cuminroute/pkg/responseconn"
+	"github.com/cuminroute/cuminroute/pkg/responsebody"
+	"github.com/cuminroute/cuminroute/pkg/responsetransport"
 )
 
 const (
@@ -87,7 +88,7 @@
 
 // New returns a client of the instance list service at baseURL.
 func New(baseURL string, opts ...Option) *Client {
-	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), timeout: DefaultTimeout, onSkip: func([]error) {}, http: &http.Client{Transport: responseconn.NewTransport(&http.Transport{})}}
+	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), timeout: DefaultTimeout, onSkip: func([]error) {}, http: &http.Client{Transport: responsetransport.New(&http.Transport{})}}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -119,7 +120,7 @@
 	case resp.StatusCode != http.StatusOK:
 		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
 	}
-	body, err := responseconn.ReadBody(resp.Body, maxResponseBytes)
+	body, err := responsebody.Read(resp.Body, maxResponseBytes)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
--- a/pkg/peer/objectstore/client.go
+++ b/pkg/peer/objectstore/client.go
@@ -25,7 +25,8 @@
 
 	"github.com/joomcode/errorx"
 
-	"github.com/cuminroute/cuminroute/pkg/responseconn"
+	"github.com/cuminroute/cuminroute/pkg/responsebody"
+	"github.com/cuminroute/cuminroute/pkg/responsetransport"
 )
 
 const (
@@ -64,7 +65,7 @@
 
 // New returns a client of the object store at baseURL.
 func New(baseURL string, opts ...Option) *Client {
-	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), timeout: DefaultTimeout, http: &http.Client{Transport: responseconn.NewTransport(&http.Transport{})}}
+	c := &Client{baseURL: strings.TrimRight(baseURL, "/"), timeout: DefaultTimeout, http: &http.Client{Transport: responsetransport.New(&http.Transport{})}}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -118,7 +119,7 @@
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
 	defer resp.Body.Close()
-	content, err := responseconn.ReadBody(resp.Body, MaxObjectBytes)
+	content, err := responsebody.Read(resp.Body, MaxObjectBytes)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %v", ErrUnavailable, err)
 	}
--- a/pkg/peer/operator/client.go
+++ b/pkg/peer/operator/client.go
@@ -14,7 +14,8 @@
 	"time"
 
 	"github.com/cuminroute/cuminroute/pkg/peer/operator/api"
-	"github.com/cuminroute/cuminroute/pkg/responseconn"
+	"github.com/cuminroute/cuminroute/pkg/responsebody"
+	"github.com/cuminroute/cuminroute/pkg/responsetransport"
 )
 
 const (
@@ -63,12 +64,12 @@
 }
 
 // newTransport returns a transport with the settings of net/http's own, such as a proxy that the environment names.
-func newTransport() *responseconn.Transport {
+func newTransport() *responsetransport.Transport {
 	base := &http.Transport{Proxy: http.ProxyFromEnvironment}
 	if standard, ok := http.DefaultTransport.(*http.Transport); ok {
 		base = standard.Clone()
 	}
-	return responseconn.NewTransport(base)
+	return responsetransport.New(base)
 }
 
 // Current returns the newest accepted configuration.
@@ -180,7 +181,7 @@
 		return result, transportError(method, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	content, err := responseconn.ReadBody(response.Body, maxResponseBytes)
+	content, err := responsebody.Read(response.Body, maxResponseBytes)
 	if err != nil {
 		return result, transportError(method, err)
 	}
--- a/pkg/peer/service/client.go
+++ b/pkg/peer/service/client.go
@@ -11,7 +11,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/cuminroute/cuminroute/pkg/decision/requestlimit"
-	"github.com/cuminroute/cuminroute/pkg/responseconn"
+	"github.com/cuminroute/cuminroute/pkg/responsetransport"
 )
 
 const (
@@ -120,7 +120,7 @@
 
 func newHTTPClient(dial func(ctx context.Context, network, address string) (net.Conn, error), disableKeepAlives bool) *http.Client {
 	return &http.Client{
-		Transport: responseconn.NewTransport(&http.Transport{
+		Transport: responsetransport.New(&http.Transport{
 			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdleConnsPerTarget,
 			IdleConnTimeout:     time.Minute,
--- a/pkg/peer/service/dispatch.go
+++ b/pkg/peer/service/dispatch.go
@@ -12,7 +12,7 @@
 
 	"github.com/cuminroute/cuminroute/pkg/outcome"
 	"github.com/cuminroute/cuminroute/pkg/refusal"
-	"github.com/cuminroute/cuminroute/pkg/responseconn"
+	"github.com/cuminroute/cuminroute/pkg/responsebody"
 	"github.com/cuminroute/cuminroute/pkg/target"
 )
 
@@ -72,7 +72,7 @@
 		return Response{}, err
 	}
 	c.recordRequestLimit(t.Name, response.Header)
-	body, err := responseconn.ReadBody(response.Body, maxResponseBytes)
+	body, err := responsebody.Read(response.Body, maxResponseBytes)
 	if err != nil {
 		return Response{}, err
 	}
--- a/pkg/peer/table/client.go
+++ b/pkg/peer/table/client.go
@@ -17,7 +17,8 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/cuminroute/cuminroute/pkg/responseconn"
+	"github.com/cuminroute/cuminroute/pkg/responsebody"
+	"github.com/cuminroute/cuminroute/pkg/responsetransport"
 )
 
 const (
@@ -74,8 +75,8 @@
 	return c
 }
 
-func newTransport() *responseconn.Transport {
-	return responseconn.NewTransport(&http.Transport{
+func newTransport() *responsetransport.Transport {
+	return responsetransport.New(&http.Transport{
 		DialContext:         (&net.Dialer{Timeout: DefaultTimeout}).DialContext,
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     time.Minute,
@@ -189,7 +190,7 @@
 }
 
 func decode(resp *http.Response, into any) error {
-	content, err := responseconn.ReadBody(resp.Body, maxResponseBytes)
+	content, err := responsebody.Read(resp.Body, maxResponseBytes)
 	if err != nil {
 		return err
 	}
--- a/pkg/responseconn/conn.go
+++ b/pkg/responseconn/conn.go
@@ -5,11 +5,14 @@
 // an orderly end, and a response without a length looks complete. A Conn passes such a reset on to its reads. It also checks the head
 // of each response that is expected, see package responsehead.
 //
-// Every client that reads HTTP responses uses it: those with their own connections by Wrap, those of net/http by NewTransport.
+// Every client that reads HTTP responses uses it, those of net/http by package responsetransport.
 //
 // Usage:
 //
-//	client := &http.Client{Transport: responseconn.NewTransport(&http.Transport{})}
+//	c := responseconn.Wrap(netConn)
+//	_, err := c.Write(request)
+//	err = c.ExpectResponse(nil) // No byte of the response was read.
+//	response, err := http.ReadResponse(bufio.NewReader(c), nil)
 package responseconn
 
 import (
--- a/pkg/responseconn/transport.go
+++ b/pkg/responsetransport/transport.go
@@ -1,4 +1,9 @@
-package responseconn
+// Package responsetransport is the transport of clients of net/http that reads responses from a responseconn.Conn.
+//
+// Usage:
+//
+//	client := &http.Client{Transport: responsetransport.New(&http.Transport{})}
+package responsetransport
 
 import (
 	"context"
@@ -7,22 +12,23 @@
 	"net/http/httptrace"
 	"sync/atomic"
 
+	"github.com/cuminroute/cuminroute/pkg/responseconn"
 	"github.com/cuminroute/cuminroute/pkg/responsehead"
 )
 
 // dialFunc opens a connection.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Transport is an http.RoundTripper whose responses are read from a Conn. The body of a response without a length ends only if the
+// Transport is an http.RoundTripper whose responses are read from a responseconn.Conn. The body of a response without a length ends only if the
 // process that sent it still accepts connections then.
 type Transport struct {
 	base *http.Transport
 	dial dialFunc
 }
 
-// NewTransport returns a Transport that sends requests by base, whose connections it opens as base does. base must not be used
+// New returns a Transport that sends requests by base, whose connections it opens as base does. base must not be used
 // otherwise.
-func NewTransport(base *http.Transport) *Transport {
+func New(base *http.Transport) *Transport {
 	t := &Transport{base: base, dial: base.DialContext}
 	if t.dial == nil {
 		t.dial = (&net.Dialer{}).DialContext
@@ -32,7 +38,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return Wrap(c), nil
+		return responseconn.Wrap(c), nil
 	}
 	return t
 }
@@ -43,7 +49,7 @@
 	var conn atomic.Pointer[net.Conn] // conn is the connection of the request.
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		conn.Store(&info.Conn)
-		if c, ok := info.Conn.(*Conn); ok {
+		if c, ok := info.Conn.(*responseconn.Conn); ok {
 			_ = c.ExpectResponse(nil) // No byte of the response was read.
 		}
 	}}
@@ -66,7 +72,7 @@
 
 // checkHead returns the error of a head that is not valid. response is nil if it could not be parsed.
 func checkHead(used net.Conn, response *http.Response) error {
-	if c, ok := used.(*Conn); ok {
+	if c, ok := used.(*responseconn.Conn); ok {
 		return c.HeadError()
 	}
 	if response == nil {
--- a/pkg/responseconn/body.go
+++ b/pkg/responsetransport/unframed.go
@@ -1,4 +1,4 @@
-package responseconn
+package responsetransport
 
 import (
 	"context"
@@ -9,21 +9,6 @@
 	"net/http"
 )
 
-// errTooLong reports a body that is longer than its reader accepts.
-var errTooLong = errors.New("the body is too long")
-
-// ReadBody reads a body to its end. It fails if the body has more than limit bytes: a part of it could look like a whole one.
-func ReadBody(body io.Reader, limit int64) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(content)) > limit {
-		return nil, fmt.Errorf("%w: more than %d bytes", errTooLong, limit)
-	}
-	return content, nil
-}
-
 // unframedBody is a body without a length. The connections of a process that is killed end in order, so the end counts only if the
 // process still accepts a connection.
 type unframedBody struct {
