responseconn: Do not let net/http resend a request whose response begins invalid

Targets would see: a request that may be repeated came twice, past the retry budget, if the response on a kept connection began with an invalid byte. This came with the check of heads: a read that fails without any byte looks to net/http like a kept connection that broke while it was idle. Orders were not concerned: they use new connections.

Change: a read of an invalid head returns at least one byte, and the next read the error, which goes before that of the parser.

--- a/pkg/responseconn/conn.go
+++ b/pkg/responseconn/conn.go
@@ -69,7 +69,7 @@
 	return err
 }
 
-// HeadError returns the error of an invalid head that was read, or nil. The parser, which gets the valid start of that head, may report
+// HeadError returns the error of an invalid head that was read, or nil. The parser, which gets the start of that head, may report
 // another one.
 func (c *Conn) HeadError() error {
 	if err := c.failure(); errorx.IsOfType(err, responsehead.Invalid) {
@@ -95,8 +95,9 @@
 	return err != nil && !errors.Is(err, syscall.EPIPE) && !errors.Is(err, net.ErrClosed) && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// Read implements net.Conn. Bytes of an expected head that are invalid are not returned. After an error other than a timeout, all
-// further reads fail with it: the operating system would report an orderly end to the next one.
+// Read implements net.Conn. Of an invalid head, the valid start is returned, at least one byte, and the error by the next read: after
+// an error without any byte, net/http takes a kept connection for one that broke while it was idle, and sends the request again. After
+// an error other than a timeout, all further reads fail with it: the operating system would report an orderly end to the next one.
 func (c *Conn) Read(b []byte) (int, error) {
 	if err := c.failure(); err != nil {
 		return 0, err
@@ -126,8 +127,8 @@
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		c.failed = err
 	}
-	if n > 0 && invalid != nil {
-		return n, nil // The valid start is passed on, so that the error is that of a response and not of an idle connection.
+	if invalid != nil {
+		return max(n, 1), nil
 	}
 	return n, err
 }
--- /dev/null
+++ b/pkg/responsetransport/transport_test.go
@@ -0,0 +1,53 @@
+package responsetransport_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/cuminroute/cuminroute/pkg/responsetransport"
+)
+
+// TestInvalidResponseIsNotResent guards against a request that net/http sends again on its own, past all retry budgets, since a
+// response whose first byte is invalid looks like the end of a kept connection.
+func TestInvalidResponseIsNotResent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = l.Close() }()
+	var requests atomic.Int32
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				for reader := bufio.NewReader(c); ; {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					if requests.Add(1) == 1 {
+						_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+						continue
+					}
+					_, _ = io.WriteString(c, "\x00no response\r\n\r\n")
+					return
+				}
+			}()
+		}
+	}()
+	client := &http.Client{Transport: responsetransport.New(&http.Transport{})}
+	defer client.CloseIdleConnections()
+	response, err := client.Get("http://" + l.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	_ = response.Body.Close()
+	_, err = client.Get("http://" + l.Addr().String())
+	qt.Assert(t, err, qt.ErrorMatches, ".*does not begin with an HTTP/1 version.*")
+	qt.Assert(t, requests.Load(), qt.Equals, int32(2))
+}
