responsetransport: Open no connection for the end of a body of HTTP/2

The end of a body without a length is confirmed by a connection to its sender. Bodies of HTTP/2, which net/http may speak over TLS, are framed without a length, so that this connection was needless.

--- a/pkg/responsetransport/transport.go
+++ b/pkg/responsetransport/transport.go
@@ -19,8 +19,8 @@
 // dialFunc opens a connection.
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
-// Transport is an http.RoundTripper whose responses are read from a responseconn.Conn. The body of a response without a length ends only if the
-// process that sent it still accepts connections then.
+// Transport is an http.RoundTripper whose responses are read from a responseconn.Conn. The body of a response without a length ends only
+// if the process that sent it still accepts connections then.
 type Transport struct {
 	base *http.Transport
 	dial dialFunc
--- a/pkg/responsetransport/transport_test.go
+++ b/pkg/responsetransport/transport_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -51,3 +52,30 @@
 	qt.Assert(t, err, qt.ErrorMatches, ".*does not begin with an HTTP/1 version.*")
 	qt.Assert(t, requests.Load(), qt.Equals, int32(2))
 }
+
+// TestNoConnectionForFramedBody guards against a connection that is opened to confirm the end of a body of HTTP/2, which is framed
+// although it has no length.
+func TestNoConnectionForFramedBody(t *testing.T) {
+	var opened atomic.Int32
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = http.NewResponseController(w).Flush()
+		_, _ = io.WriteString(w, "body")
+	}))
+	s.EnableHTTP2 = true
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			opened.Add(1)
+		}
+	}
+	s.StartTLS()
+	defer s.Close()
+	client := &http.Client{Transport: responsetransport.New(s.Client().Transport.(*http.Transport).Clone())}
+	response, err := client.Get(s.URL)
+	qt.Assert(t, err, qt.IsNil)
+	defer func() { _ = response.Body.Close() }()
+	qt.Assert(t, response.ProtoMajor, qt.Equals, 2)
+	content, err := io.ReadAll(response.Body)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, string(content), qt.Equals, "body")
+	qt.Assert(t, opened.Load(), qt.Equals, int32(1))
+}
--- a/pkg/responsetransport/unframed.go
+++ b/pkg/responsetransport/unframed.go
@@ -28,9 +28,9 @@
 	return n, err
 }
 
-// isUnframed reports whether a body has no length, so that it ends with its connection.
+// isUnframed reports whether a body has no length, so that it ends with its connection. HTTP/2 frames every body.
 func isUnframed(response *http.Response) bool {
-	return response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
+	return response.ProtoMajor == 1 && response.ContentLength < 0 && len(response.TransferEncoding) == 0 && !response.Uncompressed
 }
 
 // acceptance returns a function that opens a connection to an address and closes it.
