--- a/pkg/peer/service/cut_test.go
+++ b/pkg/peer/service/cut_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -40,7 +41,7 @@
 					running.Go(func() {
 						for _, r := range []struct {
 							name string
-							send func(address *net.TCPAddr) (string, error)
+							send func(address netip.AddrPort) (string, error)
 						}{{"order", sendOrder}, {"lookup", sendLookup}} {
 							body, err := r.send(newCutTarget(t, test.response[:n], reset))
 							qt.Check(t, err, qt.IsNotNil, qt.Commentf("%s, cut before byte %d: body %q", r.name, n, body))
@@ -60,44 +61,31 @@
 	}
 }
 
-func sendOrder(address *net.TCPAddr) (string, error) {
-	client := newClient(newFakeClaimer(), []target.Target{newTarget(address.AddrPort(), "orders-1")})
+func sendOrder(address netip.AddrPort) (string, error) {
+	client := newClient(newFakeClaimer(), []target.Target{newTarget(address, "orders-1")})
 	defer client.Close()
 	response, err := client.Do(context.Background(), orderRequest("key", "two boxes"))
 	return string(response.Body), err
 }
 
-func sendLookup(address *net.TCPAddr) (string, error) {
-	client := newClient(newFakeClaimer(), []target.Target{newTarget(address.AddrPort(), "orders-1")})
+func sendLookup(address netip.AddrPort) (string, error) {
+	client := newClient(newFakeClaimer(), []target.Target{newTarget(address, "orders-1")})
 	defer client.Close()
 	response, err := client.Do(context.Background(), lookupRequest())
 	return string(response.Body), err
 }
 
 // newCutTarget starts a target that sends the given bytes to each request and closes or resets the connection. The target keeps running.
-func newCutTarget(t *testing.T, sent string, reset bool) *net.TCPAddr {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Check(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				request, err := http.ReadRequest(bufio.NewReader(c))
-				if err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, request.Body)
-				_, _ = io.Copy(c, strings.NewReader(sent))
-				if reset {
-					_ = c.(*net.TCPConn).SetLinger(0)
-				}
-			}()
+func newCutTarget(t *testing.T, sent string, reset bool) netip.AddrPort {
+	return listen(t, func(c *net.TCPConn) {
+		request, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, request.Body)
+		_, _ = io.Copy(c, strings.NewReader(sent))
+		if reset {
+			_ = c.SetLinger(0)
 		}
-	}()
-	return l.Addr().(*net.TCPAddr)
+	})
 }
--- a/pkg/peer/service/reset_test.go
+++ b/pkg/peer/service/reset_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -35,7 +36,7 @@
 			whole := 0
 			for n := range requests {
 				address := listenAndReset(t, time.Duration(n)*pause)
-				client := newClient(newFakeClaimer(), []target.Target{newTarget(address.AddrPort(), "orders-1")})
+				client := newClient(newFakeClaimer(), []target.Target{newTarget(address, "orders-1")})
 				request := orderRequest("key", body)
 				request.Idempotent = test.idempotent
 				response, err := client.Do(context.Background(), request)
@@ -54,27 +55,14 @@
 
 // listenAndReset starts a target that answers without a length as soon as it has the head of a request, and resets the connection
 // after a pause. It accepts further connections.
-func listenAndReset(t *testing.T, pause time.Duration) *net.TCPAddr {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	qt.Assert(t, err, qt.IsNil)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_ = c.(*net.TCPConn).SetReadBuffer(4 << 10)
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\ntwo")
-				time.Sleep(pause)
-				_ = c.(*net.TCPConn).SetLinger(0)
-			}()
+func listenAndReset(t *testing.T, pause time.Duration) netip.AddrPort {
+	return listen(t, func(c *net.TCPConn) {
+		_ = c.SetReadBuffer(4 << 10)
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
 		}
-	}()
-	return l.Addr().(*net.TCPAddr)
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\ntwo")
+		time.Sleep(pause)
+		_ = c.SetLinger(0)
+	})
 }
--- a/pkg/peer/service/setup_test.go
+++ b/pkg/peer/service/setup_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -114,3 +116,23 @@
 	}
 	c.Fatal(err)
 }
+
+// listen starts a listener that passes each connection to serve and closes it after that.
+func listen(t *testing.T, serve func(c *net.TCPConn)) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				serve(c.(*net.TCPConn))
+			}()
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
--- a/pkg/responsebody/body.go
+++ b/pkg/responsebody/body.go
@@ -6,14 +6,10 @@
 package responsebody
 
 import (
-	"errors"
 	"fmt"
 	"io"
 )
 
-// errTooLong reports a body that is longer than its reader accepts.
-var errTooLong = errors.New("the body is too long")
-
 // Read reads a body to its end. It fails if the body has more than limit bytes: a part of it could look like a whole one.
 func Read(body io.Reader, limit int64) ([]byte, error) {
 	content, err := io.ReadAll(io.LimitReader(body, limit+1))
@@ -21,7 +17,7 @@
 		return nil, err
 	}
 	if int64(len(content)) > limit {
-		return nil, fmt.Errorf("%w: more than %d bytes", errTooLong, limit)
+		return nil, fmt.Errorf("the body is too long: more than %d bytes", limit)
 	}
 	return content, nil
 }
