--- a/review/standins3/fleet.go
+++ b/review/standins3/fleet.go
@@ -26,10 +26,12 @@
 	record    *os.File
 	begun     time.Time
 	processes []*exec.Cmd
-	runs      map[string][]string // runs lists the workers that ran each request.
-	layers    map[string][2]int   // layers holds what each worker said that it holds.
+	runs      map[string][]string    // runs lists the workers that ran each request.
+	arrivals  map[string][]time.Time // arrivals holds when each worker got requests that it ran.
+	layers    map[string][2]int      // layers holds what each worker said that it holds.
 	workers   map[string]*workerProcess
 	instances []*instance
+	bounds    string // bounds are the bounds in the settings.
 }
 
 // instance is a process of the system.
@@ -45,7 +47,7 @@
 	config workerConfig
 	cmd    *exec.Cmd
 	stop   chan struct{} // stop ends the heartbeats.
-	silent bool
+	born   int64
 }
 
 // bounds are those of the small deployments.
@@ -80,8 +82,8 @@
 	record, err := os.Create(filepath.Join(folder, "record.txt"))
 	must(err)
 	f := &fleet{
-		root: root, dir: dir, store: newStore(), record: record, begun: time.Now(), runs: map[string][]string{}, layers: map[string][2]int{},
-		workers: map[string]*workerProcess{},
+		root: root, dir: dir, store: newStore(), record: record, begun: time.Now(), runs: map[string][]string{}, arrivals: map[string][]time.Time{}, layers: map[string][2]int{},
+		workers: map[string]*workerProcess{}, bounds: bounds,
 	}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	must(err)
@@ -214,7 +216,7 @@
 blob_bytes = 8388608
 blob_ms = 25.0
 blob_mb_per_s = 80.0
-`, x.name, ip, 'a'+i%3, first, first+15, strings.Join(seeds, ","), x.client, x.ready, ip, control, bounds, f.addr)
+`, x.name, ip, 'a'+i%3, first, first+15, strings.Join(seeds, ","), x.client, x.ready, ip, control, f.bounds, f.addr)
 		must(os.WriteFile(x.settings, []byte(content), 0o600))
 		f.instances = append(f.instances, x)
 		f.startInstance(x)
@@ -283,6 +285,7 @@
 	w.cmd.Stderr = os.Stderr
 	must(w.cmd.Start())
 	born := time.Now().UnixMilli()
+	w.born = born
 	listens := make(chan struct{})
 	f.mu.Lock()
 	f.processes = append(f.processes, w.cmd)
@@ -296,13 +299,14 @@
 			if json.Unmarshal(lines.Bytes(), &h) != nil {
 				continue
 			}
-			f.log("worker %s %s %s %s", h.Worker, h.What, h.ID, h.Note)
+			f.log("worker %s %s %s %s at %.3f", h.Worker, h.What, h.ID, h.Note, h.At.Sub(f.begun).Seconds())
 			switch h.What {
 			case "listens":
 				close(listens)
 			case "runs":
 				f.mu.Lock()
 				f.runs[h.ID] = append(f.runs[h.ID], h.Worker)
+				f.arrivals[h.Worker] = append(f.arrivals[h.Worker], h.At)
 				f.mu.Unlock()
 			case "holds":
 				var l [2]int
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -18,8 +18,8 @@
 func trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
 var cases = map[string]func(f *fleet) (broken int){
-	"unframed-crash":  unframedCrash,
-	"unframed-stream": unframedStream,
+	"drain-retry":    drainRetry,
+	"unframed-crash": unframedCrash,
 }
 
 // limit is the longest time of a case.
--- a/review/standins3/unframed.go
+++ b/review/standins3/unframed.go
@@ -5,7 +5,6 @@
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -94,56 +93,6 @@
 
 func tail(s string) string { return s[max(0, len(s)-20):] }
 
-// unframedStream plays streams whose answers have no length. An instance freezes while streams are under way, and meanwhile a model worker
-// crashes and starts again under its ID.
-func unframedStream(f *fleet) (broken int) {
-	f.store.put("op", "config", configuration(3))
-	const events = 60
-	var workers []*workerProcess
-	for i := range 3 {
-		workers = append(workers, f.startWorker(workerConfig{
-			ID: fmt.Sprintf("i-m%d", i+1), Address: fmt.Sprintf("127.0.0.1:%d", freePort()), Slots: 192, Unframed: unframedShare, Engine: true, Events: events, GapMs: 60,
-		}, "igla-assist"))
-	}
-	f.startInstances(3)
-	f.awaitReady()
-	f.awaitLayers(3)
-	time.Sleep(time.Second)
-	x := f.instances[0]
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	for round := range 3 {
-		for n := range 180 {
-			group.Go(func() {
-				id := fmt.Sprintf("%08x%08x", round+1, n+1)
-				f.log("client %d asks for stream %s at %s", n, id, x.name)
-				r := request(x.client, http.MethodPost, "/guide/heel", id, "{}", 20*time.Second, "X-Model: m0", "X-Token-Usage: 800,120", "X-Prefix-Hash: 5c1e07a2:40,91bd3f06:760")
-				got := wholeEvents(id, r.body)
-				f.log("client %d gets %d for stream %s: %d events, complete %v, error %v", n, r.status, id, got, r.complete, r.err)
-				if r.status/100 == 2 && r.complete && got != events {
-					f.log("ORDER: stream %s ended as complete after event %d of %d", id, got, events)
-					mu.Lock()
-					broken++
-					mu.Unlock()
-				}
-			})
-		}
-		time.Sleep(1200 * time.Millisecond)
-		if trouble() {
-			f.signal(x.name, x.cmd, syscall.SIGSTOP)
-			time.Sleep(50 * time.Millisecond)
-			f.killWorker(workers[round])
-			time.Sleep(1200 * time.Millisecond)
-			workers[round] = f.startWorker(workers[round].config, "igla-assist")
-			time.Sleep(500 * time.Millisecond)
-			f.signal(x.name, x.cmd, syscall.SIGCONT)
-		}
-		group.Wait()
-		time.Sleep(2 * time.Second)
-	}
-	return broken
-}
-
 // wholeEvents returns the number of events at the start of a body that are those of a stream in order.
 func wholeEvents(id, body string) (n int) {
 	for ; len(body) > 0; n++ {
--- a/review/standins3/worker.go
+++ b/review/standins3/worker.go
@@ -26,6 +26,8 @@
 	Engine   bool // Engine makes the worker a model worker, which streams events.
 	Events   int  // Events is the number of events of a stream, and GapMs the time between two of them.
 	GapMs    int
+	Held     int // Held is how many streams in a hundred get no answer, until their connection is reset after HeldMs.
+	HeldMs   int
 }
 
 // happening is a line of a worker's output.
@@ -35,6 +37,7 @@
 	ID     string `json:",omitempty"`
 	Bytes  int    `json:",omitempty"`
 	Note   string `json:",omitempty"`
+	At     time.Time
 }
 
 type worker struct {
@@ -71,7 +74,7 @@
 func (w *worker) say(what, id string, n int, note string) {
 	w.out.Lock()
 	defer w.out.Unlock()
-	line, _ := json.Marshal(happening{Worker: w.ID, What: what, ID: id, Bytes: n, Note: note})
+	line, _ := json.Marshal(happening{Worker: w.ID, What: what, ID: id, Bytes: n, Note: note, At: time.Now()})
 	_, _ = os.Stdout.Write(append(line, '\n'))
 }
 
@@ -170,6 +173,13 @@
 
 // stream sends the events of a stream, after Last-Event-Id if the request has one.
 func (w *worker) stream(c net.Conn, request *http.Request, id string) bool {
+	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
+	if last == 0 && rand.IntN(100) < w.Held {
+		time.Sleep(time.Duration(w.HeldMs) * time.Millisecond)
+		w.say("resets", id, 0, "")
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return false
+	}
 	unframed := rand.IntN(100) < w.Unframed
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Attempt-Id: " + id + "\r\nX-Response-Seal: " + seal(w.ID, id) + "\r\n"
 	if unframed {
@@ -180,7 +190,6 @@
 	if _, err := io.WriteString(c, head); err != nil {
 		return false
 	}
-	last, _ := strconv.Atoi(request.Header.Get("Last-Event-Id"))
 	for n := last + 1; n <= w.Events; n++ {
 		time.Sleep(time.Duration(w.GapMs) * time.Millisecond)
 		e := event(id, n)
