--- a/review/standins3/config.go
+++ b/review/standins3/config.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 // configuration is a configuration of a small deployment: orders, which may run once, lookups, and a model with a stream.
--- a/review/standins3/drain.go
+++ b/review/standins3/drain.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 package main
 
 import (
--- a/review/standins3/main.go
+++ b/review/standins3/main.go
@@ -1,3 +1,5 @@
+//go:build review3
+
 // Command standins3 plays the cases of a review: it starts the instances of the system as processes of their own, with the command of the
 // deploy file, and stands in for the platform's store, the workers and the clients.
 //
