--- a/review/standins3/config.go
+++ b/review/standins3/config.go
@@ -25,8 +25,8 @@
 			map[string]any{
 				"name": "igla-assist", "max_conns": 2116, "health_path": "/healthz",
 				"engine": map[string]any{
-					"slots": 192, "kv_capacity": 100000, "kv_token_bytes": 327680, "step_ms": 0.85, "per_seq_ms": 0.01, "context_per_k": 0.01, "read_per_s": 272000.0,
-					"report_lag_ms": 200, "layers": 8, "layer_mb": 1750.0, "activation_bytes": 16384, "pipe_mbps": 9300.0, "link_mbps": 9300.0, "stride": 2, "chunk": 512,
+					"slots": 192, "kv_capacity": 100000, "kv_token_bytes": 81920, "step_ms": 0.85, "per_seq_ms": 0.01, "context_per_k": 0.01, "read_per_s": 272000.0,
+					"report_lag_ms": 200, "layers": 8, "layer_mb": 500.0, "activation_bytes": 16384, "pipe_mbps": 9300.0, "link_mbps": 9300.0, "stride": 2, "chunk": 512,
 					"models": []any{map[string]any{"name": "m0", "load_s": 0.2}}, "delays": []any{map[string]any{"from": "lj-a", "target": "lj-b", "delay_ms": 0.62}},
 					"usual": map[string]any{"prompt": 800, "answer": 146},
 					"kinds": []any{map[string]any{"name": "a100s", "megabytes": 36000.0, "pace": 3.1, "read_factor": 3.2}},
--- a/review/standins3/drain.go
+++ b/review/standins3/drain.go
@@ -29,16 +29,16 @@
 		}, "igla-assist"))
 	}
 	start(1, held)
-	for i := 2; i <= 7; i++ {
+	for i := 2; i <= 5; i++ {
 		start(i, 0)
 	}
 	f.startInstances(3)
 	f.awaitReady()
-	f.awaitLayers(7)
+	f.awaitLayers(5)
 	time.Sleep(time.Second)
-	for round := range 6 {
+	for round := range 3 {
 		var group sync.WaitGroup
-		for n := range 120 {
+		for n := range 140 {
 			group.Go(func() {
 				id := fmt.Sprintf("%08x%08x", round+1, n+1)
 				x := f.instances[n%len(f.instances)]
--- a/review/standins3/unframed.go
+++ b/review/standins3/unframed.go
@@ -20,10 +20,13 @@
 func unframedCrash(f *fleet) (broken int) {
 	f.store.put("op", "config", configuration(3))
 	var workers []*workerProcess
+	const unframedWorkers = 2 // Half of the three, rounded up.
 	for i := range 3 {
-		workers = append(workers, f.startWorker(workerConfig{
-			ID: fmt.Sprintf("i-a%d", i+1), Address: fmt.Sprintf("127.0.0.1:%d", freePort()), Slots: 6, WorkMs: 110, Unframed: unframedShare,
-		}, "zaloga-app"))
+		c := workerConfig{ID: fmt.Sprintf("i-a%d", i+1), Address: fmt.Sprintf("127.0.0.1:%d", freePort()), Slots: 6, WorkMs: 110}
+		if i < unframedWorkers {
+			c.Unframed = unframedShare
+		}
+		workers = append(workers, f.startWorker(c, "zaloga-app"))
 	}
 	f.startInstances(5)
 	f.awaitReady()
@@ -60,7 +63,7 @@
 		if !trouble() {
 			continue
 		}
-		w := round % len(workers)
+		w := round % unframedWorkers
 		f.killWorker(workers[w])
 		time.Sleep(500 * time.Millisecond)
 		c := workers[w].config
