--- a/review/standins3/config.go
+++ b/review/standins3/config.go
@@ -8,11 +8,11 @@
 		"version": version,
 		"routes": []any{
 			map[string]any{
-				"name": "orders", "host": "shop.example", "prefix": "/orders/", "route_kind": "non_idempotent", "timeout_ms": 2500, "goal_ms": 150, "priority": 2,
+				"name": "orders", "host": "shop.example", "prefix": "/orders/", "route_kind": "non_idempotent", "timeout_ms": 1500, "goal_ms": 150, "priority": 2,
 				"service": "zaloga-app", "max_attempts": 1,
 			},
 			map[string]any{
-				"name": "stock", "host": "shop.example", "prefix": "/stock/", "route_kind": "idempotent", "timeout_ms": 2500, "goal_ms": 150, "priority": 2,
+				"name": "stock", "host": "shop.example", "prefix": "/stock/", "route_kind": "idempotent", "timeout_ms": 1500, "goal_ms": 150, "priority": 2,
 				"service": "zaloga-app", "max_attempts": 2,
 			},
 			map[string]any{
--- a/review/standins3/unframed.go
+++ b/review/standins3/unframed.go
@@ -4,62 +4,76 @@
 
 import (
 	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
 	"time"
 )
 
-// unframedShare is how many answers in a hundred have no length, the largest share that the bench plays.
-const unframedShare = 5
-
-// playTime is how long after its begin the case goes on with crashes.
-const playTime = 85 * time.Second
+const (
+	// unframedShare is how many answers in a hundred have no length, and unframedWorkers at how many of the three workers: the largest doses
+	// of the bench.
+	unframedShare   = 5
+	unframedWorkers = 2
+	// ordersPerSecond and readsPerSecond are those of zrela-leta-grown in its largest burst, 2.5 times the usual.
+	ordersPerSecond = 60
+	readsPerSecond  = 24
+	// otherMachines is how many of the site's 99 machines, besides those that the case starts, have a connection to a worker soon after its start.
+	otherMachines = 40
+	// serviceDeadline is the deadline of the site's orders and reads.
+	serviceDeadline = 1500 * time.Millisecond
+	// playTime is how long after its begin the case goes on with crashes.
+	playTime = 95 * time.Second
+)
 
-// unframedCrash plays orders, some of whose answers have no length, while workers crash in turn and start again.
+// unframedCrash plays orders and reads, some of whose answers have no length, while workers crash in turn and start again.
 func unframedCrash(f *fleet) (broken int) {
 	f.store.put("op", "config", configuration(3))
 	var workers []*workerProcess
-	const unframedWorkers = 2 // Half of the three, rounded up.
 	for i := range 3 {
-		c := workerConfig{ID: fmt.Sprintf("i-a%d", i+1), Address: fmt.Sprintf("127.0.0.1:%d", freePort()), Slots: 6, WorkMs: 110}
+		c := workerConfig{ID: fmt.Sprintf("i-a%d", i+1), Address: fmt.Sprintf("127.0.0.1:%d", freePort()), Slots: 6, WorkMs: 30}
 		if i < unframedWorkers {
 			c.Unframed = unframedShare
 		}
 		workers = append(workers, f.startWorker(c, "zaloga-app"))
+		connectOthers(c.Address)
 	}
 	f.startInstances(5)
 	f.awaitReady()
 	var mu sync.Mutex
-	var stopped bool
 	answers := map[string]string{} // answers holds the bodies of the successes that looked complete, by request.
 	var group sync.WaitGroup
-	for n := range 300 {
-		group.Go(func() {
-			for i := 0; ; i++ {
-				mu.Lock()
-				end := stopped
-				mu.Unlock()
-				if end {
-					return
-				}
-				x := f.instances[(n+i)%len(f.instances)]
-				id := fmt.Sprintf("%08x%08x", n+1, i+1)
-				r := request(x.client, http.MethodPost, "/orders/reorder", id, "{\"kit\":1}", 2500*time.Millisecond)
-				f.log("client %d gets %d for order %s from %s: %d bytes, complete %v, seal %q, error %v", n, r.status, id, x.name, len(r.body), r.complete, r.header.Get("X-Response-Seal"), r.err)
-				if r.status == http.StatusServiceUnavailable {
-					time.Sleep(400 * time.Millisecond) // As Retry-After asks.
+	stop := make(chan struct{})
+	send := func(method, path string, client int, perSecond float64) {
+		for n := 1; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Duration(rand.ExpFloat64() / perSecond * float64(time.Second))):
+			}
+			group.Go(func() {
+				x := f.instances[n%len(f.instances)]
+				id, body := fmt.Sprintf("%08x%08x", client, n), ""
+				if method == http.MethodPost {
+					body = "{\"invite\":1}"
 				}
+				r := request(x.client, method, path, id, body, serviceDeadline)
+				f.log("client %d gets %d for %s %s from %s: %d bytes, complete %v, seal %q, error %v", client, r.status, method, id, x.name, len(r.body), r.complete, r.header.Get("X-Response-Seal"), r.err)
 				if r.status/100 == 2 && r.complete {
 					mu.Lock()
 					answers[id] = r.body
 					mu.Unlock()
 				}
-			}
-		})
+			})
+		}
 	}
-	for round := 0; round < 70 && time.Since(f.begun) < playTime; round++ {
-		time.Sleep(700 * time.Millisecond)
+	group.Go(func() { send(http.MethodPost, "/orders/invite", 1, ordersPerSecond) })
+	group.Go(func() { send(http.MethodGet, "/stock/profile", 2, readsPerSecond) })
+	for round := 0; time.Since(f.begun) < playTime; round++ {
+		time.Sleep(450 * time.Millisecond)
 		if !trouble() {
 			continue
 		}
@@ -67,13 +81,12 @@
 		f.killWorker(workers[w])
 		time.Sleep(500 * time.Millisecond)
 		c := workers[w].config
-		c.ID += "r"
+		c.ID = fmt.Sprintf("i-b%d", round)
 		workers[w] = f.startWorker(c, "zaloga-app")
+		connectOthers(c.Address)
 	}
 	time.Sleep(2 * time.Second)
-	mu.Lock()
-	stopped = true
-	mu.Unlock()
+	close(stop)
 	group.Wait()
 	time.Sleep(200 * time.Millisecond) // The last lines of the workers are read.
 	for id, body := range answers {
@@ -81,12 +94,25 @@
 			continue
 		}
 		broken++
-		f.log("MIXED: order %s: the client got a success with a whole answer of %d bytes that ends with %q, and the worker's answer has %d bytes",
+		f.log("MIXED: request %s: the client got a success with a whole answer of %d bytes that ends with %q, and the worker's answer has %d bytes",
 			id, len(body), tail(body), len(wholeBody("i-a1", id)))
 	}
+	f.log("%d requests were answered with a success", len(answers))
 	return broken
 }
 
+// connectOthers opens the connections of other machines to a worker. They end with the worker.
+func connectOthers(address string) {
+	for range otherMachines {
+		c, err := net.DialTimeout("tcp4", address, time.Second)
+		must(err)
+		go func() {
+			_, _ = io.Copy(io.Discard, c)
+			_ = c.Close()
+		}()
+	}
+}
+
 // isWholeAnswer reports whether a body is the whole answer of the worker that ran a request.
 func (f *fleet) isWholeAnswer(id, body string) bool {
 	f.mu.Lock()
--- a/review/standins3/worker.go
+++ b/review/standins3/worker.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -23,7 +24,7 @@
 	ID       string
 	Address  string
 	Slots    int
-	WorkMs   int  // WorkMs is how long a request runs.
+	WorkMs   int  // WorkMs is how long a request runs on average.
 	Unframed int  // Unframed is how many answers in a hundred have no length and end with their connection.
 	Engine   bool // Engine makes the worker a model worker, which streams events.
 	Events   int  // Events is the number of events of a stream, and GapMs the time between two of them.
@@ -152,6 +153,16 @@
 	return w.unary(c, id)
 }
 
+// workTime returns how long a request runs: WorkMs on average, with the spread, the tail and the maximum of the sites.
+func (w *worker) workTime() time.Duration {
+	const spread, tail, tailFactor, longestMs = 0.5, 0.01, 5, 220
+	ms := float64(w.WorkMs) * math.Exp(spread*rand.NormFloat64()-spread*spread/2)
+	if rand.Float64() < tail {
+		ms *= tailFactor
+	}
+	return time.Duration(min(ms, longestMs) * float64(time.Millisecond))
+}
+
 // unary sends the first half of the answer, works, and sends the rest.
 func (w *worker) unary(c net.Conn, id string) bool {
 	body := wholeBody(w.ID, id)
@@ -165,7 +176,7 @@
 	if _, err := io.WriteString(c, head+body[:len(body)/2]); err != nil {
 		return false
 	}
-	time.Sleep(time.Duration(w.WorkMs) * time.Millisecond)
+	time.Sleep(w.workTime())
 	if _, err := io.WriteString(c, body[len(body)/2:]); err != nil {
 		return false
 	}
